--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,7 +8,7 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 34> kCatalogue = {{
+constexpr std::array<EventDescription, 45> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
@@ -31,6 +31,9 @@
     {kBundleRolled, kInfo, "bundle_rolled", "An operator rolled a bundle through this node.", "None."},
     {kBundleRefused, kWarning, "bundle_refused", "An operator's command was refused.",
      "Read the answer; repeat if it says so."},
+    {kConfigInForce, kInfo, "config_in_force", "A newer serving configuration is in force on this node.", "None."},
+    {kConfigRefused, kError, "config_refused", "A published configuration cannot be read; the one before stays in force.",
+     "Mend the key that the message names and publish again."},
     {kEngineDraining, kInfo, "engine_draining", "An engine gets no new work before a change.", "None."},
     {kOrderSent, kInfo, "order_sent", "A fenced order went to an engine.", "None."},
     {kOrderAnswered, kInfo, "order_answered", "An engine answered an order.", "None."},
@@ -39,21 +42,34 @@
     {kEngineEjected, kWarning, "engine_ejected", "An engine failed repeatedly; it gets no work for a while.",
      "Look at the engine's own logs."},
     {kEngineReadmitted, kInfo, "engine_readmitted", "An ejected engine gets work again.", "None."},
+    {kEngineRecord, kInfo, "engine_record", "What the platform records of an engine changed.", "None."},
     {kRequestRefused, kInfo, "request_refused", "A request was refused with a typed error.",
      "Add engines or raise the class limit if it lasts."},
     {kRequestRetried, kInfo, "request_retried", "A request goes to another engine.", "None."},
     {kRequestUnknown, kWarning, "request_unknown", "A request ended with outcome unknown.",
      "Settle it with the caller's own records before issuing again."},
     {kFrameDropped, kInfo, "frame_dropped", "A late or crossed engine frame was dropped.", "None."},
+    {kRequestRouted, kInfo, "request_routed", "A request goes to an engine; the inputs that decided.", "None."},
+    {kRequestAnswered, kInfo, "request_answered", "An engine's answer went to the client whole.", "None."},
+    {kRequestFailed, kWarning, "request_failed", "A request ended with an error of ours that promises nothing.",
+     "Follow the request's lines; look at the engine that they name."},
+    {kRequestBrokenOff, kWarning, "request_broken_off", "A stream was ended before its last event.",
+     "Follow the request's lines; look at the engine that they name."},
+    {kClientLeft, kInfo, "client_left", "The client closed before its answer was whole; its work is cancelled.", "None."},
     {kStoreUnavailable, kWarning, "store_unavailable", "The platform's store does not answer.",
      "Serving goes on; publish, approve and roll wait for the store."},
     {kStoreRecovered, kInfo, "store_recovered", "The platform's store answers again.", "None."},
+    {kStoreContact, kInfo, "store_contact", "The node began or ceased to hear the platform's store.",
+     "If it stays lost: check the store; serving goes on with what is known."},
     {kPeerDataRefused, kWarning, "peer_data_refused", "Bytes from a peer did not verify and were dropped.",
      "Check that only nodes reach the peer port and that versions agree."},
     {kSettingsRefused, kError, "settings_refused", "The settings are wrong; the process exits 2.",
      "Mend the key that the message names."},
     {kListenFailed, kError, "listen_failed", "A listening address cannot be bound; the process exits 3.",
      "Free the port or set another address."},
+    {kSettingsReloaded, kInfo, "settings_reloaded", "The settings were read again; what took effect.", "None."},
+    {kLogDropped, kWarning, "log_dropped", "Log lines were dropped: too many, or nobody reads them.",
+     "Read standard output faster, or raise log_lines_per_second."},
 }};
 
 }  // namespace
--- /dev/null
+++ b/src/core/serving/engine_directory.cc
@@ -0,0 +1,105 @@
+#include "src/core/serving/engine_directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace saltquay::serving {
+
+void EngineDirectory::Replace(const std::vector<EngineRecord>& records) {
+  std::set<std::string> present;
+  for (const EngineRecord& record : records) {
+    present.insert(record.id);
+    Update(record);
+  }
+  for (auto& [id, engine] : engines_) {
+    if (!present.contains(id)) engine.gone = true;
+  }
+  Sweep();
+}
+
+bool EngineDirectory::Update(const EngineRecord& record) {
+  EngineState& engine = engines_[record.id];
+  const bool changed = engine.gone || engine.record != record;
+  if (engine.record.stage != record.stage) engine.changing_until = Time{};
+  engine.record = record;
+  engine.gone = false;
+  return changed;
+}
+
+void EngineDirectory::Remove(const std::string& id) {
+  const auto entry = engines_.find(id);
+  if (entry != engines_.end()) entry->second.gone = true;
+  Sweep();
+}
+
+void EngineDirectory::Sweep() {
+  std::erase_if(engines_, [](const auto& entry) { return entry.second.gone && entry.second.outstanding == 0; });
+}
+
+EngineState* EngineDirectory::Find(const std::string& id) {
+  const auto entry = engines_.find(id);
+  return entry == engines_.end() ? nullptr : &entry->second;
+}
+
+void EngineDirectory::ForEachServing(const std::string& service, const std::function<void(EngineState&)>& visit) {
+  for (auto& [id, engine] : engines_) {
+    if (engine.record.service == service && !engine.gone && !engine.record.leaving) visit(engine);
+  }
+}
+
+void EngineDirectory::NoteLoad(const std::string& id, const EngineLoad& load, Time now) {
+  EngineState* engine = Find(id);
+  if (engine == nullptr) return;
+  engine->told = load;
+  engine->told_at = now;
+  engine->outstanding_when_told = engine->outstanding;
+  engine->ever_told = true;
+}
+
+std::optional<StandingChange> EngineDirectory::NoteAnswer(const std::string& id, bool failed, Time now) {
+  EngineState* engine = Find(id);
+  if (engine == nullptr) return std::nullopt;
+  engine->last_heard = now;
+  engine->consecutive_failures = 0;
+  ++engine->answers;
+  engine->error_share += policy_.smoothing * ((failed ? 1.0 : 0.0) - engine->error_share);
+  const bool judged = engine->answers >= policy_.min_answers;
+  const bool bad = judged && engine->error_share > OthersErrorShare(*engine) + policy_.error_share;
+  if (bad) {
+    engine->answers = 0;
+    return Eject(*engine, "errors above the other engines'", now);
+  }
+  if (!failed && engine->error_share < policy_.error_share / 2) engine->ejection = 0s;
+  return std::nullopt;
+}
+
+std::optional<StandingChange> EngineDirectory::NoteFailure(const std::string& id, const std::string& cause, Time now) {
+  EngineState* engine = Find(id);
+  if (engine == nullptr) return std::nullopt;
+  ++engine->consecutive_failures;
+  const bool on_probation = engine->ejection > 0s && now < engine->ejected_until + engine->ejection;
+  if (engine->consecutive_failures < policy_.failures && !on_probation) return std::nullopt;
+  return Eject(*engine, cause, now);
+}
+
+std::optional<StandingChange> EngineDirectory::Eject(EngineState& engine, const std::string& cause, Time now) {
+  if (now < engine.ejected_until) return std::nullopt;
+  engine.ejection = engine.ejection == 0s ? policy_.first : std::min(engine.ejection * 2, policy_.longest);
+  engine.ejected_until = now + engine.ejection;
+  engine.consecutive_failures = 0;
+  return StandingChange{engine.record.id, true, cause, engine.ejection};
+}
+
+double EngineDirectory::OthersErrorShare(const EngineState& engine) const {
+  double sum = 0;
+  int count = 0;
+  for (const auto& [id, other] : engines_) {
+    if (&other == &engine || other.record.service != engine.record.service || other.gone) continue;
+    if (other.answers == 0) continue;
+    sum += other.error_share;
+    ++count;
+  }
+  return count == 0 ? 1.0 : sum / count;
+}
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/core/serving/engine_selector.cc
@@ -0,0 +1,130 @@
+#include "src/core/serving/engine_selector.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+#include "src/base/hash.h"
+
+namespace saltquay::serving {
+namespace {
+
+constexpr double kRateSmoothing = 0.1;
+constexpr std::size_t kMostParts = 20000;
+constexpr double kMillisecond = 1000.0;  // In microseconds.
+
+// The part that decides a prompt's home: the last one that is shared.
+const PromptPart* HomePart(const PromptFacts& prompt) {
+  return prompt.parts.size() < 2 ? nullptr : &prompt.parts[prompt.parts.size() - 2];
+}
+
+}  // namespace
+
+int SharedTokens(const PromptFacts& prompt) {
+  int tokens = 0;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) tokens += prompt.parts[i].tokens;
+  return tokens;
+}
+
+int OwnTokens(const PromptFacts& prompt) { return std::max(0, prompt.tokens - SharedTokens(prompt)); }
+
+double EngineSelector::EstimatedLoad(const EngineState& engine, Time now) const {
+  double others = 0;
+  if (engine.ever_told) {
+    const double age = ToSeconds(now - engine.told_at) / ToSeconds(knobs_.load_memory);
+    const int told = engine.told.running + engine.told.waiting - engine.outstanding_when_told;
+    others = std::max(0, told) * std::max(0.0, 1.0 - age);
+  }
+  return engine.outstanding + std::max(others, static_cast<double>(engine.peers_outstanding));
+}
+
+template <typename Cost>
+EngineState* EngineSelector::Cheapest(EngineDirectory& engines, const std::string& service, EngineStage stage,
+                                      const EngineIds& tried, Time now, Cost cost) {
+  struct Candidate {
+    EngineState* engine;
+    bool out;
+    double cost;
+  };
+  std::vector<Candidate> candidates;
+  engines.ForEachServing(service, [&](EngineState& engine) {
+    if (engine.record.stage != stage || tried.contains(engine.record.id)) return;
+    const bool out = now < engine.ejected_until || now < engine.changing_until;
+    candidates.push_back({&engine, out, cost(engine)});
+  });
+  if (candidates.empty()) return nullptr;
+  if (knobs_.policy == SelectionPolicy::kRoundRobin) return candidates[turn_++ % candidates.size()].engine;
+  const auto best = std::min_element(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+    return a.out != b.out ? b.out : a.cost < b.cost;
+  });
+  return best->engine;
+}
+
+EngineState* EngineSelector::ChooseUniform(EngineDirectory& engines, const std::string& service,
+                                           const EngineIds& tried, Time now) {
+  return Cheapest(engines, service, EngineStage::kUniform, tried, now, [&](const EngineState& engine) {
+    if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
+    const double bonus = engine.record.zone == zone_ ? knobs_.own_zone_bonus : 0.0;
+    return EstimatedLoad(engine, now) - bonus + random_.Unit() * 0.1;
+  });
+}
+
+EngineState* EngineSelector::ChooseDecode(EngineDirectory& engines, const std::string& service,
+                                          const std::string& memory_zone, const EngineIds& tried, Time now) {
+  return Cheapest(engines, service, EngineStage::kDecode, tried, now, [&](const EngineState& engine) {
+    if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
+    double cost = EstimatedLoad(engine, now) + random_.Unit() * 0.1;
+    if (engine.record.zone == zone_) cost -= knobs_.own_zone_bonus;
+    if (engine.record.zone == memory_zone) cost -= knobs_.memory_zone_bonus;
+    return cost;
+  });
+}
+
+EngineState* EngineSelector::ChoosePrefill(EngineDirectory& engines, const std::string& service,
+                                           const PromptFacts& prompt, const EngineIds& tried, Time now) {
+  const PromptPart* part = HomePart(prompt);
+  const EngineState* home = nullptr;
+  std::uint64_t best_rank = 0;
+  engines.ForEachServing(service, [&](EngineState& engine) {
+    if (part == nullptr || engine.record.stage != EngineStage::kPrefill || now < engine.ejected_until) return;
+    const std::uint64_t rank = HashPair(HashText(part->id), HashText(engine.record.id));
+    if (home != nullptr && rank <= best_rank) return;
+    home = &engine;
+    best_rank = rank;
+  });
+  return Cheapest(engines, service, EngineStage::kPrefill, tried, now, [&](const EngineState& engine) {
+    if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
+    return PrefillCost(engine, prompt, &engine == home, now);
+  });
+}
+
+// Milliseconds until the prompt is read there, and what that costs besides.
+double EngineSelector::PrefillCost(const EngineState& engine, const PromptFacts& prompt, bool home, Time now) const {
+  const double others_by_load = std::max(0.0, EstimatedLoad(engine, now) - engine.outstanding);
+  const double others = std::max(static_cast<double>(engine.peers_prompt_tokens),
+                                 engine.peers_prompt_tokens > 0 ? 0.0 : others_by_load * OwnTokens(prompt));
+  const double backlog = (static_cast<double>(engine.outstanding_prompt_tokens) + others) / read_rate();
+  const PromptPart* part = HomePart(prompt);
+  const bool kept = home || (part != nullptr && Keeps(engine.record.id, part->id, now));
+  const double reread = kept ? 0.0 : knobs_.reread_weight * SharedTokens(prompt) / read_rate();
+  const double remote = engine.record.zone == zone_ ? 0.0 : knobs_.remote_prefill_ms;
+  return backlog + reread + remote;
+}
+
+bool EngineSelector::Keeps(const std::string& engine_id, const std::string& part, Time now) const {
+  const auto entry = parts_.find({engine_id, part});
+  return entry != parts_.end() && now - entry->second < knobs_.part_memory;
+}
+
+void EngineSelector::NotePrompt(const std::string& engine_id, const PromptFacts& prompt, Time now) {
+  if (parts_.size() > kMostParts) parts_.clear();
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) parts_[{engine_id, prompt.parts[i].id}] = now;
+}
+
+void EngineSelector::NotePrefillTime(std::int64_t tokens, Duration time) {
+  if (tokens <= 0 || time <= 0s) return;
+  const double rate = static_cast<double>(tokens) * kMillisecond / static_cast<double>(time.count());
+  read_rate_ = read_rate_ == 0 ? rate : read_rate_ + kRateSmoothing * (rate - read_rate_);
+}
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/core/serving/engine_selector.h
@@ -0,0 +1,65 @@
+// Chooses the engine of an attempt.
+//
+// Uniform engines: least estimated load, own zone preferred. Prompts are read
+// at a home: engines are ranked for a shared prompt part by rendezvous hashing,
+// which every node computes alike, so a part is kept by one engine without any
+// talk; another engine is taken when the home's backlog costs more than reading
+// the part again. Memory is then used by the decode engine with the least load,
+// preferably in the zone that holds it.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "src/base/random.h"
+#include "src/core/serving/events.h"
+#include "src/core/serving/knobs.h"
+
+namespace saltquay::serving {
+
+using EngineIds = std::set<std::string>;
+
+class EngineSelector {
+ public:
+  EngineSelector(const ServingKnobs& knobs, std::string zone, std::uint64_t seed)
+      : knobs_(knobs), zone_(std::move(zone)), random_(seed) {}
+
+  // Each returns nullptr where no engine can take the attempt. Engines in
+  // `tried` are taken only when `tried` says nothing else is left, never twice.
+  EngineState* ChooseUniform(EngineDirectory& engines, const std::string& service, const EngineIds& tried, Time now);
+  EngineState* ChoosePrefill(EngineDirectory& engines, const std::string& service, const PromptFacts& prompt,
+                             const EngineIds& tried, Time now);
+  EngineState* ChooseDecode(EngineDirectory& engines, const std::string& service, const std::string& memory_zone,
+                            const EngineIds& tried, Time now);
+
+  // Notes that the engine has read the prompt (its shared parts are there now).
+  void NotePrompt(const std::string& engine_id, const PromptFacts& prompt, Time now);
+  // Learns the reading rate from a finished prefill.
+  void NotePrefillTime(std::int64_t tokens, Duration time);
+
+  // Work under way at the engine, of all nodes, as far as is known.
+  double EstimatedLoad(const EngineState& engine, Time now) const;
+  double read_rate() const { return read_rate_ > 0 ? read_rate_ : knobs_.first_read_rate; }
+
+ private:
+  template <typename Cost>
+  EngineState* Cheapest(EngineDirectory& engines, const std::string& service, EngineStage stage,
+                        const EngineIds& tried, Time now, Cost cost);
+  double PrefillCost(const EngineState& engine, const PromptFacts& prompt, bool home, Time now) const;
+  bool Keeps(const std::string& engine_id, const std::string& part, Time now) const;
+
+  ServingKnobs knobs_;
+  std::string zone_;
+  Random random_;
+  double read_rate_ = 0;  // Prompt tokens in a millisecond; 0: not measured.
+  std::uint64_t turn_ = 0;
+  std::map<std::pair<std::string, std::string>, Time> parts_;  // (engine, part) -> last use.
+};
+
+// Prompt tokens in parts that other requests share, and those of the request itself.
+int SharedTokens(const PromptFacts& prompt);
+int OwnTokens(const PromptFacts& prompt);
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/core/serving/events.h
@@ -0,0 +1,170 @@
+// The seam of the serving core: what happens to it, and what it asks for.
+//
+// One flow is one client request; an attempt is one call to one engine for it.
+// The driver keeps the bytes (heads, bodies, events); the core only decides.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/base/event_catalogue.h"
+#include "src/base/time.h"
+#include "src/core/serving/engine_directory.h"
+#include "src/core/serving/serving_config.h"
+
+namespace saltquay::serving {
+
+using FlowId = std::uint64_t;
+using AttemptId = std::uint64_t;
+
+struct PromptPart {
+  std::string id;
+  int tokens = 0;
+};
+
+// What the caller told of its prompt.
+struct PromptFacts {
+  std::string model;
+  int tokens = 0;
+  int output_tokens = 0;
+  std::vector<PromptPart> parts;  // In order; the last belongs to the request itself.
+};
+
+struct RequestFacts {
+  std::string request_id;
+  std::string host;
+  std::string path;
+  std::optional<Duration> deadline;
+  std::optional<PromptFacts> prompt;
+  std::string last_event_id;  // Of a client that resumes a stream.
+};
+
+// What an engine's answer head says.
+struct AnswerFacts {
+  int status = 0;
+  bool not_executed = false;
+  bool signed_by_engine = false;
+  std::optional<EngineLoad> load;
+};
+
+enum class AttemptFailure { kNotSent, kBroken, kMalformed };
+enum class AttemptMode {
+  kWhole,     // Read and answer.
+  kPrefill,   // Read only; the engine keeps the memory under a handle.
+  kContinue,  // Answer from memory that another engine keeps.
+};
+
+struct ConfigurationChanged {
+  ServingConfig config;
+};
+struct EnginesReplaced {
+  std::vector<EngineRecord> records;
+};
+struct EngineChanged {
+  EngineRecord record;
+};
+struct EngineRemoved {
+  std::string id;
+};
+// Whether the node hears the store, so that what it knows is fresh.
+struct StoreContactChanged {
+  bool in_contact = false;
+};
+struct PeersChanged {
+  int nodes = 1;
+};
+struct RequestArrived {
+  FlowId flow = 0;
+  RequestFacts facts;
+};
+struct ClientLeft {
+  FlowId flow = 0;
+};
+struct AttemptHead {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+  AnswerFacts answer;
+};
+// Events of a stream that came whole.
+struct AttemptEvents {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+  std::string last_event_id;
+};
+struct AttemptCompleted {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+  std::string handle;  // Of a prefill.
+};
+struct AttemptFailed {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+  AttemptFailure failure = AttemptFailure::kBroken;
+};
+struct TimePassed {};
+
+using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, StoreContactChanged,
+                           PeersChanged, RequestArrived, ClientLeft, AttemptHead, AttemptEvents, AttemptCompleted,
+                           AttemptFailed, TimePassed>;
+
+struct MemorySource {
+  std::string engine_id;
+  std::string address;
+  std::string handle;
+};
+
+struct StartAttempt {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+  std::string engine_id;
+  std::string address;
+  AttemptMode mode = AttemptMode::kWhole;
+  std::optional<MemorySource> memory;
+  std::string last_event_id;
+  Duration time_left = 0s;
+  Duration connect_timeout = 0s;
+  int priority = 5;
+  bool streams = false;
+};
+struct CancelAttempt {
+  AttemptId attempt = 0;
+};
+// Send the attempt's buffered answer to the client, whole.
+struct RelayAnswer {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+};
+// Send the attempt's head if none was sent yet, and its events as they come.
+struct BeginRelay {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+};
+struct EndRelay {
+  FlowId flow = 0;
+};
+struct AnswerOwn {
+  FlowId flow = 0;
+  int status = 0;
+  std::optional<Duration> retry_after;
+};
+// End the answer so that it does not look complete.
+struct BreakOff {
+  FlowId flow = 0;
+};
+struct ReleaseMemory {
+  MemorySource memory;
+};
+// One line of the decision log.
+struct LogDecision {
+  EventId event = EventId::kRequestRouted;
+  std::string request_id;  // Empty where no request is concerned.
+  std::string details;     // JSON members, without braces.
+};
+
+using Action = std::variant<StartAttempt, CancelAttempt, RelayAnswer, BeginRelay, EndRelay, AnswerOwn, BreakOff,
+                            ReleaseMemory, LogDecision>;
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/core/serving/flow_steps.cc
@@ -0,0 +1,283 @@
+// The steps of one request's flow; see serving_core.h for the protocol.
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "src/core/serving/serving_core.h"
+
+namespace saltquay::serving {
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kFirstError = 500;
+
+std::string_view ModeName(AttemptMode mode) {
+  if (mode == AttemptMode::kPrefill) return "prefill";
+  return mode == AttemptMode::kContinue ? "continue" : "whole";
+}
+
+bool SplitsPrompt(const Flow& flow, const ServingKnobs& knobs) {
+  return flow.language && flow.facts.prompt->tokens > knobs.whole_prompt_tokens;
+}
+
+}  // namespace
+
+// Starts the next attempt that the flow needs, or waits for an engine.
+void ServingCore::Advance(Flow& flow) {
+  const bool wants_prefill = SplitsPrompt(flow, knobs_) && !flow.memory;
+  if (wants_prefill && StartPrefill(flow)) return;
+  if (StartRun(flow)) return;
+  WaitOrRefuse(flow);
+}
+
+bool ServingCore::StartPrefill(Flow& flow) {
+  const bool extra = flow.prefills > 0;
+  if (extra && allowance_.Left(flow.service, now_) < 1) return false;
+  EngineState* engine = selector_.ChoosePrefill(engines_, flow.service, *flow.facts.prompt, flow.tried, now_);
+  if (engine == nullptr) return false;
+  if (extra) allowance_.NoteExtra(flow.service, now_);
+  ++flow.prefills;
+  Start(flow, *engine, AttemptMode::kPrefill);
+  return true;
+}
+
+bool ServingCore::StartRun(Flow& flow) {
+  const AttemptMode mode = flow.memory ? AttemptMode::kContinue : AttemptMode::kWhole;
+  EngineState* engine = ChooseRunEngine(flow, mode);
+  if (engine == nullptr) return false;
+  if (flow.arrivals > 0 && !allowance_.TryTake(flow.service, now_)) return false;
+  ++flow.arrivals;
+  Start(flow, *engine, mode);
+  flow.memory.reset();  // A handle serves once.
+  return true;
+}
+
+EngineState* ServingCore::ChooseRunEngine(Flow& flow, AttemptMode mode) {
+  if (flow.language) {
+    const std::string& zone = mode == AttemptMode::kContinue ? flow.memory_zone : std::string();
+    return selector_.ChooseDecode(engines_, flow.service, zone, flow.tried, now_);
+  }
+  return selector_.ChooseUniform(engines_, flow.service, flow.tried, now_);
+}
+
+void ServingCore::Start(Flow& flow, EngineState& engine, AttemptMode mode) {
+  flow.waiting_until.reset();
+  ++flow.tries;
+  if (mode != AttemptMode::kPrefill) ++flow.runs;
+  Attempt attempt;
+  attempt.id = ++last_attempt_;
+  attempt.engine_id = engine.record.id;
+  attempt.mode = mode;
+  attempt.sent_at = now_;
+  attempt.alone_at_start = engine.outstanding == 0;
+  if (mode != AttemptMode::kContinue && flow.facts.prompt) attempt.prompt_tokens = OwnTokens(*flow.facts.prompt);
+  ++engine.outstanding;
+  engine.outstanding_prompt_tokens += attempt.prompt_tokens;
+  const double connect_seconds = ToSeconds(flow.route.objective) * knobs_.connect_share;
+  StartAttempt start;
+  start.flow = flow.id;
+  start.attempt = attempt.id;
+  start.engine_id = engine.record.id;
+  start.address = engine.record.address;
+  start.mode = mode;
+  if (mode == AttemptMode::kContinue) start.memory = flow.memory;
+  start.last_event_id = flow.last_event_id;
+  start.time_left = flow.ends + knobs_.answer_margin - now_;
+  start.connect_timeout = std::clamp(FromSeconds(connect_seconds), knobs_.shortest_connect, knobs_.longest_connect);
+  start.priority = flow.route.priority;
+  start.streams = flow.route.kind == RouteKind::kStreaming;
+  Log(EventId::kRequestRouted, &flow,
+      fmt::format(R"("route":"{}","service":"{}","version":{},"engine":"{}","mode":"{}","try":{},"load":{:.1f},)"
+                  R"("load_age_ms":{},"backlog_tokens":{},"left_ms":{})",
+                  flow.route.name, flow.service, version(), engine.record.id, ModeName(mode), flow.tries,
+                  selector_.EstimatedLoad(engine, now_),
+                  engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1, engine.outstanding_prompt_tokens,
+                  start.time_left.count() / 1000));
+  flow.attempts[attempt.id] = attempt;
+  actions_->push_back(std::move(start));
+  Arm(flow);
+}
+
+void ServingCore::WaitOrRefuse(Flow& flow) {
+  if (!flow.attempts.empty()) return Arm(flow);  // Another attempt is still under way.
+  if (flow.relaying) return BreakOffFlow(flow, "no engine to go on with");
+  const Duration share = FromSeconds(ToSeconds(flow.route.objective) * knobs_.wait_share);
+  if (!flow.waiting_until) flow.waiting_until = now_ + std::min(share, knobs_.longest_wait);
+  if (now_ >= *flow.waiting_until) return Refuse(flow, "no engine can take it");
+  Arm(flow);
+}
+
+void ServingCore::FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle) {
+  EngineState* engine = engines_.Find(attempt.engine_id);
+  const bool read = attempt.answer.status < 300 && !handle.empty() && engine != nullptr;
+  if (!read) return Retry(flow, "prompt not read");
+  selector_.NotePrompt(attempt.engine_id, *flow.facts.prompt, now_);
+  if (attempt.alone_at_start) selector_.NotePrefillTime(attempt.prompt_tokens, now_ - attempt.sent_at);
+  if (flow.memory) {  // A second prefill also came to its end.
+    actions_->push_back(ReleaseMemory{{attempt.engine_id, engine->record.address, handle}});
+    return;
+  }
+  flow.memory = MemorySource{attempt.engine_id, engine->record.address, handle};
+  flow.memory_zone = engine->record.zone;
+  Advance(flow);
+}
+
+void ServingCore::FinishRun(Flow& flow, const Attempt& attempt) {
+  const int status = attempt.answer.status;
+  if (flow.relayed_attempt == attempt.id) {
+    Log(EventId::kRequestAnswered, &flow, fmt::format(R"("status":{},"engine":"{}","took_ms":{},"tries":{},"stream":true)", status,
+                                                attempt.engine_id, (now_ - flow.arrived).count() / 1000, flow.tries));
+    actions_->push_back(EndRelay{flow.id});
+    return Erase(flow.id);
+  }
+  if (flow.relaying) return Retry(flow, "the stream was not taken up");
+  const bool failed = status >= kFirstError || (status < 300 && !attempt.answer.signed_by_engine);
+  if (failed && MayRunAgain(flow) && allowance_.Left(flow.service, now_) >= 1) {
+    const int runs = flow.runs;
+    const FlowId id = flow.id;
+    flow.tried.insert(attempt.engine_id);
+    Retry(flow, "the engine failed");
+    if (FindFlow(id) == nullptr || flow.runs > runs) return;
+  }
+  // A promise that nothing ran is not ours to pass on once it may have.
+  const bool false_promise = status == kUnavailable || status == 429 || status == 408 || status == 421;
+  if (false_promise || (status < 300 && !attempt.answer.signed_by_engine)) {
+    return Fail(flow, kBadGateway, "the engine's answer proves nothing");
+  }
+  CancelAttempts(flow, 0);
+  Log(EventId::kRequestAnswered, &flow, fmt::format(R"("status":{},"engine":"{}","took_ms":{},"tries":{})", status,
+                                              attempt.engine_id, (now_ - flow.arrived).count() / 1000, flow.tries));
+  actions_->push_back(RelayAnswer{flow.id, attempt.id});
+  Erase(flow.id);
+}
+
+// The engine says that it did not run the request.
+void ServingCore::OnRefusal(Flow& flow, const Attempt& attempt) {
+  flow.tried.insert(attempt.engine_id);
+  // The memory's engine may be at fault where a hand-over is refused.
+  if (attempt.mode != AttemptMode::kContinue) LogStanding(engines_.NoteAnswer(attempt.engine_id, true, now_));
+  if (attempt.mode == AttemptMode::kPrefill) {
+    // A refused prefill counts as an extra arrival whether it was the first or not.
+    if (flow.prefills == 1) allowance_.NoteExtra(flow.service, now_);
+  } else {
+    --flow.runs;
+  }
+  if (attempt.mode == AttemptMode::kContinue) flow.tried.erase(attempt.engine_id);
+  Retry(flow, "refused by the engine");
+}
+
+void ServingCore::OnLost(Flow& flow, const Attempt& attempt, AttemptFailure failure) {
+  flow.tried.insert(attempt.engine_id);
+  const bool arrived = failure != AttemptFailure::kNotSent;
+  if (!arrived) {
+    if (attempt.mode == AttemptMode::kPrefill) --flow.prefills;
+    if (attempt.mode != AttemptMode::kPrefill) {
+      --flow.runs;
+      --flow.arrivals;
+    }
+    return Retry(flow, "no connection");
+  }
+  if (attempt.mode == AttemptMode::kPrefill) return Retry(flow, "prefill lost");
+  if (!MayRunAgain(flow)) {
+    if (flow.relaying) return BreakOffFlow(flow, "the engine broke off");
+    if (!flow.attempts.empty()) return Arm(flow);
+    return Fail(flow, kBadGateway, "the engine broke off; it may have run");
+  }
+  Retry(flow, "the engine broke off");
+}
+
+void ServingCore::Retry(Flow& flow, std::string_view cause) {
+  Log(EventId::kRequestRetried, &flow, fmt::format(R"("cause":"{}","tries":{},"allowance":{:.1f})", cause, flow.tries,
+                                             allowance_.Left(flow.service, now_)));
+  if (flow.tries >= knobs_.most_tries) {
+    if (!flow.attempts.empty()) return Arm(flow);
+    if (flow.relaying) return BreakOffFlow(flow, "too many tries");
+    return flow.runs > 0 ? Fail(flow, kBadGateway, "too many tries") : Refuse(flow, "too many tries");
+  }
+  Advance(flow);
+}
+
+bool ServingCore::MayRunAgain(const Flow& flow) const {
+  return flow.route.repeatable() && flow.runs < flow.route.max_attempts;
+}
+
+void ServingCore::Hedge(Flow& flow) {
+  flow.hedge_at.reset();
+  const bool silent = flow.attempts.size() == 1 && !flow.attempts.begin()->second.head_seen;
+  if (!silent || !MayRunAgain(flow)) return;
+  flow.tried.insert(flow.attempts.begin()->second.engine_id);
+  Retry(flow, "no answer in most of the objective");
+}
+
+// An engine that has said nothing to anybody since our request is taken out;
+// the request itself stays there, for it may be at work.
+void ServingCore::NoteSilence(Flow& flow) {
+  for (auto& [id, attempt] : flow.attempts) {
+    if (attempt.silence_noted || attempt.head_seen || now_ < attempt.sent_at + knobs_.silence) continue;
+    attempt.silence_noted = true;
+    const EngineState* engine = engines_.Find(attempt.engine_id);
+    if (engine == nullptr || engine->last_heard > attempt.sent_at) continue;
+    LogStanding(engines_.NoteFailure(attempt.engine_id, "silent", now_));
+  }
+}
+
+void ServingCore::TimeOut(Flow& flow) {
+  if (flow.relaying) {
+    CancelAttempts(flow, 0);
+    return BreakOffFlow(flow, "time is up");
+  }
+  const bool may_have_run = flow.runs > 0;
+  CancelAttempts(flow, 0);
+  if (may_have_run) return Fail(flow, kGatewayTimeout, "time is up; it may have run");
+  Refuse(flow, "time is up; not run");
+}
+
+void ServingCore::Refuse(Flow& flow, std::string_view cause) {
+  CancelAttempts(flow, 0);
+  Log(EventId::kRequestRefused, &flow, fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{},"retry_after_ms":{})",
+                                             kUnavailable, cause, (now_ - flow.arrived).count() / 1000, flow.tries,
+                                             version(), knobs_.retry_after.count() / 1000));
+  actions_->push_back(AnswerOwn{flow.id, kUnavailable, knobs_.retry_after});
+  Erase(flow.id);
+}
+
+void ServingCore::Fail(Flow& flow, int status, std::string_view cause) {
+  CancelAttempts(flow, 0);
+  Log(EventId::kRequestFailed, &flow, fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{})", status,
+                                            cause, (now_ - flow.arrived).count() / 1000, flow.tries, version()));
+  actions_->push_back(AnswerOwn{flow.id, status, std::nullopt});
+  Erase(flow.id);
+}
+
+void ServingCore::BreakOffFlow(Flow& flow, std::string_view cause) {
+  CancelAttempts(flow, 0);
+  Log(EventId::kRequestBrokenOff, &flow, fmt::format(R"("cause":"{}","held_ms":{},"tries":{},"last_event":"{}")", cause,
+                                               (now_ - flow.arrived).count() / 1000, flow.tries, flow.last_event_id));
+  actions_->push_back(BreakOff{flow.id});
+  Erase(flow.id);
+}
+
+void ServingCore::CancelAttempts(Flow& flow, AttemptId except) {
+  std::vector<AttemptId> others;
+  for (const auto& [id, attempt] : flow.attempts) {
+    if (id != except) others.push_back(id);
+  }
+  for (const AttemptId id : others) {
+    actions_->push_back(CancelAttempt{id});
+    EndAttempt(flow, id);
+  }
+}
+
+void ServingCore::EndAttempt(Flow& flow, AttemptId id) {
+  const auto entry = flow.attempts.find(id);
+  if (entry == flow.attempts.end()) return;
+  if (EngineState* engine = engines_.Find(entry->second.engine_id)) {
+    --engine->outstanding;
+    engine->outstanding_prompt_tokens -= entry->second.prompt_tokens;
+  }
+  flow.attempts.erase(entry);
+}
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/core/serving/retry_allowance.h
@@ -0,0 +1,70 @@
+// Bounds this node's part of a fleet-wide retry budget without any talk.
+//
+// The budget: within every window, arrivals at a service's engines beyond the
+// first of each request stay under ratio x requests + slack, summed over all
+// nodes. Each node spends its own ratio and an equal share of the slack, held
+// back by `safety` for nodes that restarted and forgot what they spent.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "src/base/time.h"
+
+namespace saltquay::serving {
+
+struct RetryBudgetBounds {
+  double ratio = 0.2;
+  Duration window = 10s;
+  double slack = 0;
+  double safety = 0.6;
+};
+
+class RetryAllowance {
+ public:
+  explicit RetryAllowance(const RetryBudgetBounds& bounds) : bounds_(bounds) {}
+
+  // `nodes`: how many nodes may share the slack.
+  void set_nodes(int nodes) { nodes_ = std::max(1, nodes); }
+
+  void NoteRequest(const std::string& service, Time now) { Trimmed(service, now).requests.push_back(now); }
+  // An extra arrival that was not asked for beforehand.
+  void NoteExtra(const std::string& service, Time now) { Trimmed(service, now).extras.push_back(now); }
+
+  // Takes one extra arrival; returns false when the window's share is spent.
+  bool TryTake(const std::string& service, Time now) {
+    if (Left(service, now) < 1) return false;
+    NoteExtra(service, now);
+    return true;
+  }
+
+  // Extra arrivals that are left now.
+  double Left(const std::string& service, Time now) {
+    const Usage& usage = Trimmed(service, now);
+    const double earned = bounds_.ratio * static_cast<double>(usage.requests.size());
+    const double allowed = bounds_.safety * (earned + bounds_.slack / nodes_);
+    return allowed - static_cast<double>(usage.extras.size());
+  }
+
+ private:
+  struct Usage {
+    std::deque<Time> requests;
+    std::deque<Time> extras;
+  };
+
+  Usage& Trimmed(const std::string& service, Time now) {
+    Usage& usage = usage_[service];
+    const Time start = now - bounds_.window;
+    while (!usage.requests.empty() && usage.requests.front() < start) usage.requests.pop_front();
+    while (!usage.extras.empty() && usage.extras.front() < start) usage.extras.pop_front();
+    return usage;
+  }
+
+  RetryBudgetBounds bounds_;
+  int nodes_ = 1;
+  std::map<std::string, Usage> usage_;
+};
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/core/serving/serving_core.cc
@@ -0,0 +1,221 @@
+#include "src/core/serving/serving_core.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace saltquay::serving {
+
+ServingCore::ServingCore(const ServingKnobs& knobs, const std::string& zone, std::uint64_t seed)
+    : knobs_(knobs),
+      engines_(knobs.ejection),
+      selector_(knobs, zone, seed),
+      allowance_(knobs.retry_budget),
+      random_(seed + 1) {}
+
+void ServingCore::OnEvent(Time now, const Event& event, std::vector<Action>& actions) {
+  now_ = now;
+  actions_ = &actions;
+  std::visit([this](const auto& typed) { On(typed); }, event);
+  actions_ = nullptr;
+}
+
+std::optional<Time> ServingCore::next_deadline() const {
+  if (deadlines_.empty()) return std::nullopt;
+  return deadlines_.begin()->first;
+}
+
+void ServingCore::On(const ConfigurationChanged& event) {
+  if (config_ && event.config.version <= config_->version) return;
+  config_ = event.config;
+  Log(EventId::kConfigInForce, nullptr,
+      fmt::format(R"("version":{},"routes":{},"services":{})", config_->version, config_->routes.size(),
+                  config_->services.size()));
+}
+
+void ServingCore::On(const EnginesReplaced& event) {
+  engines_.Replace(event.records);
+  heard_engines_ = true;
+  Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engines":{},"cause":"listed")", event.records.size()));
+}
+
+void ServingCore::On(const EngineChanged& event) {
+  if (!engines_.Update(event.record)) return;
+  Log(EventId::kEngineRecord, nullptr,
+      fmt::format(R"("engine":"{}","service":"{}","zone":"{}","leaving":{},"stage":{})", event.record.id,
+                  event.record.service, event.record.zone, event.record.leaving,
+                  static_cast<int>(event.record.stage)));
+}
+
+void ServingCore::On(const EngineRemoved& event) {
+  engines_.Remove(event.id);
+  Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engine":"{}","cause":"gone")", event.id));
+}
+
+void ServingCore::On(const StoreContactChanged& event) {
+  if (store_contact_ == event.in_contact) return;
+  store_contact_ = event.in_contact;
+  Log(EventId::kStoreContact, nullptr, fmt::format(R"("in_contact":{})", store_contact_));
+}
+
+void ServingCore::On(const PeersChanged& event) { allowance_.set_nodes(event.nodes); }
+
+std::string ServingCore::ChooseService(const Route& route) {
+  double sum = 0;
+  for (const WeightedService& part : route.services) sum += part.weight;
+  double draw = random_.Unit() * sum;
+  for (const WeightedService& part : route.services) {
+    draw -= part.weight;
+    if (draw < 0) return part.service;
+  }
+  return route.services.empty() ? "" : route.services.back().service;
+}
+
+void ServingCore::On(const RequestArrived& event) {
+  constexpr int kNotFound = 404;
+  auto owned = std::make_unique<Flow>();
+  Flow& flow = *owned;
+  flow.id = event.flow;
+  flow.facts = event.facts;
+  flow.arrived = now_;
+  flow.last_event_id = event.facts.last_event_id;
+  flows_[flow.id] = std::move(owned);
+  if (!ready()) return Refuse(flow, "no configuration yet");
+  const Route* route = config_->FindRoute(event.facts.host, event.facts.path);
+  if (route == nullptr) {
+    // An unknown route is certain only while the store is heard.
+    return store_contact_ ? Fail(flow, kNotFound, "no route") : Refuse(flow, "no route known, store not heard");
+  }
+  flow.route = *route;
+  flow.service = ChooseService(*route);
+  const Service* service = config_->FindService(flow.service);
+  flow.language = service != nullptr && service->language && flow.facts.prompt;
+  const Duration patience = std::min(route->timeout, event.facts.deadline.value_or(route->timeout));
+  flow.ends = now_ + std::max(1ms, std::chrono::duration_cast<std::chrono::milliseconds>(patience - knobs_.answer_margin));
+  if (route->kind == RouteKind::kRepeatable) {
+    flow.hedge_at = now_ + FromSeconds(ToSeconds(route->objective) * knobs_.hedge_share);
+  }
+  allowance_.NoteRequest(flow.service, now_);
+  Advance(flow);
+}
+
+void ServingCore::On(const ClientLeft& event) {
+  Flow* flow = FindFlow(event.flow);
+  if (flow == nullptr) return;
+  Log(EventId::kClientLeft, flow, fmt::format(R"("attempts":{})", flow->attempts.size()));
+  const bool lets_run = flow->route.kind == RouteKind::kAtMostOnce;
+  if (!lets_run) CancelAttempts(*flow, 0);
+  Erase(flow->id);
+}
+
+void ServingCore::On(const AttemptHead& event) {
+  constexpr int kFirstError = 500;
+  constexpr int kFirstRedirect = 300;
+  Flow* flow = FindFlow(event.flow);
+  if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
+  Attempt& attempt = flow->attempts[event.attempt];
+  attempt.head_seen = true;
+  attempt.answer = event.answer;
+  if (event.answer.load) engines_.NoteLoad(attempt.engine_id, *event.answer.load, now_);
+  if (!event.answer.not_executed) {
+    LogStanding(engines_.NoteAnswer(attempt.engine_id, event.answer.status >= kFirstError, now_));
+  }
+  const bool begins = flow->route.kind == RouteKind::kStreaming && attempt.mode != AttemptMode::kPrefill &&
+                      event.answer.status < kFirstRedirect && event.answer.signed_by_engine;
+  if (!begins) return;
+  flow->relaying = true;
+  flow->relayed_attempt = attempt.id;
+  CancelAttempts(*flow, attempt.id);
+  actions_->push_back(BeginRelay{flow->id, attempt.id});
+  Arm(*flow);
+}
+
+void ServingCore::On(const AttemptEvents& event) {
+  Flow* flow = FindFlow(event.flow);
+  if (flow == nullptr || flow->relayed_attempt != event.attempt) return;
+  flow->last_event_id = event.last_event_id;
+}
+
+void ServingCore::On(const AttemptCompleted& event) {
+  Flow* flow = FindFlow(event.flow);
+  if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
+  const Attempt attempt = flow->attempts[event.attempt];
+  EndAttempt(*flow, event.attempt);
+  if (attempt.answer.not_executed) return OnRefusal(*flow, attempt);
+  if (attempt.mode == AttemptMode::kPrefill) return FinishPrefill(*flow, attempt, event.handle);
+  FinishRun(*flow, attempt);
+}
+
+void ServingCore::On(const AttemptFailed& event) {
+  Flow* flow = FindFlow(event.flow);
+  if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
+  const Attempt attempt = flow->attempts[event.attempt];
+  EndAttempt(*flow, event.attempt);
+  LogStanding(engines_.NoteFailure(attempt.engine_id,
+                                   event.failure == AttemptFailure::kNotSent ? "no connection" : "answer broken", now_));
+  OnLost(*flow, attempt, event.failure);
+}
+
+void ServingCore::On(const TimePassed& /*event*/) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now_) {
+    const FlowId id = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    armed_.erase(id);
+    Flow* flow = FindFlow(id);
+    if (flow == nullptr) continue;
+    if (now_ >= flow->ends) {
+      TimeOut(*flow);
+      continue;
+    }
+    NoteSilence(*flow);
+    if (flow->hedge_at && now_ >= *flow->hedge_at) Hedge(*flow);
+    flow = FindFlow(id);
+    if (flow != nullptr && flow->waiting_until) Advance(*flow);
+    flow = FindFlow(id);
+    if (flow != nullptr) Arm(*flow);
+  }
+}
+
+Flow* ServingCore::FindFlow(FlowId id) {
+  const auto entry = flows_.find(id);
+  return entry == flows_.end() ? nullptr : entry->second.get();
+}
+
+// Sets the flow's next wake-up: its end, its hedge, its wait, or a silent engine.
+void ServingCore::Arm(Flow& flow) {
+  constexpr Duration kWaitStep = 20ms;
+  Time at = flow.ends;
+  if (flow.hedge_at && *flow.hedge_at > now_) at = std::min(at, *flow.hedge_at);
+  if (flow.waiting_until) at = std::min({at, *flow.waiting_until, now_ + kWaitStep});
+  for (const auto& [id, attempt] : flow.attempts) {
+    if (!attempt.silence_noted && !attempt.head_seen) at = std::min(at, attempt.sent_at + knobs_.silence);
+  }
+  const auto armed = armed_.find(flow.id);
+  if (armed != armed_.end()) deadlines_.erase({armed->second, flow.id});
+  armed_[flow.id] = at;
+  deadlines_.insert({at, flow.id});
+}
+
+void ServingCore::Erase(FlowId id) {
+  const auto armed = armed_.find(id);
+  if (armed != armed_.end()) deadlines_.erase({armed->second, id});
+  armed_.erase(id);
+  Flow* flow = FindFlow(id);
+  if (flow == nullptr) return;
+  while (!flow->attempts.empty()) EndAttempt(*flow, flow->attempts.begin()->first);
+  if (flow->memory) actions_->push_back(ReleaseMemory{*flow->memory});
+  flows_.erase(id);
+}
+
+void ServingCore::Log(EventId event, const Flow* flow, std::string details) {
+  actions_->push_back(LogDecision{event, flow == nullptr ? "" : flow->facts.request_id, std::move(details)});
+}
+
+void ServingCore::LogStanding(const std::optional<StandingChange>& change) {
+  if (!change) return;
+  Log(EventId::kEngineEjected, nullptr,
+      fmt::format(R"("engine":"{}","cause":"{}","for_ms":{})", change->engine, change->cause,
+                  change->span.count() / 1000));
+}
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/core/serving/serving_core.h
@@ -0,0 +1,140 @@
+// The serving core: routing, attempts, retries, limits and final answers for
+// opaque requests. Deterministic: no clock, thread or socket; the same object
+// runs in the daemon and in simulation.
+//
+// Protocol of a flow. A request is answered once. An attempt goes to one engine
+// named by its identity. What can have run is never sent again unless the route
+// says it may; a refusal (429, 503) is answered only for what has not run and
+// never will. A stream is broken off rather than ended early; where its route
+// allows, it goes on at another engine after the last whole event. When the
+// route's time or the caller's is up, the final answer is sent at once.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/core/serving/engine_selector.h"
+#include "src/core/serving/events.h"
+#include "src/core/serving/knobs.h"
+#include "src/core/serving/retry_allowance.h"
+
+namespace saltquay::serving {
+
+struct Attempt {
+  AttemptId id = 0;
+  std::string engine_id;
+  AttemptMode mode = AttemptMode::kWhole;
+  Time sent_at{};
+  std::int64_t prompt_tokens = 0;  // That it reads, by our reckoning.
+  bool head_seen = false;          // Of an answer that the engine made itself.
+  AnswerFacts answer;
+  bool silence_noted = false;
+  bool alone_at_start = false;     // Nothing else of ours was under way there.
+};
+
+struct Flow {
+  FlowId id = 0;
+  RequestFacts facts;
+  Route route;  // As it was when the request came.
+  std::string service;
+  bool language = false;
+  Time arrived{};
+  Time ends{};
+  std::map<AttemptId, Attempt> attempts;
+  EngineIds tried;
+  std::optional<MemorySource> memory;
+  std::string memory_zone;
+  int arrivals = 0;         // Attempts sent, prefills aside.
+  int prefills = 0;
+  int runs = 0;             // Attempts that may have run.
+  int tries = 0;            // All attempts.
+  bool relaying = false;    // The client has the head of a stream.
+  std::string last_event_id;
+  std::optional<Time> waiting_until;  // For any engine to come.
+  std::optional<Time> hedge_at;
+  AttemptId relayed_attempt = 0;
+};
+
+class ServingCore {
+ public:
+  ServingCore(const ServingKnobs& knobs, const std::string& zone, std::uint64_t seed);
+
+  void OnEvent(Time now, const Event& event, std::vector<Action>& actions);
+
+  // When the core next wants TimePassed; nothing while it has no work.
+  std::optional<Time> next_deadline() const;
+
+  bool ready() const { return config_.has_value() && heard_engines_; }
+  std::size_t flows() const { return flows_.size(); }
+  std::uint64_t version() const { return config_ ? config_->version : 0; }
+  const std::optional<ServingConfig>& config() const { return config_; }
+  EngineDirectory& engines() { return engines_; }
+  const EngineDirectory& engines() const { return engines_; }
+  EngineSelector& selector() { return selector_; }
+
+ private:
+  void On(const ConfigurationChanged& event);
+  void On(const EnginesReplaced& event);
+  void On(const EngineChanged& event);
+  void On(const EngineRemoved& event);
+  void On(const StoreContactChanged& event);
+  void On(const PeersChanged& event);
+  void On(const RequestArrived& event);
+  void On(const ClientLeft& event);
+  void On(const AttemptHead& event);
+  void On(const AttemptEvents& event);
+  void On(const AttemptCompleted& event);
+  void On(const AttemptFailed& event);
+  void On(const TimePassed& event);
+
+  // Flow steps (flow_steps.cc).
+  void Advance(Flow& flow);
+  bool StartPrefill(Flow& flow);
+  bool StartRun(Flow& flow);
+  EngineState* ChooseRunEngine(Flow& flow, AttemptMode mode);
+  void Start(Flow& flow, EngineState& engine, AttemptMode mode);
+  void WaitOrRefuse(Flow& flow);
+  void FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle);
+  void FinishRun(Flow& flow, const Attempt& attempt);
+  void OnRefusal(Flow& flow, const Attempt& attempt);
+  void OnLost(Flow& flow, const Attempt& attempt, AttemptFailure failure);
+  void Retry(Flow& flow, std::string_view cause);
+  bool MayRunAgain(const Flow& flow) const;
+  void Hedge(Flow& flow);
+  void TimeOut(Flow& flow);
+  void NoteSilence(Flow& flow);
+
+  // Ends of a flow.
+  void Refuse(Flow& flow, std::string_view cause);
+  void Fail(Flow& flow, int status, std::string_view cause);
+  void BreakOffFlow(Flow& flow, std::string_view cause);
+  void Erase(FlowId id);
+  void CancelAttempts(Flow& flow, AttemptId except);
+  void EndAttempt(Flow& flow, AttemptId id);
+
+  Flow* FindFlow(FlowId id);
+  void Arm(Flow& flow);
+  void Log(EventId event, const Flow* flow, std::string details);
+  void LogStanding(const std::optional<StandingChange>& change);
+  std::string ChooseService(const Route& route);
+
+  ServingKnobs knobs_;
+  EngineDirectory engines_;
+  EngineSelector selector_;
+  RetryAllowance allowance_;
+  Random random_;
+  std::optional<ServingConfig> config_;
+  bool heard_engines_ = false;
+  bool store_contact_ = false;
+  std::map<FlowId, std::unique_ptr<Flow>> flows_;
+  std::set<std::pair<Time, FlowId>> deadlines_;
+  std::map<FlowId, Time> armed_;
+  AttemptId last_attempt_ = 0;
+  Time now_{};
+  std::vector<Action>* actions_ = nullptr;
+};
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/gateway/collection_watcher.h
@@ -0,0 +1,63 @@
+// Keeps up with one kind of object in the store: lists, then watches.
+//
+// Protocol: after a list, watches go on from the revision last seen. A watch
+// that is cut is begun again from there; forgotten history, and any doubt
+// whether the store was heard, lead to a list. Errors back off with jitter.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <utility>  // Boost 1.74's Asio needs it first under C++20.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/base/random.h"
+#include "src/gateway/object_store.h"
+
+namespace saltquay::gateway {
+
+struct WatcherHandlers {
+  std::function<void(const ObjectList&)> on_list;
+  std::function<void(const ObjectEvent&)> on_event;
+  // Whether the store is heard; the cause where it is not.
+  std::function<void(bool, const std::string&)> on_contact;
+};
+
+struct WatcherTimes {
+  std::chrono::milliseconds watch{4000};
+  std::chrono::milliseconds first_backoff{50};
+  std::chrono::milliseconds longest_backoff{800};
+};
+
+class CollectionWatcher {
+ public:
+  CollectionWatcher(boost::asio::io_context& loop, ObjectStore& store, std::string kind, const WatcherTimes& times,
+                    std::uint64_t seed, WatcherHandlers handlers);
+
+  void Start() { List(); }
+  bool in_contact() const { return in_contact_; }
+
+ private:
+  void List();
+  void Watch();
+  void OnError(const absl::Status& status);
+  void SetContact(bool in_contact, const std::string& cause);
+
+  ObjectStore& store_;
+  std::string kind_;
+  WatcherTimes times_;
+  WatcherHandlers handlers_;
+  Random random_;
+  boost::asio::steady_timer timer_;
+  std::chrono::milliseconds backoff_;
+  std::int64_t revision_ = 0;
+  bool in_contact_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/engine_protocol.cc
@@ -0,0 +1,123 @@
+#include "src/gateway/engine_protocol.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+namespace saltquay::gateway {
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr std::size_t kMostPromptParts = 256;
+
+std::optional<int> ParseInt(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  int value = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (result.ec != std::errc{}) return std::nullopt;
+  return value;
+}
+
+std::vector<std::string_view> SplitCommas(std::string_view text) {
+  std::vector<std::string_view> items;
+  while (true) {
+    const std::size_t comma = text.find(',');
+    items.push_back(text.substr(0, comma));
+    if (comma == std::string_view::npos) return items;
+    text.remove_prefix(comma + 1);
+  }
+}
+
+std::vector<serving::PromptPart> ParseParts(std::string_view text) {
+  std::vector<serving::PromptPart> parts;
+  for (const std::string_view item : SplitCommas(text)) {
+    const std::size_t colon = item.find(':');
+    if (colon == std::string_view::npos || parts.size() >= kMostPromptParts) continue;
+    const std::optional<int> tokens = ParseInt(item.substr(colon + 1));
+    if (tokens) parts.push_back({std::string(item.substr(0, colon)), *tokens});
+  }
+  return parts;
+}
+
+std::string HostWithoutPort(std::string_view host) { return std::string(host.substr(0, host.find(':'))); }
+
+}  // namespace
+
+serving::RequestFacts EngineProtocol::ReadRequest(const http::RequestHead& head) const {
+  serving::RequestFacts facts;
+  facts.request_id = std::string(head.fields.Find(names_.request_id).value_or(""));
+  facts.host = HostWithoutPort(head.fields.Find("Host").value_or(""));
+  facts.path = std::string(http::PathOf(head.target));
+  if (const auto text = head.fields.Find(names_.deadline_ms)) {
+    if (const auto value = ParseInt(*text)) facts.deadline = std::chrono::milliseconds(std::max(0, *value));
+  }
+  facts.last_event_id = std::string(head.fields.Find(names_.last_event_id).value_or(""));
+  const auto counts = head.fields.Find(names_.token_counts);
+  if (!counts) return facts;
+  serving::PromptFacts prompt;
+  const std::vector<std::string_view> numbers = SplitCommas(*counts);
+  prompt.tokens = ParseInt(numbers[0]).value_or(0);
+  if (numbers.size() > 1) prompt.output_tokens = ParseInt(numbers[1]).value_or(0);
+  prompt.model = std::string(head.fields.Find(names_.model).value_or(""));
+  prompt.parts = ParseParts(head.fields.Find(names_.prompt_parts).value_or(""));
+  facts.prompt = std::move(prompt);
+  return facts;
+}
+
+http::RequestHead EngineProtocol::MakeRequest(const http::RequestHead& client,
+                                              const serving::StartAttempt& attempt) const {
+  http::RequestHead head;
+  head.method = client.method;
+  head.target = client.target;
+  head.fields = client.fields;
+  http::RemoveConnectionFields(head.fields);
+  for (const std::string& name : names_.system_fields) head.fields.Remove(name);
+  head.fields.Remove(names_.deadline_ms);
+  head.fields.Remove(names_.last_event_id);
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(attempt.time_left).count();
+  head.fields.Add(names_.deadline_ms, std::to_string(std::max<std::int64_t>(1, left)));
+  head.fields.Add(names_.expected_engine, attempt.engine_id);
+  head.fields.Add(names_.priority, std::to_string(std::clamp(attempt.priority, 0, 9)));
+  if (!attempt.last_event_id.empty()) head.fields.Add(names_.last_event_id, attempt.last_event_id);
+  if (attempt.mode == serving::AttemptMode::kPrefill) head.fields.Add(names_.stage, names_.stage_prefill);
+  if (attempt.memory) head.fields.Add(names_.memory_source, attempt.memory->address + "/" + attempt.memory->handle);
+  return head;
+}
+
+serving::AnswerFacts EngineProtocol::ReadAnswer(const http::ResponseHead& head) const {
+  serving::AnswerFacts facts;
+  facts.status = head.status;
+  facts.not_executed = head.fields.Has(names_.not_executed) || head.status == kMisdirected;
+  facts.signed_by_engine = head.fields.Has(names_.signature);
+  const auto load = head.fields.Find(names_.load);
+  if (!load) return facts;
+  const std::vector<std::string_view> numbers = SplitCommas(*load);
+  if (numbers.size() < 3) return facts;
+  facts.load = serving::EngineLoad{ParseInt(numbers[0]).value_or(0), ParseInt(numbers[1]).value_or(0),
+                                   ParseInt(numbers[2]).value_or(0)};
+  return facts;
+}
+
+bool EngineProtocol::Answers(const http::ResponseHead& head, std::string_view request_id) const {
+  const auto id = head.fields.Find(names_.request_id);
+  return !id || *id == request_id;
+}
+
+std::string EngineProtocol::ReadHandle(const std::string& body) const {
+  const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+  if (!answer.is_object() || !answer.contains(names_.handle_member)) return "";
+  const nlohmann::json& handle = answer[names_.handle_member];
+  return handle.is_string() ? handle.get<std::string>() : "";
+}
+
+http::RequestHead EngineProtocol::MakeRelease(const serving::MemorySource& memory) const {
+  http::RequestHead head;
+  head.method = "DELETE";
+  head.target = names_.release_path + memory.handle;
+  head.fields.Add("Host", memory.address);
+  return head;
+}
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/engine_protocol.h
@@ -0,0 +1,56 @@
+// How requests are written to engines and their answers read.
+//
+// The names of the header fields are data: the product's own are the defaults,
+// a platform's adapter supplies others.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "src/core/serving/events.h"
+#include "src/http/message.h"
+
+namespace saltquay::gateway {
+
+struct EngineProtocolNames {
+  std::string request_id = "Saltquay-Request-Id";
+  std::string deadline_ms = "Saltquay-Deadline-Ms";
+  std::string last_event_id = "Last-Event-Id";
+  std::string model = "Saltquay-Model";
+  std::string token_counts = "Saltquay-Tokens";       // Prompt and most output, by a comma.
+  std::string prompt_parts = "Saltquay-Prompt-Parts";  // ID:TOKENS by commas.
+  std::string expected_engine = "Saltquay-Expect-Engine";
+  std::string priority = "Saltquay-Priority";
+  std::string stage = "Saltquay-Stage";
+  std::string stage_prefill = "prefill";
+  std::string memory_source = "Saltquay-Memory-Source";
+  std::string signature = "Saltquay-Signature";
+  std::string not_executed = "Saltquay-Not-Executed";
+  std::string load = "Saltquay-Load";                 // Running, waiting, slots.
+  std::string handle_member = "handle";               // Of the JSON answer to a prefill.
+  std::string release_path = "/handles/";             // DELETE it with a handle behind.
+  // Fields that only this system may set: never passed on from a client.
+  std::vector<std::string> system_fields = {"Saltquay-Expect-Engine", "Saltquay-Priority", "Saltquay-Stage",
+                                            "Saltquay-Memory-Source"};
+};
+
+class EngineProtocol {
+ public:
+  explicit EngineProtocol(EngineProtocolNames names) : names_(std::move(names)) {}
+
+  // Reads what the core needs to know of a client's request.
+  serving::RequestFacts ReadRequest(const http::RequestHead& head) const;
+  // The client's head as it goes to the engine of `attempt`.
+  http::RequestHead MakeRequest(const http::RequestHead& client, const serving::StartAttempt& attempt) const;
+  serving::AnswerFacts ReadAnswer(const http::ResponseHead& head) const;
+  // Returns whether the answer is to the request of that id.
+  bool Answers(const http::ResponseHead& head, std::string_view request_id) const;
+  // The handle in the body of a prefill's answer; empty where there is none.
+  std::string ReadHandle(const std::string& body) const;
+  http::RequestHead MakeRelease(const serving::MemorySource& memory) const;
+
+ private:
+  EngineProtocolNames names_;
+};
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,268 @@
+#include "src/gateway/gateway.h"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+namespace saltquay::gateway {
+namespace {
+
+constexpr std::chrono::milliseconds kFlushInterval{20};
+constexpr std::chrono::milliseconds kReleaseConnect{200};
+
+std::string ModeName(serving::AttemptMode mode) {
+  if (mode == serving::AttemptMode::kPrefill) return "prefill";
+  return mode == serving::AttemptMode::kContinue ? "continue" : "whole";
+}
+
+serving::AttemptFailure ToAttemptFailure(http::CallFailure failure) {
+  if (failure == http::CallFailure::kNotSent) return serving::AttemptFailure::kNotSent;
+  if (failure == http::CallFailure::kMalformed) return serving::AttemptFailure::kMalformed;
+  return serving::AttemptFailure::kBroken;
+}
+
+std::chrono::milliseconds ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+// "address#engine": a kept connection never serves another engine's requests.
+std::string PoolOf(const std::string& address, const std::string& engine) { return address + "#" + engine; }
+
+}  // namespace
+
+std::int64_t UnixMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+Gateway::Gateway(boost::asio::io_context& loop, const GatewaySettings& settings, EngineProtocol protocol,
+                 LogStream& log, std::uint64_t seed)
+    : loop_(loop),
+      protocol_(std::move(protocol)),
+      log_(log),
+      core_(settings.knobs, settings.zone, seed),
+      client_(loop),
+      metrics_(settings.node_name),
+      timer_(loop),
+      flush_timer_(loop) {}
+
+Gateway::~Gateway() = default;
+
+Time Gateway::Now() const {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return Time(std::chrono::duration_cast<Duration>(now));
+}
+
+void Gateway::Log(EventId event, std::string_view request_id, std::string_view members) {
+  log_.Write(UnixMilliseconds(), event, request_id, members);
+  ScheduleFlush();
+}
+
+void Gateway::ScheduleFlush() {
+  if (flush_scheduled_) return;
+  flush_scheduled_ = true;
+  flush_timer_.expires_after(kFlushInterval);
+  flush_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    flush_scheduled_ = false;
+    log_.Flush();
+    if (!log_.empty()) ScheduleFlush();
+  });
+}
+
+void Gateway::Dispatch(const serving::Event& event) {
+  std::vector<serving::Action> actions;
+  core_.OnEvent(Now(), event, actions);
+  for (const serving::Action& action : actions) {
+    std::visit([this](const auto& typed) { Carry(typed); }, action);
+  }
+  ArmTimer();
+}
+
+void Gateway::ArmTimer() {
+  const std::optional<Time> at = core_.next_deadline();
+  if (at == timer_at_) return;
+  timer_at_ = at;
+  if (!at) {
+    timer_.cancel();
+    return;
+  }
+  timer_.expires_after(std::max(Duration(0), *at - Now()));
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    timer_at_.reset();
+    Dispatch(serving::TimePassed{});
+  });
+}
+
+void Gateway::Handle(const std::shared_ptr<http::Exchange>& exchange) {
+  const serving::FlowId id = ++last_flow_;
+  serving::RequestArrived arrived;
+  arrived.flow = id;
+  arrived.facts = protocol_.ReadRequest(exchange->head);
+  flows_[id] = LiveFlow{exchange, arrived.facts.request_id, Now(), false, false};
+  exchange->on_client_left = [this, id] {
+    if (flows_.erase(id) > 0) Dispatch(serving::ClientLeft{id});
+  };
+  Dispatch(arrived);
+}
+
+void Gateway::Carry(const serving::StartAttempt& action) {
+  const auto flow = flows_.find(action.flow);
+  const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(action.address);
+  LiveAttempt& attempt = attempts_[action.attempt];
+  attempt.flow = action.flow;
+  attempt.mode = action.mode;
+  attempt.streams = action.streams && action.mode != serving::AttemptMode::kPrefill;
+  if (flow == flows_.end() || !endpoint.ok()) {
+    boost::asio::post(loop_, [this, id = action.attempt] { OnFailure(id, http::CallFailure::kNotSent); });
+    return;
+  }
+  attempt.request_id = flow->second.request_id;
+  const http::Exchange& exchange = *flow->second.exchange;
+  http::CallOptions options;
+  options.connect_timeout = ToMilliseconds(action.connect_timeout);
+  options.head_request = exchange.head.method == "HEAD";
+  attempt.call = client_.Start(*endpoint, PoolOf(action.address, action.engine_id),
+                               http::SerializeRequest(protocol_.MakeRequest(exchange.head, action), exchange.body),
+                               options, MakeHandlers(action.attempt));
+}
+
+http::CallHandlers Gateway::MakeHandlers(serving::AttemptId id) {
+  http::CallHandlers handlers;
+  handlers.accepts = [this, id](const http::ResponseHead& head) {
+    const auto attempt = attempts_.find(id);
+    return attempt != attempts_.end() && protocol_.Answers(head, attempt->second.request_id);
+  };
+  handlers.on_head = [this, id](const http::ResponseHead& head) { OnHead(id, head); };
+  handlers.on_body = [this, id](std::string_view bytes) { OnBody(id, bytes); };
+  handlers.on_complete = [this, id] { OnComplete(id); };
+  handlers.on_failure = [this, id](http::CallFailure failure) { OnFailure(id, failure); };
+  return handlers;
+}
+
+void Gateway::OnHead(serving::AttemptId id, const http::ResponseHead& head) {
+  const auto entry = attempts_.find(id);
+  if (entry == attempts_.end()) return;
+  entry->second.head = head;
+  http::RemoveConnectionFields(entry->second.head.fields);
+  Dispatch(serving::AttemptHead{entry->second.flow, id, protocol_.ReadAnswer(head)});
+}
+
+void Gateway::OnBody(serving::AttemptId id, std::string_view bytes) {
+  const auto entry = attempts_.find(id);
+  if (entry == attempts_.end()) return;
+  if (entry->second.relays) return RelayEvents(id, entry->second, bytes);
+  entry->second.body += bytes;
+}
+
+void Gateway::RelayEvents(serving::AttemptId id, LiveAttempt& attempt, std::string_view bytes) {
+  const std::string whole = attempt.events.Feed(bytes);
+  const auto flow = flows_.find(attempt.flow);
+  if (whole.empty() || flow == flows_.end()) return;
+  if (!flow->second.first_event_sent) {
+    flow->second.first_event_sent = true;
+    metrics_.ObserveFirstEvent(ToSeconds(Now() - flow->second.arrived));
+  }
+  flow->second.exchange->Write(whole);
+  Dispatch(serving::AttemptEvents{attempt.flow, id, attempt.events.last_event_id()});
+}
+
+void Gateway::OnComplete(serving::AttemptId id) {
+  const auto entry = attempts_.find(id);
+  if (entry == attempts_.end()) return;
+  LiveAttempt& attempt = entry->second;
+  const auto flow = flows_.find(attempt.flow);
+  // Bytes after the last whole event belong to the answer when it came whole.
+  if (attempt.relays && flow != flows_.end()) flow->second.exchange->Write(attempt.events.TakeRest());
+  metrics_.CountAttempt(ModeName(attempt.mode), std::to_string(attempt.head.status));
+  serving::AttemptCompleted completed{attempt.flow, id, ""};
+  if (attempt.mode == serving::AttemptMode::kPrefill) completed.handle = protocol_.ReadHandle(attempt.body);
+  Dispatch(completed);
+  attempts_.erase(id);
+}
+
+void Gateway::OnFailure(serving::AttemptId id, http::CallFailure failure) {
+  const auto entry = attempts_.find(id);
+  if (entry == attempts_.end()) return;
+  const serving::FlowId flow = entry->second.flow;
+  metrics_.CountAttempt(ModeName(entry->second.mode),
+                        failure == http::CallFailure::kNotSent ? "not_sent" : "broken");
+  attempts_.erase(entry);
+  Dispatch(serving::AttemptFailed{flow, id, ToAttemptFailure(failure)});
+}
+
+void Gateway::Carry(const serving::CancelAttempt& action) { attempts_.erase(action.attempt); }
+
+void Gateway::Carry(const serving::RelayAnswer& action) {
+  const auto attempt = attempts_.find(action.attempt);
+  const auto flow = flows_.find(action.flow);
+  if (attempt == attempts_.end() || flow == flows_.end()) return;
+  flow->second.exchange->Respond(attempt->second.head, attempt->second.body);
+  EndFlow(action.flow, attempt->second.head.status);
+}
+
+void Gateway::Carry(const serving::BeginRelay& action) {
+  const auto attempt = attempts_.find(action.attempt);
+  const auto flow = flows_.find(action.flow);
+  if (attempt == attempts_.end() || flow == flows_.end()) return;
+  attempt->second.relays = true;
+  if (!flow->second.head_sent) flow->second.exchange->BeginStream(attempt->second.head);
+  flow->second.head_sent = true;
+}
+
+void Gateway::Carry(const serving::EndRelay& action) {
+  const auto flow = flows_.find(action.flow);
+  if (flow == flows_.end()) return;
+  flow->second.exchange->EndStream();
+  EndFlow(action.flow, 200);
+}
+
+void Gateway::Carry(const serving::AnswerOwn& action) {
+  const auto flow = flows_.find(action.flow);
+  if (flow == flows_.end()) return;
+  http::ResponseHead head;
+  head.status = action.status;
+  if (action.retry_after) {
+    head.fields.Add("Retry-After", fmt::format("{:.2f}", ToSeconds(*action.retry_after)));
+  }
+  flow->second.exchange->Respond(head, "");
+  EndFlow(action.flow, action.status);
+}
+
+void Gateway::Carry(const serving::BreakOff& action) {
+  const auto flow = flows_.find(action.flow);
+  if (flow == flows_.end()) return;
+  flow->second.exchange->Abort();
+  metrics_.CountBrokenOff();
+  EndFlow(action.flow, 0);
+}
+
+void Gateway::Carry(const serving::ReleaseMemory& action) {
+  const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(action.memory.address);
+  if (!endpoint.ok()) return;
+  const std::uint64_t id = ++last_release_;
+  const auto finish = [this, id] { releases_.erase(id); };
+  http::CallHandlers handlers;
+  handlers.on_complete = finish;
+  handlers.on_failure = [finish](http::CallFailure /*failure*/) { finish(); };
+  http::CallOptions options;
+  options.connect_timeout = kReleaseConnect;
+  releases_[id] = client_.Start(*endpoint, PoolOf(action.memory.address, action.memory.engine_id),
+                                http::SerializeRequest(protocol_.MakeRelease(action.memory), ""), options, handlers);
+}
+
+void Gateway::Carry(const serving::LogDecision& action) { Log(action.event, action.request_id, action.details); }
+
+void Gateway::EndFlow(serving::FlowId id, int status) {
+  const auto flow = flows_.find(id);
+  if (flow == flows_.end()) return;
+  metrics_.CountRequest(status);
+  metrics_.ObserveAnswer(ToSeconds(Now() - flow->second.arrived));
+  // The handler may be what runs now; it must outlive this call.
+  boost::asio::post(loop_, [exchange = std::move(flow->second.exchange)] { exchange->on_client_left = nullptr; });
+  flows_.erase(flow);
+}
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,59 @@
+#include "src/gateway/gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace saltquay::gateway {
+namespace {
+
+prometheus::Histogram::BucketBoundaries LatencyBounds() {
+  return {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 4.0, 8.0};
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics(const std::string& node_name) : registry_(std::make_shared<prometheus::Registry>()) {
+  const prometheus::Labels labels = {{"node", node_name}};
+  const auto counter = [&](const char* name, const char* help) {
+    return &prometheus::BuildCounter().Name(name).Help(help).Labels(labels).Register(*registry_);
+  };
+  const auto histogram = [&](const char* name, const char* help) {
+    auto& family = prometheus::BuildHistogram().Name(name).Help(help).Labels(labels).Register(*registry_);
+    return &family.Add({}, LatencyBounds());
+  };
+  const auto gauge = [&](const char* name, const char* help) {
+    return &prometheus::BuildGauge().Name(name).Help(help).Labels(labels).Register(*registry_).Add({});
+  };
+  requests_ = counter("saltquay_requests_total", "Client requests by final status");
+  attempts_ = counter("saltquay_attempts_total", "Calls to engines by mode and outcome");
+  store_calls_ = counter("saltquay_store_calls_total", "Calls to the store by outcome");
+  broken_off_ = &counter("saltquay_streams_broken_off_total", "Streams ended before their last event")->Add({});
+  answer_seconds_ = histogram("saltquay_answer_seconds", "From a request's arrival to its whole answer");
+  first_event_seconds_ = histogram("saltquay_first_event_seconds", "From a request's arrival to its first event");
+  store_seconds_ = histogram("saltquay_store_call_seconds", "Calls to the store, watches aside");
+  config_version_ = gauge("saltquay_config_version", "Version of the configuration in force");
+  engines_ = gauge("saltquay_engines", "Engines known");
+  open_requests_ = gauge("saltquay_open_requests", "Requests under way");
+  log_dropped_ = gauge("saltquay_log_lines_dropped", "Log lines dropped so far");
+  leader_ = gauge("saltquay_role_leader", "1 while this node holds the role lease");
+}
+
+void GatewayMetrics::CountRequest(int status) { requests_->Add({{"status", std::to_string(status)}}).Increment(); }
+
+void GatewayMetrics::CountAttempt(const std::string& mode, const std::string& outcome) {
+  attempts_->Add({{"mode", mode}, {"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::CountStoreCall(const std::string& outcome) {
+  store_calls_->Add({{"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::SetState(double config_version, double engines, double open_requests, double log_dropped) {
+  config_version_->Set(config_version);
+  engines_->Set(engines);
+  open_requests_->Set(open_requests);
+  log_dropped_->Set(log_dropped);
+}
+
+std::string GatewayMetrics::Text() const { return prometheus::TextSerializer().Serialize(registry_->Collect()); }
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,46 @@
+// Counters and latency histograms of a gateway, in Prometheus' text format.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace saltquay::gateway {
+
+class GatewayMetrics {
+ public:
+  explicit GatewayMetrics(const std::string& node_name);
+
+  void CountRequest(int status);
+  void CountAttempt(const std::string& mode, const std::string& outcome);
+  void CountBrokenOff() { broken_off_->Increment(); }
+  void CountStoreCall(const std::string& outcome);
+  void ObserveAnswer(double seconds) { answer_seconds_->Observe(seconds); }
+  void ObserveFirstEvent(double seconds) { first_event_seconds_->Observe(seconds); }
+  void ObserveStoreCall(double seconds) { store_seconds_->Observe(seconds); }
+  void SetState(double config_version, double engines, double open_requests, double log_dropped);
+  void SetLeader(bool leads) { leader_->Set(leads ? 1 : 0); }
+
+  std::string Text() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>* requests_;
+  prometheus::Family<prometheus::Counter>* attempts_;
+  prometheus::Family<prometheus::Counter>* store_calls_;
+  prometheus::Counter* broken_off_;
+  prometheus::Histogram* answer_seconds_;
+  prometheus::Histogram* first_event_seconds_;
+  prometheus::Histogram* store_seconds_;
+  prometheus::Gauge* config_version_;
+  prometheus::Gauge* engines_;
+  prometheus::Gauge* open_requests_;
+  prometheus::Gauge* log_dropped_;
+  prometheus::Gauge* leader_;
+};
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/gateway_process.cc
@@ -0,0 +1,235 @@
+#include "src/gateway/gateway_process.h"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+#include <fmt/format.h>
+
+namespace saltquay::gateway {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// Callers are moved away by the entry within this time of a stop.
+constexpr std::chrono::milliseconds kMoveAwayTime{3200};
+constexpr std::chrono::milliseconds kStopMargin{600};
+constexpr std::chrono::milliseconds kStopStep{50};
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+LogStreamOptions LogOptions(const GatewaySettings& settings) {
+  LogStreamOptions options;
+  options.process_name = settings.node_name;
+  options.lines_per_second = settings.log_lines_per_second;
+  return options;
+}
+
+void Answer(const std::shared_ptr<http::Exchange>& exchange, int status, std::string_view body) {
+  http::ResponseHead head;
+  head.status = status;
+  exchange->Respond(head, body);
+}
+
+http::ServerLimits ToServerLimits(const serving::IngressLimits& limits) {
+  // A caller may begin a request just inside the published time.
+  constexpr std::chrono::milliseconds kMargin{500};
+  http::ServerLimits server;
+  server.parser.head_bytes = limits.head_bytes;
+  server.parser.body_bytes = limits.body_bytes;
+  server.head_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.head_timeout) + kMargin;
+  server.idle_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.idle_timeout) + kMargin;
+  return server;
+}
+
+}  // namespace
+
+GatewayProcess::GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings,
+                               std::string settings_path, EngineProtocol protocol, RecordCodec codec,
+                               ObjectStore& store)
+    : loop_(loop),
+      settings_(settings),
+      settings_path_(std::move(settings_path)),
+      codec_(std::move(codec)),
+      store_(store),
+      log_(LogOptions(settings)),
+      gateway_(loop, settings, std::move(protocol), log_, RandomSeed()),
+      signals_(loop, SIGTERM, SIGINT, SIGHUP),
+      stop_timer_(loop) {}
+
+GatewayProcess::~GatewayProcess() = default;
+
+absl::Status GatewayProcess::Start() {
+  std::signal(SIGPIPE, SIG_IGN);
+  const absl::Status listening = Listen();
+  if (!listening.ok()) {
+    gateway_.Log(EventId::kListenFailed, "", fmt::format(R"("cause":"{}")", EscapeJson(MessageOf(listening))));
+    log_.Flush();
+    return listening;
+  }
+  gateway_.Log(EventId::kNodeStarted, "",
+               fmt::format(R"("clients":"{}","zone":"{}","store":"{}")", settings_.client_listen, settings_.zone,
+                           settings_.store_address));
+  WaitForSignal();
+  WatchStore();
+  return absl::OkStatus();
+}
+
+absl::Status GatewayProcess::Listen() {
+  const auto listen = [&](const std::string& address, http::Server::Handler handler,
+                          std::unique_ptr<http::Server>& server) -> absl::Status {
+    auto listening = http::Server::Listen(loop_, address, http::ServerLimits{}, std::move(handler));
+    if (!listening.ok()) return listening.status();
+    server = std::move(*listening);
+    return absl::OkStatus();
+  };
+  absl::Status status = listen(
+      settings_.client_listen, [this](std::shared_ptr<http::Exchange> exchange) { gateway_.Handle(exchange); },
+      client_server_);
+  if (!status.ok()) return status;
+  status = listen(
+      settings_.ready_listen, [this](std::shared_ptr<http::Exchange> exchange) { AnswerReady(exchange); },
+      ready_server_);
+  if (!status.ok() || settings_.metrics_listen.empty()) return status;
+  return listen(
+      settings_.metrics_listen, [this](std::shared_ptr<http::Exchange> exchange) { AnswerMetrics(exchange); },
+      metrics_server_);
+}
+
+void GatewayProcess::WatchStore() {
+  WatcherHandlers config;
+  config.on_list = [this](const ObjectList& list) {
+    for (const StoredObject& object : list.items) OnConfigObject(object);
+  };
+  config.on_event = [this](const ObjectEvent& event) {
+    if (!event.gone) OnConfigObject(event.object);
+  };
+  config.on_contact = [this](bool in_contact, const std::string& cause) {
+    OnContact(codec_.config_kind, in_contact, cause);
+    gateway_.Dispatch(serving::StoreContactChanged{in_contact});
+  };
+  WatcherHandlers engines;
+  engines.on_list = [this](const ObjectList& list) { OnEngineList(list); };
+  engines.on_event = [this](const ObjectEvent& event) { OnEngineEvent(event); };
+  engines.on_contact = [this](bool in_contact, const std::string& cause) {
+    OnContact(codec_.engine_kind, in_contact, cause);
+  };
+  config_watcher_ = std::make_unique<CollectionWatcher>(loop_, store_, codec_.config_kind, WatcherTimes{},
+                                                        RandomSeed(), std::move(config));
+  engine_watcher_ = std::make_unique<CollectionWatcher>(loop_, store_, codec_.engine_kind, WatcherTimes{},
+                                                        RandomSeed(), std::move(engines));
+  config_watcher_->Start();
+  engine_watcher_->Start();
+}
+
+void GatewayProcess::OnConfigObject(const StoredObject& object) {
+  if (object.name != codec_.config_name) return;
+  absl::StatusOr<serving::ServingConfig> config = codec_.parse_config(object);
+  if (!config.ok()) {
+    gateway_.Log(EventId::kConfigRefused, "", fmt::format(R"("revision":{},"cause":"{}")", object.revision,
+                                                          EscapeJson(MessageOf(config.status()))));
+    return;
+  }
+  if (client_server_ != nullptr) client_server_->set_limits(ToServerLimits(config->limits));
+  gateway_.Dispatch(serving::ConfigurationChanged{std::move(*config)});
+}
+
+void GatewayProcess::OnEngineList(const ObjectList& list) {
+  serving::EnginesReplaced replaced;
+  for (const StoredObject& object : list.items) {
+    absl::StatusOr<serving::EngineRecord> record = codec_.parse_engine(object);
+    if (record.ok()) replaced.records.push_back(std::move(*record));
+  }
+  gateway_.Dispatch(replaced);
+}
+
+void GatewayProcess::OnEngineEvent(const ObjectEvent& event) {
+  if (event.gone) return gateway_.Dispatch(serving::EngineRemoved{event.object.name});
+  absl::StatusOr<serving::EngineRecord> record = codec_.parse_engine(event.object);
+  if (record.ok()) gateway_.Dispatch(serving::EngineChanged{std::move(*record)});
+}
+
+void GatewayProcess::OnContact(const std::string& kind, bool in_contact, const std::string& cause) {
+  gateway_.Log(in_contact ? EventId::kStoreRecovered : EventId::kStoreUnavailable, "",
+               fmt::format(R"("kind":"{}","cause":"{}")", kind, EscapeJson(cause)));
+}
+
+void GatewayProcess::AnswerReady(const std::shared_ptr<http::Exchange>& exchange) {
+  const bool ready = gateway_.core().ready() && !stopping_;
+  if (ready != was_ready_) {
+    was_ready_ = ready;
+    if (ready) gateway_.Log(EventId::kNodeReady, "", fmt::format(R"("version":{})", gateway_.core().version()));
+  }
+  Answer(exchange, ready ? kOk : kUnavailable, ready ? "ready\n" : "not ready\n");
+}
+
+void GatewayProcess::AnswerMetrics(const std::shared_ptr<http::Exchange>& exchange) {
+  if (http::PathOf(exchange->head.target) != "/metrics") return Answer(exchange, kNotFound, "see /metrics\n");
+  gateway_.metrics().SetState(static_cast<double>(gateway_.core().version()),
+                              static_cast<double>(gateway_.core().engines().all().size()),
+                              static_cast<double>(gateway_.open_requests()), static_cast<double>(log_.dropped()));
+  http::ResponseHead head;
+  head.status = kOk;
+  head.fields.Add("Content-Type", "text/plain; version=0.0.4");
+  exchange->Respond(head, gateway_.metrics().Text());
+}
+
+void GatewayProcess::WaitForSignal() {
+  signals_.async_wait([this](boost::system::error_code error, int signal_number) {
+    if (error) return;
+    if (signal_number == SIGHUP) {
+      Reload();
+    } else if (!stopping_) {
+      BeginStop();
+    }
+    WaitForSignal();
+  });
+}
+
+void GatewayProcess::Reload() {
+  if (settings_path_.empty()) return;
+  const absl::StatusOr<GatewaySettings> settings = LoadGatewaySettings(settings_path_);
+  if (!settings.ok()) {
+    gateway_.Log(EventId::kSettingsRefused, "",
+                 fmt::format(R"("cause":"{}")", EscapeJson(MessageOf(settings.status()))));
+    return;
+  }
+  settings_.grace = settings->grace;
+  const bool restart = settings->client_listen != settings_.client_listen || settings->zone != settings_.zone ||
+                       settings->store_address != settings_.store_address;
+  gateway_.Log(EventId::kSettingsReloaded, "",
+               fmt::format(R"("in_force":"grace","needs_restart":{})", restart ? "true" : "false"));
+}
+
+void GatewayProcess::BeginStop() {
+  stopping_ = true;
+  stop_began_ = std::chrono::steady_clock::now();
+  gateway_.Log(EventId::kNodeStopping, "", fmt::format(R"("open_requests":{})", gateway_.open_requests()));
+  client_server_->StartClosing();
+  ContinueStop();
+}
+
+void GatewayProcess::ContinueStop() {
+  const auto elapsed = std::chrono::steady_clock::now() - stop_began_;
+  if (elapsed >= std::min(kMoveAwayTime, settings_.grace / 2)) client_server_->StopAccepting();
+  const bool moved_away = elapsed >= std::min(kMoveAwayTime, settings_.grace / 2);
+  const bool finished = moved_away && gateway_.open_requests() == 0 && client_server_->open_connections() == 0;
+  if (finished || elapsed >= settings_.grace - kStopMargin) {
+    gateway_.Log(EventId::kNodeStopped, "", fmt::format(R"("open_requests":{})", gateway_.open_requests()));
+    log_.Flush();
+    loop_.stop();
+    return;
+  }
+  stop_timer_.expires_after(kStopStep);
+  stop_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) ContinueStop();
+  });
+}
+
+void GatewayProcess::Run() { loop_.run(); }
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/gateway_process.h
@@ -0,0 +1,79 @@
+// One gateway process: servers, watchers, signals and the order of a stop.
+//
+// Lifecycle: starting (no configuration or engines yet: /ready says 503 and
+// requests are refused with a time to come back), serving, stopping (from
+// SIGTERM: not ready at once, requests go on being served while callers move
+// away, then idle connections are closed and what is under way is finished),
+// ended. SIGHUP reads the settings again.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <utility>  // Boost 1.74's Asio needs it first under C++20.
+
+#include <boost/asio/signal_set.hpp>
+
+#include "src/gateway/collection_watcher.h"
+#include "src/gateway/gateway.h"
+
+namespace saltquay::gateway {
+
+// Turns the platform's objects into the product's types.
+struct RecordCodec {
+  std::string config_kind;
+  std::string config_name;
+  std::string engine_kind;
+  std::function<absl::StatusOr<serving::ServingConfig>(const StoredObject&)> parse_config;
+  std::function<absl::StatusOr<serving::EngineRecord>(const StoredObject&)> parse_engine;
+};
+
+class GatewayProcess {
+ public:
+  // `settings_path` is read again on SIGHUP; empty: never.
+  GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings, std::string settings_path,
+                 EngineProtocol protocol, RecordCodec codec, ObjectStore& store);
+  ~GatewayProcess();
+
+  // Binds the addresses and starts watching. Errors name the remedy.
+  absl::Status Start();
+  // Runs until the process has stopped.
+  void Run();
+
+  Gateway& gateway() { return gateway_; }
+
+ private:
+  absl::Status Listen();
+  void WatchStore();
+  void OnConfigObject(const StoredObject& object);
+  void OnEngineList(const ObjectList& list);
+  void OnEngineEvent(const ObjectEvent& event);
+  void OnContact(const std::string& kind, bool in_contact, const std::string& cause);
+  void WaitForSignal();
+  void Reload();
+  void BeginStop();
+  void ContinueStop();
+  void AnswerReady(const std::shared_ptr<http::Exchange>& exchange);
+  void AnswerMetrics(const std::shared_ptr<http::Exchange>& exchange);
+
+  boost::asio::io_context& loop_;
+  GatewaySettings settings_;
+  std::string settings_path_;
+  RecordCodec codec_;
+  ObjectStore& store_;
+  LogStream log_;
+  Gateway gateway_;
+  std::unique_ptr<http::Server> client_server_;
+  std::unique_ptr<http::Server> ready_server_;
+  std::unique_ptr<http::Server> metrics_server_;
+  std::unique_ptr<CollectionWatcher> config_watcher_;
+  std::unique_ptr<CollectionWatcher> engine_watcher_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer stop_timer_;
+  bool stopping_ = false;
+  bool was_ready_ = false;
+  std::chrono::steady_clock::time_point stop_began_;
+};
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.cc
@@ -0,0 +1,91 @@
+#include "src/gateway/gateway_settings.h"
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include "src/base/config_reader.h"
+#include "src/http/socket.h"
+
+namespace saltquay::gateway {
+namespace {
+
+constexpr std::int64_t kMostMilliseconds = 3600 * 1000;
+
+std::string ReadAddress(ConfigReader& table, const char* key, const std::optional<std::string>& fallback) {
+  std::string text = table.String(key, fallback);
+  const bool left_out = text.empty() && fallback && fallback->empty();
+  if (!left_out && !http::ParseEndpoint(text).ok()) {
+    table.Fail(key, "is '" + text + "', not an address", "write it as 127.0.0.1:8100");
+  }
+  return text;
+}
+
+std::chrono::milliseconds ReadMilliseconds(ConfigReader& table, const char* key, std::int64_t fallback) {
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(table.Number(key, 0, kMostMilliseconds, static_cast<double>(fallback))));
+}
+
+serving::SelectionPolicy ReadPolicy(ConfigReader& table) {
+  const std::string text = table.String("selection", "cost");
+  if (text == "round_robin") return serving::SelectionPolicy::kRoundRobin;
+  if (text == "least_outstanding") return serving::SelectionPolicy::kLeastOutstanding;
+  if (text != "cost") {
+    table.Fail("selection", "is '" + text + "'", R"(write "cost", "round_robin" or "least_outstanding")");
+  }
+  return serving::SelectionPolicy::kCost;
+}
+
+void ReadBounds(ConfigReader& bounds, GatewaySettings& settings) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  constexpr double kMostSlack = 1e6;
+  settings.grace = std::chrono::milliseconds(
+      static_cast<std::int64_t>(bounds.Number("grace_s", 0, 3600, 8) * kMillisecondsPerSecond));
+  settings.lease = ReadMilliseconds(bounds, "lease_ms", 3000);
+  serving::RetryBudgetBounds& budget = settings.knobs.retry_budget;
+  budget.ratio = bounds.Number("retry_budget_ratio", 0, 10, 0.2);
+  budget.slack = bounds.Number("retry_budget_slack", 0, kMostSlack, 0);
+  budget.window = FromSeconds(bounds.Number("retry_window_s", 0.1, 3600, 10));
+}
+
+}  // namespace
+
+absl::StatusOr<GatewaySettings> ParseGatewaySettings(const std::string& text, const std::string& source) {
+  absl::StatusOr<ConfigReader> parsed = ConfigReader::Parse(text, source, ErrorKind::kInvalidSetting);
+  if (!parsed.ok()) return parsed.status();
+  ConfigReader root = *parsed;
+  GatewaySettings settings;
+  settings.node_name = root.String("node_name", std::nullopt);
+  settings.zone = root.String("zone", std::nullopt);
+  settings.client_listen = ReadAddress(root, "client_listen", std::nullopt);
+  settings.ready_listen = ReadAddress(root, "ready_listen", std::nullopt);
+  settings.metrics_listen = ReadAddress(root, "metrics_listen", "");
+  settings.peer_listen = ReadAddress(root, "peer_listen", "");
+  settings.peer_seeds = root.Strings("peer_seeds");
+  settings.store_address = ReadAddress(root, "store_address", std::nullopt);
+  settings.log_lines_per_second = static_cast<int>(root.Integer("log_lines_per_second", 1, 1000000, 2000));
+  ConfigReader bounds = root.Table("bounds");
+  ReadBounds(bounds, settings);
+  bounds.RejectUnreadKeys();
+  ConfigReader policy = root.Table("policy");
+  settings.knobs.policy = ReadPolicy(policy);
+  settings.changes_roles = policy.Boolean("change_roles", true);
+  settings.knobs.whole_prompt_tokens =
+      static_cast<int>(policy.Integer("whole_prompt_tokens", 0, 1000000, settings.knobs.whole_prompt_tokens));
+  policy.RejectUnreadKeys();
+  root.RejectUnreadKeys();
+  if (!root.status().ok()) return root.status();
+  return settings;
+}
+
+absl::StatusOr<GatewaySettings> LoadGatewaySettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return MakeError(ErrorKind::kInvalidSetting, "cannot read the settings file '" + path + "'; check its path");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseGatewaySettings(text.str(), path);
+}
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,33 @@
+// Settings of a gateway process: a TOML file with checked keys.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "src/base/status.h"
+#include "src/core/serving/knobs.h"
+
+namespace saltquay::gateway {
+
+struct GatewaySettings {
+  std::string node_name;
+  std::string zone;
+  std::string client_listen;   // ip:port for callers.
+  std::string ready_listen;    // ip:port for GET /ready.
+  std::string metrics_listen;  // ip:port for GET /metrics; empty: none.
+  std::string peer_listen;     // ip:port (UDP) for other nodes; empty: none.
+  std::vector<std::string> peer_seeds;
+  std::string store_address;   // ip:port.
+  std::chrono::milliseconds grace{8000};  // From the stop signal to the end.
+  std::chrono::milliseconds lease{3000};
+  bool changes_roles = true;
+  int log_lines_per_second = 2000;
+  serving::ServingKnobs knobs;
+};
+
+// Every error names file, line, key and remedy.
+absl::StatusOr<GatewaySettings> ParseGatewaySettings(const std::string& text, const std::string& source);
+absl::StatusOr<GatewaySettings> LoadGatewaySettings(const std::string& path);
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/http/client_connection.cc
@@ -0,0 +1,216 @@
+#include "src/http/client_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace saltquay::http {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+// A peer that announces N seconds may close a little earlier than we see it.
+constexpr std::chrono::milliseconds kKeepAliveMargin{400};
+
+std::optional<int> KeepAliveSeconds(const Fields& fields) {
+  const auto value = fields.Find("Keep-Alive");
+  if (!value) return std::nullopt;
+  const std::size_t start = value->find("timeout=");
+  if (start == std::string_view::npos) return std::nullopt;
+  const char* first = value->data() + start + std::string_view("timeout=").size();
+  int seconds = 0;
+  const auto result = std::from_chars(first, value->data() + value->size(), seconds);
+  if (result.ec != std::errc{}) return std::nullopt;
+  return seconds;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(Client& client, boost::asio::io_context& loop, std::string pool)
+    : client_(&client), client_alive_(client.alive_), pool_(std::move(pool)), socket_(loop), timer_(loop) {}
+
+void ClientConnection::Connect(const Endpoint& endpoint, const CallOptions& options) {
+  boost::system::error_code error;
+  socket_.open(endpoint.protocol(), error);
+  if (!error) {
+    DisableDelay(socket_);
+    if (options.keep_alive_probes) EnableKeepAlive(socket_, KeepAliveTimes{});
+  }
+  timer_.expires_after(options.connect_timeout);
+  timer_.async_wait([self = shared_from_this()](boost::system::error_code timer_error) {
+    if (!timer_error && self->state_ == State::kConnecting) self->Fail(CallFailure::kNotSent);
+  });
+  socket_.async_connect(endpoint, [self = shared_from_this()](boost::system::error_code connect_error) {
+    self->OnConnected(connect_error);
+  });
+}
+
+void ClientConnection::OnConnected(const boost::system::error_code& error) {
+  if (state_ != State::kConnecting) return;
+  timer_.cancel();
+  if (error) return Fail(CallFailure::kNotSent);
+  state_ = State::kBusy;
+  Write();
+  Read();
+}
+
+void ClientConnection::Begin(std::string request, const CallOptions& options, CallHandlers handlers) {
+  ++use_;
+  request_ = std::move(request);
+  options_ = options;
+  handlers_ = std::move(handlers);
+  ended_while_writing_ = false;
+  head_seen_ = false;
+  skipping_ = false;
+  NewParser();
+  if (state_ != State::kResting) return;
+  state_ = State::kBusy;
+  Write();
+  Read();
+}
+
+void ClientConnection::NewParser() {
+  parser_ = std::make_unique<ResponseParser>(ParserLimits{}, options_.head_request);
+}
+
+void ClientConnection::Write() {
+  writing_ = true;
+  boost::asio::async_write(socket_, boost::asio::buffer(request_),
+                           [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                             self->writing_ = false;
+                             if (self->state_ != State::kBusy) return;
+                             if (error && bytes == 0) return self->Fail(CallFailure::kNotSent);
+                             // A peer that refuses a long body may have answered first: its answer is read to its end.
+                             if (self->ended_while_writing_) self->Fail(CallFailure::kBroken);
+                           });
+}
+
+void ClientConnection::Read() {
+  if (reading_ || state_ == State::kClosed) return;
+  reading_ = true;
+  socket_.async_read_some(boost::asio::buffer(read_buffer_),
+                          [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                            self->reading_ = false;
+                            self->OnRead(error, bytes);
+                          });
+}
+
+void ClientConnection::OnRead(const boost::system::error_code& error, std::size_t bytes) {
+  if (state_ == State::kClosed) return;
+  if (state_ == State::kResting) return Close();  // An end, or bytes that belong to no request.
+  if (error == boost::asio::error::eof) return OnEnd();
+  if (error) return FailAfterWrite();
+  input_.append(read_buffer_.data(), bytes);
+  Consume();
+  Read();
+}
+
+void ClientConnection::Consume() {
+  const auto self = shared_from_this();  // A handler may drop the call.
+  while (state_ == State::kBusy && !input_.empty()) {
+    const FeedResult result = parser_->Feed(input_);
+    input_.erase(0, result.consumed);
+    if (result.error != ParseError::kNone) return Fail(CallFailure::kMalformed);
+    if (!parser_->head_done()) return;
+    if (SkipForeignAnswer()) continue;
+    if (skipping_) return;
+    DeliverBody();
+    if (state_ == State::kBusy && parser_->done()) return Complete();
+    if (result.consumed == 0) return;
+  }
+}
+
+// Interim answers and those of other requests are read to their end and
+// dropped. Returns whether one has ended and the next begins.
+bool ClientConnection::SkipForeignAnswer() {
+  if (!head_seen_ && !skipping_) {
+    const ResponseHead& head = parser_->head();
+    skipping_ = head.status < kFirstFinalStatus || (handlers_->accepts && !handlers_->accepts(head));
+  }
+  if (!skipping_ || !parser_->done()) return false;
+  skipping_ = false;
+  NewParser();
+  return true;
+}
+
+void ClientConnection::DeliverBody() {
+  if (!head_seen_) {
+    head_seen_ = true;
+    if (handlers_->on_head) handlers_->on_head(parser_->head());
+  }
+  const std::string body = parser_->TakeBody();
+  if (state_ == State::kBusy && !body.empty() && handlers_->on_body) handlers_->on_body(body);
+}
+
+void ClientConnection::Complete() {
+  const CallHandlers handlers = std::move(*handlers_);
+  handlers_.reset();
+  Rest(parser_->head());
+  if (handlers.on_complete) handlers.on_complete();
+}
+
+void ClientConnection::OnEnd() {
+  const bool whole = head_seen_ && parser_->FeedEnd();
+  if (!whole) return FailAfterWrite();
+  const auto self = shared_from_this();
+  const CallHandlers handlers = std::move(*handlers_);
+  Close();
+  if (handlers.on_complete) handlers.on_complete();
+}
+
+// Only the write's own end tells whether any byte left this machine.
+void ClientConnection::FailAfterWrite() {
+  if (!writing_) return Fail(CallFailure::kBroken);
+  ended_while_writing_ = true;
+}
+
+void ClientConnection::Fail(CallFailure failure) {
+  const auto self = shared_from_this();
+  const std::optional<CallHandlers> handlers = std::move(handlers_);
+  Close();
+  if (handlers && handlers->on_failure) handlers->on_failure(failure);
+}
+
+void ClientConnection::Rest(const ResponseHead& head) {
+  const bool reusable = head.keep_alive && !head.until_close && input_.empty() && !writing_;
+  if (!reusable || client_alive_.expired() || !*client_alive_.lock()) return Close();
+  state_ = State::kResting;
+  ++use_;
+  request_.clear();
+  usable_until_ = std::chrono::steady_clock::time_point::max();
+  if (const auto seconds = KeepAliveSeconds(head.fields)) {
+    usable_until_ = std::chrono::steady_clock::now() + std::chrono::seconds(*seconds) - kKeepAliveMargin;
+  }
+  client_->pools_[pool_].resting.push_back(shared_from_this());
+  Read();
+}
+
+bool ClientConnection::FitForUse() {
+  if (state_ != State::kResting || std::chrono::steady_clock::now() >= usable_until_) return false;
+  char byte = 0;
+  const ssize_t peeked = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void ClientConnection::Close() {
+  if (state_ == State::kClosed) return;
+  const auto self = shared_from_this();
+  const bool rested = state_ == State::kResting;
+  state_ = State::kClosed;
+  // The handler that closes may be one of these: they end after it returned.
+  if (handlers_) boost::asio::post(socket_.get_executor(), [handlers = std::move(handlers_)] {});
+  handlers_.reset();
+  boost::system::error_code ignored;
+  timer_.cancel();
+  socket_.close(ignored);
+  const auto alive = client_alive_.lock();
+  if (alive == nullptr || !*alive) return;
+  Client::Pool& pool = client_->pools_[pool_];
+  --pool.open;
+  if (rested) std::erase(pool.resting, self);
+}
+
+}  // namespace saltquay::http
--- /dev/null
+++ b/src/http/client_connection.h
@@ -0,0 +1,70 @@
+// One connection to a server; internal to the client.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <utility>  // Boost 1.74's Asio needs it first under C++20.
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/http/client.h"
+
+namespace saltquay::http {
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(Client& client, boost::asio::io_context& loop, std::string pool);
+
+  void Connect(const Endpoint& endpoint, const CallOptions& options);
+  // Sends on a connection that is up, or as soon as it is.
+  void Begin(std::string request, const CallOptions& options, CallHandlers handlers);
+  // Closes without a word to the handlers.
+  void Close();
+  // Returns whether nothing has arrived and the peer's own limit is not near.
+  bool FitForUse();
+  // Changes with each call begun and each call ended.
+  std::uint64_t use() const { return use_; }
+
+ private:
+  enum class State { kConnecting, kBusy, kResting, kClosed };
+
+  void OnConnected(const boost::system::error_code& error);
+  void Write();
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t bytes);
+  void Consume();
+  bool SkipForeignAnswer();
+  void DeliverBody();
+  void Complete();
+  void OnEnd();
+  void FailAfterWrite();
+  void Fail(CallFailure failure);
+  void Rest(const ResponseHead& head);
+  void NewParser();
+
+  Client* client_;
+  std::weak_ptr<bool> client_alive_;
+  std::string pool_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  State state_ = State::kConnecting;
+  std::uint64_t use_ = 0;
+  std::string request_;
+  CallOptions options_;
+  std::optional<CallHandlers> handlers_;
+  std::unique_ptr<ResponseParser> parser_;
+  std::string input_;
+  std::array<char, 16384> read_buffer_;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool ended_while_writing_ = false;
+  bool head_seen_ = false;
+  bool skipping_ = false;
+  std::chrono::steady_clock::time_point usable_until_ = std::chrono::steady_clock::time_point::max();
+};
+
+}  // namespace saltquay::http
--- /dev/null
+++ b/src/http/parser.cc
@@ -0,0 +1,140 @@
+#include "src/http/parser.h"
+
+#include <utility>  // Boost 1.74's Asio needs it first under C++20.
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace saltquay::http {
+namespace {
+
+namespace beast = boost::beast;
+using beast::string_view;
+using ErrorCode = beast::error_code;
+
+std::string ToString(string_view text) { return std::string(text.data(), text.size()); }
+
+ParseError Classify(const ErrorCode& error) {
+  if (!error || error == beast::http::error::need_more) return ParseError::kNone;
+  if (error == beast::http::error::header_limit) return ParseError::kHeadTooLarge;
+  if (error == beast::http::error::body_limit) return ParseError::kBodyTooLarge;
+  return ParseError::kMalformed;
+}
+
+// Collects one message's head and body.
+template <bool kIsRequest, typename Head>
+class Collector : public beast::http::basic_parser<kIsRequest> {
+ public:
+  explicit Collector(const ParserLimits& limits) {
+    this->header_limit(limits.head_bytes);
+    this->body_limit(limits.body_bytes);
+    this->eager(true);
+  }
+
+  FeedResult FeedBytes(std::string_view input) {
+    FeedResult result;
+    while (result.consumed < input.size() && !this->is_done()) {
+      ErrorCode error;
+      const auto rest = input.substr(result.consumed);
+      const std::size_t used = this->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+      result.consumed += used;
+      result.error = Classify(error);
+      if (error || used == 0) break;
+    }
+    return result;
+  }
+
+  Head head;
+  std::string body;
+
+ private:
+  void on_request_impl(beast::http::verb /*verb*/, string_view method, string_view target, int /*version*/,
+                       ErrorCode& /*error*/) override {
+    if constexpr (kIsRequest) {
+      head.method = ToString(method);
+      head.target = ToString(target);
+    }
+  }
+  void on_response_impl(int code, string_view reason, int /*version*/, ErrorCode& /*error*/) override {
+    if constexpr (!kIsRequest) {
+      head.status = code;
+      head.reason = ToString(reason);
+    }
+  }
+  void on_field_impl(beast::http::field /*known*/, string_view name, string_view value,
+                     ErrorCode& /*error*/) override {
+    head.fields.Add(ToString(name), ToString(value));
+  }
+  void on_header_impl(ErrorCode& /*error*/) override { head.keep_alive = this->keep_alive(); }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, ErrorCode& /*error*/) override {}
+  std::size_t on_body_impl(string_view bytes, ErrorCode& /*error*/) override {
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/, ErrorCode& /*error*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view bytes, ErrorCode& /*error*/) override {
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_finish_impl(ErrorCode& /*error*/) override {}
+};
+
+}  // namespace
+
+int StatusOf(ParseError error) {
+  constexpr int kBadRequest = 400;
+  constexpr int kContentTooLarge = 413;
+  constexpr int kFieldsTooLarge = 431;
+  if (error == ParseError::kHeadTooLarge) return kFieldsTooLarge;
+  if (error == ParseError::kBodyTooLarge) return kContentTooLarge;
+  return kBadRequest;
+}
+
+struct RequestParser::Impl {
+  explicit Impl(const ParserLimits& limits) : collector(limits) {}
+  Collector<true, RequestHead> collector;
+};
+
+RequestParser::RequestParser(const ParserLimits& limits) : impl_(std::make_unique<Impl>(limits)) {}
+RequestParser::~RequestParser() = default;
+RequestParser::RequestParser(RequestParser&&) noexcept = default;
+RequestParser& RequestParser::operator=(RequestParser&&) noexcept = default;
+
+FeedResult RequestParser::Feed(std::string_view input) { return impl_->collector.FeedBytes(input); }
+bool RequestParser::started() const { return impl_->collector.got_some(); }
+bool RequestParser::head_done() const { return impl_->collector.is_header_done(); }
+bool RequestParser::done() const { return impl_->collector.is_done(); }
+RequestHead& RequestParser::head() { return impl_->collector.head; }
+std::string& RequestParser::body() { return impl_->collector.body; }
+
+struct ResponseParser::Impl {
+  Impl(const ParserLimits& limits, bool head_request) : collector(limits) { collector.skip(head_request); }
+  Collector<false, ResponseHead> collector;
+};
+
+ResponseParser::ResponseParser(const ParserLimits& limits, bool head_request)
+    : impl_(std::make_unique<Impl>(limits, head_request)) {}
+ResponseParser::~ResponseParser() = default;
+ResponseParser::ResponseParser(ResponseParser&&) noexcept = default;
+ResponseParser& ResponseParser::operator=(ResponseParser&&) noexcept = default;
+
+FeedResult ResponseParser::Feed(std::string_view input) {
+  const FeedResult result = impl_->collector.FeedBytes(input);
+  if (head_done()) impl_->collector.head.until_close = impl_->collector.need_eof();
+  return result;
+}
+
+bool ResponseParser::FeedEnd() {
+  if (!head_done() || done()) return done();
+  ErrorCode error;
+  impl_->collector.put_eof(error);
+  return !error;
+}
+
+bool ResponseParser::head_done() const { return impl_->collector.is_header_done(); }
+bool ResponseParser::done() const { return impl_->collector.is_done(); }
+ResponseHead& ResponseParser::head() { return impl_->collector.head; }
+std::string ResponseParser::TakeBody() { return std::exchange(impl_->collector.body, {}); }
+
+}  // namespace saltquay::http
--- /dev/null
+++ b/src/http/server_connection.cc
@@ -0,0 +1,241 @@
+#include "src/http/server_connection.h"
+
+#include <sys/socket.h>
+
+#include <cstdio>
+
+#include <boost/asio/write.hpp>
+
+#include "src/http/socket.h"
+
+namespace saltquay::http {
+namespace {
+
+constexpr std::chrono::milliseconds kLingerTime{1000};
+constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
+constexpr int kRequestTimeout = 408;
+
+std::string ChunkOf(std::string_view bytes) {
+  std::array<char, 20> size;
+  const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string chunk(size.data(), static_cast<std::size_t>(length));
+  chunk += bytes;
+  chunk += "\r\n";
+  return chunk;
+}
+
+}  // namespace
+
+void Exchange::Respond(const ResponseHead& response, std::string_view response_body) {
+  if (answer_begun_ || client_left_) return;
+  answer_begun_ = answer_ended_ = true;
+  if (const auto connection = connection_.lock()) connection->SendWhole(response, response_body);
+}
+
+void Exchange::BeginStream(const ResponseHead& response) {
+  if (answer_begun_ || client_left_) return;
+  answer_begun_ = true;
+  if (const auto connection = connection_.lock()) connection->SendHead(response);
+}
+
+void Exchange::Write(std::string_view bytes) {
+  if (!answer_begun_ || answer_ended_ || client_left_ || bytes.empty()) return;
+  if (const auto connection = connection_.lock()) connection->SendChunk(bytes);
+}
+
+void Exchange::EndStream() {
+  if (!answer_begun_ || answer_ended_ || client_left_) return;
+  answer_ended_ = true;
+  if (const auto connection = connection_.lock()) connection->FinishAnswer();
+}
+
+void Exchange::Abort() {
+  if (answer_ended_ || client_left_) return;
+  answer_begun_ = answer_ended_ = true;
+  if (const auto connection = connection_.lock()) connection->AbortAnswer();
+}
+
+ServerConnection::ServerConnection(Server& server, boost::asio::ip::tcp::socket socket)
+    : server_(&server), socket_(std::move(socket)), limits_(server.limits_) {
+  DisableDelay(socket_);
+  since_ = std::chrono::steady_clock::now();
+}
+
+void ServerConnection::Start() {
+  parser_ = std::make_unique<RequestParser>(limits_.parser);
+  Read();
+}
+
+void ServerConnection::Read() {
+  if (reading_ || state_ == State::kClosed) return;
+  reading_ = true;
+  socket_.async_read_some(boost::asio::buffer(read_buffer_),
+                          [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                            self->reading_ = false;
+                            if (self->state_ == State::kClosed) return;
+                            if (error) return self->OnPeerEnd();
+                            self->OnRead(bytes);
+                          });
+}
+
+void ServerConnection::OnRead(std::size_t bytes) {
+  if (state_ == State::kLingering) return Read();
+  since_ = std::chrono::steady_clock::now();
+  input_.append(read_buffer_.data(), bytes);
+  if (state_ == State::kIdle || state_ == State::kReading) Parse();
+  if (state_ == State::kHandling && input_.size() > kMaxPipelinedBytes) return;  // Read again after the answer.
+  Read();
+}
+
+void ServerConnection::Parse() {
+  if (input_.empty()) return;
+  if (state_ == State::kIdle) {
+    state_ = State::kReading;
+    limits_ = server_->limits_;
+    request_began_ = std::chrono::steady_clock::now();
+  }
+  const FeedResult result = parser_->Feed(input_);
+  input_.erase(0, result.consumed);
+  if (result.error != ParseError::kNone) return Reject(result.error);
+  if (parser_->done()) return Dispatch();
+  if (parser_->head_done() && !continue_sent_ && parser_->head().fields.HasToken("Expect", "100-continue")) {
+    continue_sent_ = true;
+    Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void ServerConnection::Dispatch() {
+  state_ = State::kHandling;
+  answer_finished_ = false;
+  continue_sent_ = false;
+  exchange_ = std::make_shared<Exchange>();
+  exchange_->head = std::move(parser_->head());
+  exchange_->body = std::move(parser_->body());
+  exchange_->connection_ = weak_from_this();
+  request_keeps_alive_ = exchange_->head.keep_alive;
+  parser_ = std::make_unique<RequestParser>(limits_.parser);
+  const std::shared_ptr<Exchange> exchange = exchange_;
+  server_->handler_(exchange);
+}
+
+void ServerConnection::Reject(ParseError error) {
+  ResponseHead head;
+  head.status = StatusOf(error);
+  head.keep_alive = false;
+  request_keeps_alive_ = false;
+  state_ = State::kHandling;
+  SendWhole(head, "");
+}
+
+void ServerConnection::OnPeerEnd() {
+  const std::shared_ptr<Exchange> exchange = std::move(exchange_);
+  Close();
+  if (exchange == nullptr || exchange->answer_ended_) return;
+  exchange->client_left_ = true;
+  if (exchange->on_client_left) exchange->on_client_left();
+}
+
+bool ServerConnection::ClosesAfterAnswer() const {
+  return !request_keeps_alive_ || server_ == nullptr || server_->closing_;
+}
+
+void ServerConnection::SendWhole(const ResponseHead& head, std::string_view body) {
+  ResponseHead own = head;
+  if (ClosesAfterAnswer()) request_keeps_alive_ = false;
+  own.keep_alive = request_keeps_alive_;
+  const bool head_request = exchange_ != nullptr && exchange_->head.method == "HEAD";
+  std::string bytes = SerializeResponseHead(own, Framing::kLength, body.size());
+  if (!head_request) bytes += body;
+  answer_finished_ = true;
+  Send(std::move(bytes));
+}
+
+void ServerConnection::SendHead(const ResponseHead& head) {
+  ResponseHead own = head;
+  if (ClosesAfterAnswer()) request_keeps_alive_ = false;
+  own.keep_alive = request_keeps_alive_;
+  Send(SerializeResponseHead(own, Framing::kChunked, 0));
+}
+
+void ServerConnection::SendChunk(std::string_view bytes) { Send(ChunkOf(bytes)); }
+
+void ServerConnection::FinishAnswer() {
+  answer_finished_ = true;
+  Send("0\r\n\r\n");
+}
+
+void ServerConnection::AbortAnswer() {
+  exchange_.reset();
+  Close();
+}
+
+void ServerConnection::Send(std::string bytes) {
+  if (state_ == State::kClosed) return;
+  output_bytes_ += bytes.size();
+  output_.push_back(std::move(bytes));
+  if (output_bytes_ > limits_.unread_answer_bytes && !answer_finished_) return OnPeerEnd();
+  if (!writing_) WriteNext();
+}
+
+void ServerConnection::WriteNext() {
+  writing_ = true;
+  boost::asio::async_write(socket_, boost::asio::buffer(output_.front()),
+                           [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                             self->writing_ = false;
+                             if (self->state_ == State::kClosed) return;
+                             if (error) return self->OnPeerEnd();
+                             self->output_bytes_ -= bytes;
+                             self->output_.pop_front();
+                             if (!self->output_.empty()) return self->WriteNext();
+                             if (self->answer_finished_) self->OnAnswerWritten();
+                           });
+}
+
+void ServerConnection::OnAnswerWritten() {
+  answer_finished_ = false;
+  exchange_.reset();
+  since_ = std::chrono::steady_clock::now();
+  if (!request_keeps_alive_) return Linger();
+  state_ = State::kIdle;
+  Parse();
+  Read();
+}
+
+// Unread bytes at a close would reset the connection and take the answer with
+// them, so the sending side ends first.
+void ServerConnection::Linger() {
+  state_ = State::kLingering;
+  boost::system::error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  Read();
+}
+
+void ServerConnection::Close() {
+  if (state_ == State::kClosed) return;
+  state_ = State::kClosed;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  if (server_ != nullptr) server_->connections_.erase(shared_from_this());
+  server_ = nullptr;
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (state_ == State::kIdle && input_.empty()) Linger();
+}
+
+void ServerConnection::CheckTimes(std::chrono::steady_clock::time_point now) {
+  const auto self = shared_from_this();
+  if (state_ == State::kIdle && now - since_ > limits_.idle_timeout) return Linger();
+  if (state_ == State::kLingering && now - since_ > kLingerTime) return Close();
+  if (state_ != State::kReading) return;
+  const bool head_late = !parser_->head_done() && now - request_began_ > limits_.head_timeout;
+  const bool body_late = parser_->head_done() && now - since_ > limits_.idle_timeout;
+  if (!head_late && !body_late) return;
+  ResponseHead head;
+  head.status = kRequestTimeout;
+  request_keeps_alive_ = false;
+  state_ = State::kHandling;
+  SendWhole(head, "");
+}
+
+}  // namespace saltquay::http
--- /dev/null
+++ b/src/http/server_connection.h
@@ -0,0 +1,67 @@
+// One connection of a client; internal to the server.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "src/http/server.h"
+
+namespace saltquay::http {
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(Server& server, boost::asio::ip::tcp::socket socket);
+
+  void Start();
+  // The server is gone or ends this connection at once.
+  void Close();
+  // Ends the connection when no request is under way.
+  void CloseIfIdle();
+  // Enforces the time limits; called twice a second.
+  void CheckTimes(std::chrono::steady_clock::time_point now);
+
+  // Called by Exchange.
+  void SendWhole(const ResponseHead& head, std::string_view body);
+  void SendHead(const ResponseHead& head);
+  void SendChunk(std::string_view bytes);
+  void FinishAnswer();
+  void AbortAnswer();
+
+ private:
+  enum class State { kIdle, kReading, kHandling, kLingering, kClosed };
+
+  void Read();
+  void OnRead(std::size_t bytes);
+  void Parse();
+  void Dispatch();
+  void Reject(ParseError error);
+  void OnPeerEnd();
+  void Send(std::string bytes);
+  void WriteNext();
+  void OnAnswerWritten();
+  void Linger();
+  bool ClosesAfterAnswer() const;
+
+  Server* server_;
+  boost::asio::ip::tcp::socket socket_;
+  ServerLimits limits_;
+  State state_ = State::kIdle;
+  std::unique_ptr<RequestParser> parser_;
+  std::string input_;
+  std::array<char, 16384> read_buffer_;
+  std::deque<std::string> output_;
+  std::size_t output_bytes_ = 0;
+  bool writing_ = false;
+  bool reading_ = false;
+  bool request_keeps_alive_ = true;
+  bool answer_finished_ = false;
+  bool continue_sent_ = false;
+  std::shared_ptr<Exchange> exchange_;
+  std::chrono::steady_clock::time_point since_;  // Of the state, or of the last bytes.
+  std::chrono::steady_clock::time_point request_began_;
+};
+
+}  // namespace saltquay::http
