Peers' reports, role changes under one lease, retry budget shared by nodes known

Change: nodes report their work, demand and held engines to each other over UDP (FlatBuffers), found from the seeds; the retry allowance shares the slack by the nodes known plus one; 421 takes an engine out; memory that a hand-over did not take is kept for the next. One node at a time orders stage changes under a lease object in the store (fencing token = its revision, identity and sequence in each order); the split follows measured demand by the square-root rule.

--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -20,7 +20,7 @@
 bool EngineDirectory::Update(const EngineRecord& record) {
   EngineState& engine = engines_[record.id];
   const bool changed = engine.gone || engine.record != record;
-  if (engine.record.stage != record.stage) engine.changing_until = Time{};
+  if (engine.record.stage != record.stage) engine.changing_until = engine.held_until = Time{};
   engine.record = record;
   engine.gone = false;
   return changed;
@@ -82,6 +82,13 @@
   return Eject(*engine, cause, now);
 }
 
+std::optional<StandingChange> EngineDirectory::NoteMisdirected(const std::string& id, Time now) {
+  EngineState* engine = Find(id);
+  if (engine == nullptr) return std::nullopt;
+  engine->ejection = policy_.longest;
+  return Eject(*engine, "another engine has its address", now);
+}
+
 std::optional<StandingChange> EngineDirectory::Eject(EngineState& engine, const std::string& cause, Time now) {
   if (now < engine.ejected_until) return std::nullopt;
   engine.ejection = engine.ejection == 0s ? policy_.first : std::min(engine.ejection * 2, policy_.longest);
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -66,6 +66,7 @@
   Duration ejection = 0s;  // Length of the last one.
   Time last_heard{};       // Any answer.
   Time changing_until{};   // A stage change is under way.
+  Time held_until{};       // A stage change is announced.
 };
 
 struct EjectionPolicy {
@@ -107,6 +108,8 @@
   void NoteLoad(const std::string& id, const EngineLoad& load, Time now);
   // An answer of the engine's own; `failed`: an error of its own making.
   std::optional<StandingChange> NoteAnswer(const std::string& id, bool failed, Time now);
+  // Another engine answers at its address: nothing goes there for long.
+  std::optional<StandingChange> NoteMisdirected(const std::string& id, Time now);
   // It refused the connection, fell silent, or broke an answer off.
   std::optional<StandingChange> NoteFailure(const std::string& id, const std::string& cause, Time now);
 
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -49,7 +49,7 @@
   std::vector<Candidate> candidates;
   engines.ForEachServing(service, [&](EngineState& engine) {
     if (engine.record.stage != stage || tried.contains(engine.record.id)) return;
-    const bool out = now < engine.ejected_until || now < engine.changing_until;
+    const bool out = now < std::max({engine.ejected_until, engine.changing_until, engine.held_until});
     candidates.push_back({&engine, out, cost(engine)});
   });
   if (candidates.empty()) return nullptr;
@@ -86,7 +86,7 @@
   const EngineState* home = nullptr;
   std::uint64_t best_rank = 0;
   engines.ForEachServing(service, [&](EngineState& engine) {
-    if (part == nullptr || engine.record.stage != EngineStage::kPrefill || now < engine.ejected_until) return;
+    if (part == nullptr || engine.record.stage != EngineStage::kPrefill || now < std::max(engine.ejected_until, engine.held_until)) return;
     const std::uint64_t rank = HashPair(HashText(part->id), HashText(engine.record.id));
     if (home != nullptr && rank <= best_rank) return;
     home = &engine;
@@ -100,9 +100,8 @@
 
 // Milliseconds until the prompt is read there, and what that costs besides.
 double EngineSelector::PrefillCost(const EngineState& engine, const PromptFacts& prompt, bool home, Time now) const {
-  const double others_by_load = std::max(0.0, EstimatedLoad(engine, now) - engine.outstanding);
-  const double others = std::max(static_cast<double>(engine.peers_prompt_tokens),
-                                 engine.peers_prompt_tokens > 0 ? 0.0 : others_by_load * OwnTokens(prompt));
+  const double others_by_load = std::max(0.0, EstimatedLoad(engine, now) - engine.outstanding) * OwnTokens(prompt);
+  const double others = peers_known_ ? static_cast<double>(engine.peers_prompt_tokens) : others_by_load;
   const double backlog = (static_cast<double>(engine.outstanding_prompt_tokens) + others) / read_rate();
   const PromptPart* part = HomePart(prompt);
   const bool kept = home || (part != nullptr && Keeps(engine.record.id, part->id, now));
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -41,6 +41,8 @@
 
   // Work under way at the engine, of all nodes, as far as is known.
   double EstimatedLoad(const EngineState& engine, Time now) const;
+  // Whether other nodes report their work; else it is guessed from told loads.
+  void set_peers_known(bool known) { peers_known_ = known; }
   double read_rate() const { return read_rate_ > 0 ? read_rate_ : knobs_.first_read_rate; }
 
  private:
@@ -53,6 +55,7 @@
   ServingKnobs knobs_;
   std::string zone_;
   Random random_;
+  bool peers_known_ = false;
   double read_rate_ = 0;  // Prompt tokens in a millisecond; 0: not measured.
   std::uint64_t turn_ = 0;
   std::map<std::pair<std::string, std::string>, Time> parts_;  // (engine, part) -> last use.
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -13,6 +14,7 @@
 #include "src/base/event_catalogue.h"
 #include "src/base/time.h"
 #include "src/core/serving/engine_directory.h"
+#include "src/core/serving/peer_table.h"
 #include "src/core/serving/serving_config.h"
 
 namespace saltquay::serving {
@@ -73,8 +75,11 @@
 struct StoreContactChanged {
   bool in_contact = false;
 };
+// What the peers' reports add up to.
 struct PeersChanged {
-  int nodes = 1;
+  int nodes = 1;  // This one included.
+  std::map<std::string, EngineWork> work;
+  std::vector<EngineHold> holds;
 };
 struct RequestArrived {
   FlowId flow = 0;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -11,7 +11,11 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr int kMisdirected = 421;
 constexpr int kFirstError = 500;
+constexpr int kFirstRedirect = 300;
+constexpr int kTooManyRequests = 429;
+constexpr int kRequestTimeout = 408;
 
 std::string_view ModeName(AttemptMode mode) {
   if (mode == AttemptMode::kPrefill) return "prefill";
@@ -82,7 +86,7 @@
   start.engine_id = engine.record.id;
   start.address = engine.record.address;
   start.mode = mode;
-  if (mode == AttemptMode::kContinue) start.memory = flow.memory;
+  if (mode == AttemptMode::kContinue) start.memory = attempt.memory = flow.memory;
   start.last_event_id = flow.last_event_id;
   start.time_left = flow.ends + knobs_.answer_margin - now_;
   start.connect_timeout = std::clamp(FromSeconds(connect_seconds), knobs_.shortest_connect, knobs_.longest_connect);
@@ -95,6 +99,7 @@
                   selector_.EstimatedLoad(engine, now_),
                   engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1, engine.outstanding_prompt_tokens,
                   start.time_left.count() / 1000));
+  MeterStart(flow, attempt);
   flow.attempts[attempt.id] = attempt;
   actions_->push_back(std::move(start));
   Arm(flow);
@@ -111,8 +116,11 @@
 
 void ServingCore::FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle) {
   EngineState* engine = engines_.Find(attempt.engine_id);
-  const bool read = attempt.answer.status < 300 && !handle.empty() && engine != nullptr;
-  if (!read) return Retry(flow, "prompt not read");
+  const bool read = attempt.answer.status < kFirstRedirect && !handle.empty() && engine != nullptr;
+  if (!read) {
+    flow.tried.insert(attempt.engine_id);
+    return Retry(flow, "prompt not read");
+  }
   selector_.NotePrompt(attempt.engine_id, *flow.facts.prompt, now_);
   if (attempt.alone_at_start) selector_.NotePrefillTime(attempt.prompt_tokens, now_ - attempt.sent_at);
   if (flow.memory) {  // A second prefill also came to its end.
@@ -133,7 +141,7 @@
     return Erase(flow.id);
   }
   if (flow.relaying) return Retry(flow, "the stream was not taken up");
-  const bool failed = status >= kFirstError || (status < 300 && !attempt.answer.signed_by_engine);
+  const bool failed = status >= kFirstError || (status < kFirstRedirect && !attempt.answer.signed_by_engine);
   if (failed && MayRunAgain(flow) && allowance_.Left(flow.service, now_) >= 1) {
     const int runs = flow.runs;
     const FlowId id = flow.id;
@@ -142,8 +150,8 @@
     if (FindFlow(id) == nullptr || flow.runs > runs) return;
   }
   // A promise that nothing ran is not ours to pass on once it may have.
-  const bool false_promise = status == kUnavailable || status == 429 || status == 408 || status == 421;
-  if (false_promise || (status < 300 && !attempt.answer.signed_by_engine)) {
+  const bool false_promise = status == kUnavailable || status == kTooManyRequests || status == kRequestTimeout || status == kMisdirected;
+  if (false_promise || (status < kFirstRedirect && !attempt.answer.signed_by_engine)) {
     return Fail(flow, kBadGateway, "the engine's answer proves nothing");
   }
   CancelAttempts(flow, 0);
@@ -156,15 +164,25 @@
 // The engine says that it did not run the request.
 void ServingCore::OnRefusal(Flow& flow, const Attempt& attempt) {
   flow.tried.insert(attempt.engine_id);
-  // The memory's engine may be at fault where a hand-over is refused.
-  if (attempt.mode != AttemptMode::kContinue) LogStanding(engines_.NoteAnswer(attempt.engine_id, true, now_));
+  const bool elsewhere = attempt.answer.status == kMisdirected;
+  const std::optional<EngineLoad>& load = attempt.answer.load;
+  const EngineState* engine = engines_.Find(attempt.engine_id);
+  const bool changing = engine != nullptr && now_ < std::max(engine->held_until, engine->changing_until);
+  const bool full = changing || (load && load->running + load->waiting >= load->slots);
+  if (elsewhere) {
+    LogStanding(engines_.NoteMisdirected(attempt.engine_id, now_));
+  } else if (attempt.mode != AttemptMode::kContinue) {
+    // A refused hand-over may be the fault of the engine that keeps the memory.
+    LogStanding(engines_.NoteAnswer(attempt.engine_id, true, now_));
+  }
   if (attempt.mode == AttemptMode::kPrefill) {
     // A refused prefill counts as an extra arrival whether it was the first or not.
     if (flow.prefills == 1) allowance_.NoteExtra(flow.service, now_);
   } else {
     --flow.runs;
   }
-  if (attempt.mode == AttemptMode::kContinue) flow.tried.erase(attempt.engine_id);
+  if (attempt.memory && (elsewhere || full)) flow.memory = attempt.memory;  // Not taken: it still serves.
+  if (attempt.memory && !flow.memory) flow.tried.erase(attempt.engine_id);
   Retry(flow, "refused by the engine");
 }
 
@@ -172,6 +190,7 @@
   flow.tried.insert(attempt.engine_id);
   const bool arrived = failure != AttemptFailure::kNotSent;
   if (!arrived) {
+    if (attempt.memory) flow.memory = attempt.memory;
     if (attempt.mode == AttemptMode::kPrefill) --flow.prefills;
     if (attempt.mode != AttemptMode::kPrefill) {
       --flow.runs;
@@ -273,6 +292,7 @@
 void ServingCore::EndAttempt(Flow& flow, AttemptId id) {
   const auto entry = flow.attempts.find(id);
   if (entry == flow.attempts.end()) return;
+  MeterEnd(flow, entry->second);
   if (EngineState* engine = engines_.Find(entry->second.engine_id)) {
     --engine->outstanding;
     engine->outstanding_prompt_tokens -= entry->second.prompt_tokens;
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -33,6 +33,11 @@
   // Milliseconds of queueing that reading a shared part again is worth, for each millisecond it takes.
   double reread_weight = 1.3;
 
+  // Over this time demand is averaged for role changes.
+  Duration demand_memory = 3s;
+  // Slots and memory of an engine that answers well are filled to this share.
+  double comfortable_fill = 0.5;
+
   // The share of the objective that a request may wait for any engine.
   double wait_share = 0.2;
   Duration longest_wait = 400ms;
--- /dev/null
+++ b/src/core/serving/peer_table.cc
@@ -0,0 +1,81 @@
+#include "src/core/serving/peer_table.h"
+
+namespace saltquay::serving {
+namespace {
+
+constexpr Duration kForgetAfter = 3s;
+constexpr Duration kNamedFor = 6s;
+
+}  // namespace
+
+bool PeerTable::Note(const PeerReport& report, Time now) {
+  if (report.node == own_node_ || report.node.empty()) return false;
+  Entry& entry = peers_[report.node];
+  const bool known = entry.heard != Time{};
+  const bool newer = report.boot > entry.report.boot ||
+                     (report.boot == entry.report.boot && report.sequence > entry.report.sequence);
+  if (known && !newer) return false;
+  entry.report = report;
+  entry.heard = now;
+  for (const PeerAddress& peer : report.peers) {
+    if (peer.node != own_node_) named_[peer.node] = {peer.address, now};
+  }
+  return true;
+}
+
+void PeerTable::Expire(Time now) {
+  std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heard > kForgetAfter; });
+  std::erase_if(named_, [&](const auto& entry) { return now - entry.second.second > kNamedFor; });
+}
+
+std::vector<PeerAddress> PeerTable::Addresses() const {
+  std::vector<PeerAddress> addresses;
+  for (const auto& [node, entry] : peers_) addresses.push_back({node, entry.report.address});
+  for (const auto& [node, named] : named_) {
+    if (!peers_.contains(node)) addresses.push_back({node, named.first});
+  }
+  return addresses;
+}
+
+std::map<std::string, EngineWork> PeerTable::WorkByEngine() const {
+  std::map<std::string, EngineWork> sums;
+  for (const auto& [node, entry] : peers_) {
+    for (const EngineWork& work : entry.report.work) {
+      EngineWork& sum = sums[work.engine_id];
+      sum.engine_id = work.engine_id;
+      sum.outstanding += work.outstanding;
+      sum.prompt_tokens += work.prompt_tokens;
+    }
+  }
+  return sums;
+}
+
+std::vector<EngineHold> PeerTable::Holds() const {
+  std::vector<EngineHold> holds;
+  for (const auto& [node, entry] : peers_) {
+    holds.insert(holds.end(), entry.report.holds.begin(), entry.report.holds.end());
+  }
+  return holds;
+}
+
+ServiceDemand PeerTable::Demand(const std::string& service) const {
+  ServiceDemand sum;
+  sum.service = service;
+  for (const auto& [node, entry] : peers_) {
+    for (const ServiceDemand& demand : entry.report.demand) {
+      if (demand.service != service) continue;
+      sum.prefill_engines += demand.prefill_engines;
+      sum.decode_engines += demand.decode_engines;
+    }
+  }
+  return sum;
+}
+
+bool PeerTable::OwnNameIsLeast() const {
+  for (const auto& [node, entry] : peers_) {
+    if (!entry.report.stopping && node < own_node_) return false;
+  }
+  return true;
+}
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/src/core/serving/peer_table.h
@@ -0,0 +1,88 @@
+// What other nodes report: their work at each engine, the demand they see, and
+// engines that are to be left alone because a role change is coming.
+//
+// Protocol. Each node sends its report to its peers several times a second
+// over datagrams; a report replaces the sender's earlier one (higher boot time
+// or sequence). Reports name the peers that the sender knows, so that nodes
+// find each other from a few seeds. A node that is silent for `kForgetAfter` is
+// forgotten. Nothing here is needed for safety: it only makes choices better.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/base/time.h"
+
+namespace saltquay::serving {
+
+// One node's work at one engine.
+struct EngineWork {
+  std::string engine_id;
+  int outstanding = 0;
+  std::int64_t prompt_tokens = 0;
+};
+
+// What one node's callers ask of a language service, in engines kept busy.
+struct ServiceDemand {
+  std::string service;
+  double prefill_engines = 0;
+  double decode_engines = 0;
+};
+
+// An engine that gets no new work because its stage is about to change.
+struct EngineHold {
+  std::string engine_id;
+  Duration left = 0s;
+};
+
+struct PeerAddress {
+  std::string node;
+  std::string address;
+};
+
+struct PeerReport {
+  std::string node;
+  std::string address;
+  std::uint64_t boot = 0;  // Rises with each start of the process.
+  std::uint64_t sequence = 0;
+  bool stopping = false;
+  std::vector<EngineWork> work;
+  std::vector<ServiceDemand> demand;
+  std::vector<EngineHold> holds;
+  std::vector<PeerAddress> peers;
+};
+
+class PeerTable {
+ public:
+  explicit PeerTable(std::string own_node) : own_node_(std::move(own_node)) {}
+
+  // Returns whether the report is newer than what was known.
+  bool Note(const PeerReport& report, Time now);
+  void Expire(Time now);
+
+  // Nodes heard of lately, this one included.
+  int Count() const { return static_cast<int>(peers_.size()) + 1; }
+  // Where reports go: nodes heard, and those that others named.
+  std::vector<PeerAddress> Addresses() const;
+  // Work of all other nodes by engine.
+  std::map<std::string, EngineWork> WorkByEngine() const;
+  // Engines that other nodes hold back.
+  std::vector<EngineHold> Holds() const;
+  // Demand of all other nodes.
+  ServiceDemand Demand(const std::string& service) const;
+  // Returns whether this node has the least name of those that do not stop.
+  bool OwnNameIsLeast() const;
+
+ private:
+  struct Entry {
+    PeerReport report;
+    Time heard{};
+  };
+  std::string own_node_;
+  std::map<std::string, Entry> peers_;
+  std::map<std::string, std::pair<std::string, Time>> named_;  // Node -> address, by others.
+};
+
+}  // namespace saltquay::serving
--- a/src/core/serving/retry_allowance.h
+++ b/src/core/serving/retry_allowance.h
@@ -19,7 +19,7 @@
   double ratio = 0.2;
   Duration window = 10s;
   double slack = 0;
-  double safety = 0.6;
+  double safety = 0.8;
 };
 
 class RetryAllowance {
@@ -44,11 +44,14 @@
   double Left(const std::string& service, Time now) {
     const Usage& usage = Trimmed(service, now);
     const double earned = bounds_.ratio * static_cast<double>(usage.requests.size());
-    const double allowed = bounds_.safety * (earned + bounds_.slack / nodes_);
+    const double allowed = bounds_.safety * (earned + bounds_.slack / (nodes_ + kNodesToCome));
     return allowed - static_cast<double>(usage.extras.size());
   }
 
  private:
+  // Nodes that may be added before they are heard of.
+  static constexpr int kNodesToCome = 1;
+
   struct Usage {
     std::deque<Time> requests;
     std::deque<Time> extras;
@@ -63,7 +66,7 @@
   }
 
   RetryBudgetBounds bounds_;
-  int nodes_ = 1;
+  int nodes_ = 16;  // Until the peers are known.
   std::map<std::string, Usage> usage_;
 };
 
--- /dev/null
+++ b/src/core/serving/role_controller.h
@@ -0,0 +1,121 @@
+// Decides and orders stage changes of engines; see role_planner.h and
+// role_lease.h.
+//
+// Protocol of a change. The candidate (least name among live nodes) takes the
+// lease, announces a hold on the engine so that no node sends it new work,
+// waits until its queue is short or `longest_hold` is over, reads its state,
+// and sends one order with the engine's identity, its sequence, and the fencing
+// token. An order without an answer may be carried out seconds later: the
+// engine gets no other order until `order_settle` is over.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/base/event_catalogue.h"
+#include "src/core/serving/peer_table.h"
+#include "src/core/serving/role_lease.h"
+#include "src/core/serving/role_planner.h"
+#include "src/core/serving/serving_config.h"
+
+namespace saltquay::serving {
+
+struct RoleControllerKnobs {
+  RolePlannerKnobs planner;
+  RoleLeaseTimes lease;
+  Duration settle_in = 1500ms;     // After a start, before the first plan.
+  Duration plan_interval = 250ms;
+  Duration cooldown = 4s;          // Between changes of one service under load.
+  Duration idle_cooldown = 300ms;  // The same before any demand is known.
+  Duration shortest_hold = 60ms;
+  Duration longest_hold = 900ms;
+  Duration order_time = 300ms;     // To read an engine's state and order it.
+  Duration order_settle = 14s;
+  int short_queue = 1;             // Requests at the engine that the order need not wait for.
+};
+
+// What an engine says of itself.
+struct EngineStateReport {
+  EngineStage stage = EngineStage::kUniform;
+  bool busy = false;
+  std::int64_t sequence = 0;
+};
+
+enum class OrderOutcome { kAccepted, kConflict, kFenced, kRefused, kUnknown };
+
+struct ReadLease {};
+struct WriteLease {
+  LeaseRecord record;  // Its revision is the condition; 0: create.
+};
+struct ReadEngineState {
+  std::string engine_id;
+  std::string address;
+};
+struct SendStageOrder {
+  std::string engine_id;
+  std::string address;
+  EngineStage stage = EngineStage::kUniform;
+  std::int64_t fencing_token = 0;
+  std::int64_t expected_sequence = 0;
+};
+// Holds changed: tell the peers now.
+struct AnnounceHolds {};
+struct LogRole {
+  EventId event = EventId::kOrderSent;
+  std::string details;
+};
+using RoleAction = std::variant<ReadLease, WriteLease, ReadEngineState, SendStageOrder, AnnounceHolds, LogRole>;
+
+class RoleController {
+ public:
+  RoleController(const RoleControllerKnobs& knobs, const std::string& node, std::uint64_t seed, Time started);
+
+  // `candidate`: this node should plan now. `demand` by service, of all nodes.
+  void OnTick(Time now, bool candidate, const ServingConfig& config, const std::map<std::string, ServiceDemand>& demand,
+              EngineDirectory& engines, std::vector<RoleAction>& actions);
+  void OnLeaseRead(Time now, const LeaseRecord& record) { lease_.OnRead(record, now); }
+  void OnLeaseReadFailed(Time now) { lease_.OnReadFailed(now); }
+  void OnLeaseWritten(std::int64_t revision) { lease_.OnWritten(revision); }
+  void OnLeaseWriteFailed(Time now, bool settled) { lease_.OnWriteFailed(settled, now); }
+  void OnEngineState(Time now, const std::string& engine_id, const std::optional<EngineStateReport>& report,
+                     EngineDirectory& engines, std::vector<RoleAction>& actions);
+  void OnOrderAnswered(Time now, const std::string& engine_id, OrderOutcome outcome, EngineDirectory& engines,
+                       std::vector<RoleAction>& actions);
+
+  // Engines that get no new work: held for an order, or on the way to the other stage.
+  std::vector<EngineHold> Holds(Time now) const;
+  bool leads(Time now) const { return lease_.MayOrder(now); }
+
+ private:
+  enum class Phase { kIdle, kHolding, kReading, kOrdering };
+  struct Change {
+    std::string service;
+    std::string engine_id;
+    std::string address;
+    EngineStage stage = EngineStage::kUniform;
+    Duration away = 0s;
+    Time began{};
+  };
+
+  void Plan(Time now, const ServingConfig& config, const std::map<std::string, ServiceDemand>& demand,
+            EngineDirectory& engines, std::vector<RoleAction>& actions);
+  const EngineState* PickEngine(EngineDirectory& engines, const std::string& service, EngineStage from, Time now);
+  void ContinueHold(Time now, EngineDirectory& engines, std::vector<RoleAction>& actions);
+  void StepLease(Time now, std::vector<RoleAction>& actions);
+  void EndChange();
+
+  RoleControllerKnobs knobs_;
+  RoleLease lease_;
+  Time started_;
+  Time next_plan_{};
+  Phase phase_ = Phase::kIdle;
+  Change change_;
+  std::map<std::string, Time> cooled_at_;   // Service -> when it may change again.
+  std::map<std::string, Time> away_until_;  // Engine -> when it should be back at the latest.
+  std::map<std::string, Time> settled_at_;  // Engine -> when an unanswered order is surely over.
+};
+
+}  // namespace saltquay::serving
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -58,7 +58,60 @@
   Log(EventId::kStoreContact, nullptr, fmt::format(R"("in_contact":{})", store_contact_));
 }
 
-void ServingCore::On(const PeersChanged& event) { allowance_.set_nodes(event.nodes); }
+void ServingCore::On(const PeersChanged& event) {
+  allowance_.set_nodes(event.nodes);
+  selector_.set_peers_known(event.nodes > 1);
+  for (const auto& [id, known] : engines_.all()) {
+    EngineState& engine = *engines_.Find(id);
+    const auto work = event.work.find(id);
+    engine.peers_outstanding = work == event.work.end() ? 0 : work->second.outstanding;
+    engine.peers_prompt_tokens = work == event.work.end() ? 0 : work->second.prompt_tokens;
+  }
+  for (const EngineHold& hold : event.holds) {
+    if (EngineState* engine = engines_.Find(hold.engine_id)) engine->held_until = now_ + hold.left;
+  }
+}
+
+std::vector<EngineWork> ServingCore::OwnWork() const {
+  std::vector<EngineWork> work;
+  for (const auto& [id, engine] : engines_.all()) {
+    if (engine.outstanding > 0) work.push_back({id, engine.outstanding, engine.outstanding_prompt_tokens});
+  }
+  return work;
+}
+
+std::vector<ServiceDemand> ServingCore::OwnDemand(Time now) {
+  std::vector<ServiceDemand> demand;
+  for (auto& [service, meter] : demand_) demand.push_back({service, meter.prefill.Get(now), meter.decode.Get(now)});
+  return demand;
+}
+
+// Reading is asked for when it begins.
+void ServingCore::MeterStart(const Flow& flow, const Attempt& attempt) {
+  if (!flow.language || attempt.mode == AttemptMode::kContinue) return;
+  const double milliseconds = static_cast<double>(attempt.prompt_tokens) / selector_.read_rate();
+  DemandMeter& meter = demand_.try_emplace(flow.service, knobs_.demand_memory).first->second;
+  constexpr double kSecond = 1000;
+  constexpr double kDecodeReadsSlower = 2;
+  if (attempt.mode == AttemptMode::kPrefill) {
+    meter.prefill.Add(milliseconds / kSecond, now_);
+  } else {
+    meter.decode.Add(kDecodeReadsSlower * milliseconds / kSecond, now_);
+  }
+}
+
+// Answering is asked for by the share of an engine that it kept, and how long.
+void ServingCore::MeterEnd(const Flow& flow, const Attempt& attempt) {
+  if (!flow.language || attempt.mode == AttemptMode::kPrefill) return;
+  const Service* service = config_ ? config_->FindService(flow.service) : nullptr;
+  if (service == nullptr || !service->language) return;
+  const LanguageEngineTraits& traits = *service->language;
+  const double slots = std::max(1.0, knobs_.comfortable_fill * traits.slots);
+  const double memory = std::max(1.0, knobs_.comfortable_fill * static_cast<double>(traits.kv_capacity_tokens));
+  const double share = std::max(1.0 / slots, flow.facts.prompt->tokens / memory);
+  DemandMeter& meter = demand_.try_emplace(flow.service, knobs_.demand_memory).first->second;
+  meter.decode.Add(share * ToSeconds(now_ - attempt.sent_at), now_);
+}
 
 std::string ServingCore::ChooseService(const Route& route) {
   double sum = 0;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "src/core/serving/demand_meter.h"
 #include "src/core/serving/engine_selector.h"
 #include "src/core/serving/events.h"
 #include "src/core/serving/knobs.h"
@@ -32,6 +33,7 @@
   bool head_seen = false;          // Of an answer that the engine made itself.
   AnswerFacts answer;
   bool silence_noted = false;
+  std::optional<MemorySource> memory;  // That it was to take.
   bool alone_at_start = false;     // Nothing else of ours was under way there.
 };
 
@@ -74,6 +76,9 @@
   EngineDirectory& engines() { return engines_; }
   const EngineDirectory& engines() const { return engines_; }
   EngineSelector& selector() { return selector_; }
+  // This node's work and demand, for its report to the peers.
+  std::vector<EngineWork> OwnWork() const;
+  std::vector<ServiceDemand> OwnDemand(Time now);
 
  private:
   void On(const ConfigurationChanged& event);
@@ -120,6 +125,8 @@
   void Log(EventId event, const Flow* flow, std::string details);
   void LogStanding(const std::optional<StandingChange>& change);
   std::string ChooseService(const Route& route);
+  void MeterStart(const Flow& flow, const Attempt& attempt);
+  void MeterEnd(const Flow& flow, const Attempt& attempt);
 
   ServingKnobs knobs_;
   EngineDirectory engines_;
@@ -127,6 +134,7 @@
   RetryAllowance allowance_;
   Random random_;
   std::optional<ServingConfig> config_;
+  std::map<std::string, DemandMeter> demand_;  // By service.
   bool heard_engines_ = false;
   bool store_contact_ = false;
   std::map<FlowId, std::unique_ptr<Flow>> flows_;
--- /dev/null
+++ b/src/gateway/coordination.cc
@@ -0,0 +1,246 @@
+#include "src/gateway/coordination.h"
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace saltquay::gateway {
+namespace {
+
+constexpr std::chrono::milliseconds kTick{100};
+constexpr std::chrono::milliseconds kEngineCallTimeout{600};
+constexpr std::chrono::milliseconds kEngineConnect{200};
+constexpr std::string_view kLeaseKind = "saltquay-leases";
+constexpr std::string_view kLeaseName = "engine-roles";
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kConflict = 409;
+constexpr int kPreconditionFailed = 412;
+
+std::string EncodeLease(const serving::LeaseRecord& record) {
+  return nlohmann::json{{"holder", record.holder}, {"nonce", record.nonce}}.dump();
+}
+
+// A record that does not decode is somebody's all the same: it is waited out.
+serving::LeaseRecord DecodeLease(const StoredObject& object) {
+  serving::LeaseRecord record;
+  record.revision = object.revision;
+  const nlohmann::json content = nlohmann::json::parse(object.content, nullptr, false);
+  if (!content.is_object()) return record;
+  record.holder = content.value("holder", "");
+  record.nonce = content.value("nonce", std::uint64_t{0});
+  return record;
+}
+
+serving::OrderOutcome ToOutcome(int status, bool sent) {
+  if (status == kOk || status == kAccepted) return serving::OrderOutcome::kAccepted;
+  if (status == kConflict) return serving::OrderOutcome::kConflict;
+  if (status == kPreconditionFailed) return serving::OrderOutcome::kFenced;
+  if (status == 0 && sent) return serving::OrderOutcome::kUnknown;
+  return serving::OrderOutcome::kRefused;
+}
+
+serving::RoleControllerKnobs RoleKnobs(const GatewaySettings& settings) {
+  serving::RoleControllerKnobs knobs;
+  knobs.lease.lease = settings.lease;
+  knobs.planner.initial_prefill_share = settings.initial_prefill_share;
+  return knobs;
+}
+
+}  // namespace
+
+struct Coordination::EngineCall {
+  explicit EngineCall(boost::asio::io_context& loop) : timer(loop) {}
+  std::unique_ptr<http::Call> call;
+  boost::asio::steady_timer timer;
+  EngineReply reply;
+  std::function<void(const EngineReply&)> done;
+};
+
+Coordination::Coordination(boost::asio::io_context& loop, const GatewaySettings& settings,
+                           const EngineProtocol& protocol, Gateway& gateway, ObjectStore& store, std::uint64_t seed)
+    : loop_(loop),
+      settings_(settings),
+      protocol_(protocol),
+      gateway_(gateway),
+      store_(store),
+      client_(loop),
+      peers_(settings.node_name),
+      roles_(RoleKnobs(settings), settings.node_name, seed, gateway.Now()),
+      timer_(loop),
+      boot_(static_cast<std::uint64_t>(UnixMilliseconds())) {}
+
+absl::Status Coordination::Start() {
+  Tick();
+  if (settings_.peer_listen.empty()) return absl::OkStatus();
+  PeerExchangeOptions options;
+  options.address = settings_.peer_listen;
+  options.seeds = settings_.peer_seeds;
+  exchange_ = std::make_unique<PeerExchange>(
+      loop_, std::move(options), [this](serving::PeerReport& report) { FillReport(report); },
+      [this](const serving::PeerReport& report) { OnReport(report); }, [this] { return peers_.Addresses(); });
+  return exchange_->Start();
+}
+
+void Coordination::BeginStop() {
+  stopping_ = true;
+  if (exchange_ != nullptr) exchange_->SendNow();
+}
+
+void Coordination::FillReport(serving::PeerReport& report) {
+  report.node = settings_.node_name;
+  report.boot = boot_;
+  report.sequence = ++sequence_;
+  report.stopping = stopping_;
+  report.work = gateway_.core().OwnWork();
+  report.demand = gateway_.core().OwnDemand(gateway_.Now());
+  report.holds = roles_.Holds(gateway_.Now());
+  report.peers = peers_.Addresses();
+}
+
+void Coordination::OnReport(const serving::PeerReport& report) {
+  const int before = peers_.Count();
+  if (!peers_.Note(report, gateway_.Now())) return;
+  if (peers_.Count() != before) {
+    gateway_.Log(EventId::kMemberAlive, "", fmt::format(R"("node":"{}","nodes":{})", EscapeJson(report.node), peers_.Count()));
+  }
+  TellCore();
+}
+
+void Coordination::TellCore() {
+  serving::PeersChanged changed;
+  changed.nodes = peers_.Count();
+  changed.work = peers_.WorkByEngine();
+  changed.holds = peers_.Holds();
+  for (const serving::EngineHold& hold : roles_.Holds(gateway_.Now())) changed.holds.push_back(hold);
+  gateway_.Dispatch(changed);
+}
+
+void Coordination::Tick() {
+  const int before = peers_.Count();
+  peers_.Expire(gateway_.Now());
+  if (peers_.Count() != before) {
+    gateway_.Log(EventId::kMemberDead, "", fmt::format(R"("nodes":{})", peers_.Count()));
+    TellCore();
+  }
+  const std::optional<serving::ServingConfig>& config = gateway_.core().config();
+  if (config && settings_.changes_roles) {
+    const bool candidate = !stopping_ && store_contact_ && gateway_.core().ready() && peers_.OwnNameIsLeast();
+    std::vector<serving::RoleAction> actions;
+    roles_.OnTick(gateway_.Now(), candidate, *config, TotalDemand(gateway_.Now()), gateway_.core().engines(), actions);
+    Carry(actions);
+  }
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) Tick();
+  });
+}
+
+std::map<std::string, serving::ServiceDemand> Coordination::TotalDemand(Time now) {
+  std::map<std::string, serving::ServiceDemand> total;
+  for (const serving::ServiceDemand& own : gateway_.core().OwnDemand(now)) total[own.service] = own;
+  for (const serving::Service& service : gateway_.core().config()->services) {
+    const serving::ServiceDemand others = peers_.Demand(service.name);
+    serving::ServiceDemand& sum = total[service.name];
+    sum.service = service.name;
+    sum.prefill_engines += others.prefill_engines;
+    sum.decode_engines += others.decode_engines;
+  }
+  return total;
+}
+
+void Coordination::Carry(const std::vector<serving::RoleAction>& actions) {
+  for (const serving::RoleAction& action : actions) {
+    std::visit([this](const auto& typed) { CarryOne(typed); }, action);
+  }
+  gateway_.metrics().SetLeader(roles_.leads(gateway_.Now()));
+}
+
+void Coordination::CarryOne(const serving::ReadLease& /*action*/) {
+  store_.Read(std::string(kLeaseKind), std::string(kLeaseName), [this](const absl::StatusOr<StoredObject>& object) {
+    if (object.ok()) return roles_.OnLeaseRead(gateway_.Now(), DecodeLease(*object));
+    if (absl::IsNotFound(object.status())) return roles_.OnLeaseRead(gateway_.Now(), serving::LeaseRecord{});
+    roles_.OnLeaseReadFailed(gateway_.Now());
+  });
+}
+
+void Coordination::CarryOne(const serving::WriteLease& action) {
+  const StoredObject object{std::string(kLeaseName), action.record.revision, EncodeLease(action.record)};
+  store_.Write(std::string(kLeaseKind), object, [this](const absl::StatusOr<StoredObject>& written) {
+    if (written.ok()) {
+      gateway_.Log(EventId::kLeaseAcquired, "", fmt::format(R"("token":{})", written->revision));
+      return roles_.OnLeaseWritten(written->revision);
+    }
+    const bool settled = !absl::IsDeadlineExceeded(written.status());
+    gateway_.Log(EventId::kLeaseLost, "", fmt::format(R"("cause":"{}","settled":{})",
+                                                      EscapeJson(MessageOf(written.status())), settled));
+    roles_.OnLeaseWriteFailed(gateway_.Now(), settled);
+  });
+}
+
+void Coordination::CarryOne(const serving::ReadEngineState& action) {
+  std::string request = http::SerializeRequest(protocol_.MakeStateRead(action), "");
+  CallEngine(action.address, action.engine_id, std::move(request), [this, id = action.engine_id](const EngineReply& reply) {
+    std::vector<serving::RoleAction> actions;
+    const auto report = reply.status == kOk ? protocol_.ReadState(reply.body) : std::nullopt;
+    roles_.OnEngineState(gateway_.Now(), id, report, gateway_.core().engines(), actions);
+    Carry(actions);
+  });
+}
+
+void Coordination::CarryOne(const serving::SendStageOrder& action) {
+  std::string request = http::SerializeRequest(protocol_.MakeOrderHead(action),
+                                               protocol_.MakeOrderBody(action, settings_.node_name));
+  CallEngine(action.address, action.engine_id, std::move(request), [this, id = action.engine_id](const EngineReply& reply) {
+    std::vector<serving::RoleAction> actions;
+    roles_.OnOrderAnswered(gateway_.Now(), id, ToOutcome(reply.status, reply.sent), gateway_.core().engines(), actions);
+    Carry(actions);
+  });
+}
+
+void Coordination::CarryOne(const serving::AnnounceHolds& /*action*/) {
+  if (exchange_ != nullptr) exchange_->SendNow();
+  TellCore();
+}
+
+void Coordination::CarryOne(const serving::LogRole& action) { gateway_.Log(action.event, "", action.details); }
+
+void Coordination::CallEngine(const std::string& address, const std::string& engine_id, std::string request,
+                              std::function<void(const EngineReply&)> done) {
+  const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(address);
+  const auto call = std::make_shared<EngineCall>(loop_);
+  call->done = std::move(done);
+  if (!endpoint.ok()) {
+    call->reply.sent = false;
+    boost::asio::post(loop_, [call] { call->done(call->reply); });
+    return;
+  }
+  const std::uint64_t id = ++last_call_;
+  calls_[id] = call;
+  const auto finish = [this, id, call] {
+    if (calls_.erase(id) == 0) return;
+    call->timer.cancel();
+    boost::asio::post(loop_, [call] { call->call.reset(); });
+    call->done(call->reply);
+  };
+  http::CallHandlers handlers;
+  handlers.on_head = [call](const http::ResponseHead& head) { call->reply.status = head.status; };
+  handlers.on_body = [call](std::string_view bytes) { call->reply.body += bytes; };
+  handlers.on_complete = finish;
+  handlers.on_failure = [call, finish](http::CallFailure failure) {
+    call->reply.status = 0;
+    call->reply.sent = failure != http::CallFailure::kNotSent;
+    finish();
+  };
+  http::CallOptions options;
+  options.connect_timeout = kEngineConnect;
+  call->call = client_.Start(*endpoint, address + "#" + engine_id, std::move(request), options, std::move(handlers));
+  call->timer.expires_after(kEngineCallTimeout);
+  call->timer.async_wait([call, finish](boost::system::error_code error) {
+    if (error) return;
+    call->reply.status = 0;
+    finish();
+  });
+}
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/coordination.h
@@ -0,0 +1,69 @@
+// What nodes do together: reports between peers, and role changes of engines
+// under one lease. Drives PeerTable and RoleController with sockets and the
+// store; see src/core/serving for the protocols.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/core/serving/role_controller.h"
+#include "src/gateway/gateway.h"
+#include "src/gateway/object_store.h"
+#include "src/gateway/peer_exchange.h"
+
+namespace saltquay::gateway {
+
+class Coordination {
+ public:
+  Coordination(boost::asio::io_context& loop, const GatewaySettings& settings, const EngineProtocol& protocol,
+               Gateway& gateway, ObjectStore& store, std::uint64_t seed);
+
+  absl::Status Start();
+  // This node stops: it plans no more, and tells its peers.
+  void BeginStop();
+  void set_store_contact(bool in_contact) { store_contact_ = in_contact; }
+
+ private:
+  void FillReport(serving::PeerReport& report);
+  void OnReport(const serving::PeerReport& report);
+  void TellCore();
+  void Tick();
+  std::map<std::string, serving::ServiceDemand> TotalDemand(Time now);
+  void Carry(const std::vector<serving::RoleAction>& actions);
+  void CarryOne(const serving::ReadLease& action);
+  void CarryOne(const serving::WriteLease& action);
+  void CarryOne(const serving::ReadEngineState& action);
+  void CarryOne(const serving::SendStageOrder& action);
+  void CarryOne(const serving::AnnounceHolds& action);
+  void CarryOne(const serving::LogRole& action);
+  // Calls an engine and hands over the status (0: none) and the body.
+  struct EngineReply {
+    int status = 0;
+    bool sent = true;
+    std::string body;
+  };
+  void CallEngine(const std::string& address, const std::string& engine_id, std::string request,
+                  std::function<void(const EngineReply&)> done);
+
+  boost::asio::io_context& loop_;
+  GatewaySettings settings_;
+  EngineProtocol protocol_;
+  Gateway& gateway_;
+  ObjectStore& store_;
+  http::Client client_;
+  serving::PeerTable peers_;
+  serving::RoleController roles_;
+  std::unique_ptr<PeerExchange> exchange_;
+  boost::asio::steady_timer timer_;
+  std::uint64_t boot_;
+  std::uint64_t sequence_ = 0;
+  bool stopping_ = false;
+  bool store_contact_ = false;
+  struct EngineCall;
+  std::map<std::uint64_t, std::shared_ptr<EngineCall>> calls_;
+  std::uint64_t last_call_ = 0;
+};
+
+}  // namespace saltquay::gateway
--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -120,4 +120,49 @@
   return head;
 }
 
+http::RequestHead EngineProtocol::MakeStateRead(const serving::ReadEngineState& action) const {
+  http::RequestHead head;
+  head.method = "GET";
+  head.target = names_.report_path;
+  head.fields.Add("Host", action.address);
+  head.fields.Add(names_.expected_engine, action.engine_id);
+  return head;
+}
+
+std::optional<serving::EngineStateReport> EngineProtocol::ReadState(const std::string& body) const {
+  const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+  if (!answer.is_object()) return std::nullopt;
+  const auto stage = answer.find(names_.stage_member);
+  const auto sequence = answer.find(names_.sequence_member);
+  const auto busy = answer.find(names_.busy_member);
+  if (stage == answer.end() || !stage->is_string() || sequence == answer.end() || !sequence->is_number_integer()) {
+    return std::nullopt;
+  }
+  serving::EngineStateReport report;
+  report.stage = *stage == names_.stage_prefill ? serving::EngineStage::kPrefill : serving::EngineStage::kDecode;
+  report.sequence = sequence->get<std::int64_t>();
+  report.busy = busy != answer.end() && busy->is_boolean() && busy->get<bool>();
+  return report;
+}
+
+http::RequestHead EngineProtocol::MakeOrderHead(const serving::SendStageOrder& action) const {
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = names_.order_path;
+  head.fields.Add("Host", action.address);
+  head.fields.Add("Content-Type", "application/json");
+  head.fields.Add(names_.expected_engine, action.engine_id);
+  return head;
+}
+
+std::string EngineProtocol::MakeOrderBody(const serving::SendStageOrder& action, const std::string& holder) const {
+  const bool prefill = action.stage == serving::EngineStage::kPrefill;
+  const nlohmann::json body = {{names_.operation_member, names_.stage_member},
+                               {names_.stage_member, prefill ? names_.stage_prefill : names_.stage_decode},
+                               {names_.holder_member, holder},
+                               {names_.token_member, action.fencing_token},
+                               {names_.expected_sequence_member, action.expected_sequence}};
+  return body.dump();
+}
+
 }  // namespace saltquay::gateway
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -4,10 +4,12 @@
 // a platform's adapter supplies others.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "src/core/serving/events.h"
+#include "src/core/serving/role_controller.h"
 #include "src/http/message.h"
 
 namespace saltquay::gateway {
@@ -23,12 +25,23 @@
   std::string priority = "Saltquay-Priority";
   std::string stage = "Saltquay-Stage";
   std::string stage_prefill = "prefill";
+  std::string stage_decode = "decode";
   std::string memory_source = "Saltquay-Memory-Source";
   std::string signature = "Saltquay-Signature";
   std::string not_executed = "Saltquay-Not-Executed";
   std::string load = "Saltquay-Load";                 // Running, waiting, slots.
   std::string handle_member = "handle";               // Of the JSON answer to a prefill.
   std::string release_path = "/handles/";             // DELETE it with a handle behind.
+  // Orders to engines, and what engines say of themselves.
+  std::string order_path = "/orders";
+  std::string report_path = "/state";
+  std::string operation_member = "operation";
+  std::string stage_member = "stage";      // Also the word of the operation.
+  std::string holder_member = "holder";
+  std::string token_member = "fencing_token";
+  std::string expected_sequence_member = "expected_sequence";
+  std::string sequence_member = "sequence";
+  std::string busy_member = "busy";
   // Fields that only this system may set: never passed on from a client.
   std::vector<std::string> system_fields = {"Saltquay-Expect-Engine", "Saltquay-Priority", "Saltquay-Stage",
                                             "Saltquay-Memory-Source"};
@@ -49,6 +62,12 @@
   std::string ReadHandle(const std::string& body) const;
   http::RequestHead MakeRelease(const serving::MemorySource& memory) const;
 
+  http::RequestHead MakeStateRead(const serving::ReadEngineState& action) const;
+  // Nothing for a body that does not decode.
+  std::optional<serving::EngineStateReport> ReadState(const std::string& body) const;
+  http::RequestHead MakeOrderHead(const serving::SendStageOrder& action) const;
+  std::string MakeOrderBody(const serving::SendStageOrder& action, const std::string& holder) const;
+
  private:
   EngineProtocolNames names_;
 };
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -57,7 +57,8 @@
       codec_(std::move(codec)),
       store_(store),
       log_(LogOptions(settings)),
-      gateway_(loop, settings, std::move(protocol), log_, RandomSeed()),
+      gateway_(loop, settings, protocol, log_, RandomSeed()),
+      coordination_(loop, settings, protocol, gateway_, store, RandomSeed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP),
       stop_timer_(loop) {}
 
@@ -76,7 +77,7 @@
                            settings_.store_address));
   WaitForSignal();
   WatchStore();
-  return absl::OkStatus();
+  return coordination_.Start();
 }
 
 absl::Status GatewayProcess::Listen() {
@@ -111,6 +112,7 @@
   config.on_contact = [this](bool in_contact, const std::string& cause) {
     OnContact(codec_.config_kind, in_contact, cause);
     gateway_.Dispatch(serving::StoreContactChanged{in_contact});
+    coordination_.set_store_contact(in_contact);
   };
   WatcherHandlers engines;
   engines.on_list = [this](const ObjectList& list) { OnEngineList(list); };
@@ -210,6 +212,7 @@
   stop_began_ = std::chrono::steady_clock::now();
   gateway_.Log(EventId::kNodeStopping, "", fmt::format(R"("open_requests":{})", gateway_.open_requests()));
   client_server_->StartClosing();
+  coordination_.BeginStop();
   ContinueStop();
 }
 
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -16,6 +16,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "src/gateway/collection_watcher.h"
+#include "src/gateway/coordination.h"
 #include "src/gateway/gateway.h"
 
 namespace saltquay::gateway {
@@ -64,6 +65,7 @@
   ObjectStore& store_;
   LogStream log_;
   Gateway gateway_;
+  Coordination coordination_;
   std::unique_ptr<http::Server> client_server_;
   std::unique_ptr<http::Server> ready_server_;
   std::unique_ptr<http::Server> metrics_server_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -70,6 +70,7 @@
   ConfigReader policy = root.Table("policy");
   settings.knobs.policy = ReadPolicy(policy);
   settings.changes_roles = policy.Boolean("change_roles", true);
+  settings.initial_prefill_share = policy.Number("initial_prefill_share", 0, 1, settings.initial_prefill_share);
   settings.knobs.whole_prompt_tokens =
       static_cast<int>(policy.Integer("whole_prompt_tokens", 0, 1000000, settings.knobs.whole_prompt_tokens));
   policy.RejectUnreadKeys();
--- /dev/null
+++ b/src/gateway/peer_exchange.cc
@@ -0,0 +1,93 @@
+#include "src/gateway/peer_exchange.h"
+
+#include <algorithm>
+#include <set>
+
+#include <boost/asio/buffer.hpp>
+
+#include "src/gateway/peer_codec.h"
+#include "src/http/socket.h"
+
+namespace saltquay::gateway {
+
+using boost::asio::ip::udp;
+
+PeerExchange::PeerExchange(boost::asio::io_context& loop, PeerExchangeOptions options,
+                           std::function<void(serving::PeerReport&)> fill,
+                           std::function<void(const serving::PeerReport&)> on_report,
+                           std::function<std::vector<serving::PeerAddress>()> addresses)
+    : socket_(loop),
+      timer_(loop),
+      options_(std::move(options)),
+      fill_(std::move(fill)),
+      on_report_(std::move(on_report)),
+      addresses_(std::move(addresses)) {}
+
+absl::Status PeerExchange::Start() {
+  const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(options_.address);
+  if (!endpoint.ok()) return endpoint.status();
+  boost::system::error_code error;
+  socket_.open(udp::v4(), error);
+  if (!error) socket_.bind(udp::endpoint(endpoint->address(), endpoint->port()), error);
+  if (!error) socket_.non_blocking(true, error);
+  if (error) {
+    return MakeError(ErrorKind::kInvalidSetting, "cannot listen for peers on " + options_.address + " (" +
+                                                     error.message() + "); free the port or set another address");
+  }
+  Receive();
+  Round();
+  return absl::OkStatus();
+}
+
+void PeerExchange::Receive() {
+  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                             [this](boost::system::error_code error, std::size_t bytes) {
+                               if (error == boost::asio::error::operation_aborted) return;
+                               if (!error) {
+                                 const auto report = DecodeReport({buffer_.data(), bytes});
+                                 if (report) on_report_(*report);
+                               }
+                               Receive();
+                             });
+}
+
+void PeerExchange::Round() {
+  SendNow();
+  timer_.expires_after(options_.interval);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) Round();
+  });
+}
+
+void PeerExchange::SendNow() {
+  serving::PeerReport report;
+  report.address = options_.address;
+  fill_(report);
+  std::vector<std::string> targets;
+  for (const serving::PeerAddress& peer : addresses_()) targets.push_back(peer.address);
+  if (targets.size() > options_.fan_out) {
+    std::rotate(targets.begin(), targets.begin() + static_cast<std::ptrdiff_t>(next_ % targets.size()), targets.end());
+    next_ += options_.fan_out;
+    targets.resize(options_.fan_out);
+  }
+  // Seeds are asked as long as few answer: they may be stale.
+  if (targets.size() < options_.seeds.size()) {
+    targets.insert(targets.end(), options_.seeds.begin(), options_.seeds.end());
+  }
+  // Who is there changes seldom: it is told in some rounds only.
+  constexpr std::uint64_t kRoundsPerListing = 5;
+  if (report.sequence % kRoundsPerListing != 1) report.peers.clear();
+  const std::string bytes = EncodeReport(report);
+  for (const std::string& target : std::set<std::string>(targets.begin(), targets.end())) {
+    if (target != options_.address) SendTo(target, bytes);
+  }
+}
+
+void PeerExchange::SendTo(const std::string& address, const std::string& bytes) {
+  const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(address);
+  if (!endpoint.ok()) return;
+  boost::system::error_code ignored;  // A datagram that is not sent is one that is lost.
+  socket_.send_to(boost::asio::buffer(bytes), udp::endpoint(endpoint->address(), endpoint->port()), 0, ignored);
+}
+
+}  // namespace saltquay::gateway
