--- /dev/null
+++ b/tests/core/serving/beliefs_test.cc
@@ -0,0 +1,168 @@
+// Engine standing, retry allowance, homes of prompts, peers' reports.
+#include <cmath>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "src/core/serving/engine_selector.h"
+#include "src/core/serving/peer_table.h"
+#include "src/core/serving/retry_allowance.h"
+
+namespace saltquay::serving {
+namespace {
+
+EngineRecord Record(const std::string& id, EngineStage stage, const std::string& zone = "a") {
+  EngineRecord record;
+  record.id = id;
+  record.service = "s";
+  record.zone = zone;
+  record.stage = stage;
+  return record;
+}
+
+TEST(ServingConfigTest, TheLongestPrefixOfTheHostWins) {
+  ServingConfig config;
+  for (const char* prefix : {"/a/", "/a/b/", "/c/"}) {
+    Route route;
+    route.host = "h";
+    route.path_prefix = prefix;
+    config.routes.push_back(route);
+  }
+  EXPECT_EQ(config.FindRoute("h", "/a/b/c")->path_prefix, "/a/b/");
+  EXPECT_EQ(config.FindRoute("h", "/a/x")->path_prefix, "/a/");
+  EXPECT_EQ(config.FindRoute("h", "/ab/"), nullptr);
+  EXPECT_EQ(config.FindRoute("other", "/a/"), nullptr);
+}
+
+TEST(EngineDirectoryTest, FailuresInARowEjectAndProbationEjectsAtOnce) {
+  EngineDirectory engines{EjectionPolicy{}};
+  engines.Update(Record("e", EngineStage::kUniform));
+  Time now{1s};
+  EXPECT_FALSE(engines.NoteFailure("e", "x", now));
+  const auto first = engines.NoteFailure("e", "x", now);
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->span, 1s);
+  now += 1100ms;
+  const auto second = engines.NoteFailure("e", "x", now);
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->span, 2s);
+}
+
+TEST(EngineDirectoryTest, ErrorsEjectOnlyWhatIsWorseThanTheOthers) {
+  EngineDirectory engines{EjectionPolicy{}};
+  for (const char* id : {"a", "b", "c"}) engines.Update(Record(id, EngineStage::kUniform));
+  bool ejected = false;
+  for (int i = 0; i < 40; ++i) {
+    for (const char* id : {"a", "b", "c"}) ejected = ejected || engines.NoteAnswer(id, i % 2 == 0, Time{1s}).has_value();
+  }
+  EXPECT_FALSE(ejected);  // All alike: taking one out would help nobody.
+  for (int i = 0; i < 40 && !ejected; ++i) {
+    engines.NoteAnswer("a", false, Time{1s});
+    engines.NoteAnswer("b", false, Time{1s});
+    ejected = engines.NoteAnswer("c", true, Time{1s}).has_value();
+  }
+  EXPECT_TRUE(ejected);
+}
+
+RC_GTEST_PROP(RetryAllowanceProperty, AllNodesTogetherKeepTheBudget, ()) {
+  const int nodes = *rc::gen::inRange(1, 12);
+  const RetryBudgetBounds bounds{0.2, 10s, 54, 0.8};
+  std::vector<RetryAllowance> allowances(static_cast<std::size_t>(nodes), RetryAllowance(bounds));
+  for (RetryAllowance& allowance : allowances) allowance.set_nodes(nodes);
+  int requests = 0;
+  int extras = 0;
+  const int events = *rc::gen::inRange(0, 400);
+  for (int i = 0; i < events; ++i) {
+    RetryAllowance& allowance = allowances[static_cast<std::size_t>(*rc::gen::inRange(0, nodes))];
+    if (*rc::gen::inRange(0, 3) == 0) {
+      allowance.NoteRequest("s", Time{1s});
+      ++requests;
+    } else if (allowance.TryTake("s", Time{1s})) {
+      ++extras;
+    }
+  }
+  RC_ASSERT(extras <= bounds.ratio * requests + bounds.slack);
+}
+
+TEST(RetryAllowanceTest, WhatIsOlderThanTheWindowIsForgotten) {
+  RetryAllowance allowance(RetryBudgetBounds{0, 10s, 10, 1.0});
+  allowance.set_nodes(1);
+  for (int i = 0; i < 5; ++i) EXPECT_TRUE(allowance.TryTake("s", Time{1s}));
+  EXPECT_FALSE(allowance.TryTake("s", Time{5s}));
+  EXPECT_TRUE(allowance.TryTake("s", Time{12s}));
+}
+
+class SelectorTest : public ::testing::Test {
+ protected:
+  static PromptFacts Prompt(const std::string& part) {
+    PromptFacts prompt;
+    prompt.tokens = 17000;
+    prompt.parts = {{part, 13000}, {"own", 4000}};
+    return prompt;
+  }
+  EngineDirectory engines_{EjectionPolicy{}};
+  EngineSelector selector_{ServingKnobs{}, "a", 1};
+  EngineSelector other_node_{ServingKnobs{}, "a", 99};
+};
+
+TEST_F(SelectorTest, NodesAgreeOnHomesAndAnEnginesLossMovesOnlyItsParts) {
+  for (int i = 0; i < 5; ++i) engines_.Update(Record("p" + std::to_string(i), EngineStage::kPrefill));
+  std::map<std::string, std::string> homes;
+  for (int part = 0; part < 60; ++part) {
+    const std::string name = "part" + std::to_string(part);
+    EngineState* home = selector_.ChoosePrefill(engines_, "s", Prompt(name), {}, Time{1s});
+    EXPECT_EQ(home, other_node_.ChoosePrefill(engines_, "s", Prompt(name), {}, Time{1s}));
+    homes[name] = home->record.id;
+  }
+  engines_.Remove("p3");
+  for (const auto& [part, home] : homes) {
+    if (home == "p3") continue;
+    EXPECT_EQ(selector_.ChoosePrefill(engines_, "s", Prompt(part), {}, Time{1s})->record.id, home);
+  }
+}
+
+TEST_F(SelectorTest, ABacklogLargerThanReadingAgainSendsThePromptElsewhere) {
+  for (int i = 0; i < 3; ++i) engines_.Update(Record("p" + std::to_string(i), EngineStage::kPrefill));
+  EngineState* home = selector_.ChoosePrefill(engines_, "s", Prompt("x"), {}, Time{1s});
+  home->outstanding_prompt_tokens = 10000;
+  EXPECT_EQ(selector_.ChoosePrefill(engines_, "s", Prompt("x"), {}, Time{1s}), home);
+  home->outstanding_prompt_tokens = 60000;
+  EXPECT_NE(selector_.ChoosePrefill(engines_, "s", Prompt("x"), {}, Time{1s}), home);
+}
+
+TEST_F(SelectorTest, EnginesThatAreOutAreTheLastResort) {
+  engines_.Update(Record("d1", EngineStage::kDecode));
+  engines_.Update(Record("d2", EngineStage::kDecode));
+  engines_.Find("d1")->ejected_until = Time{9s};
+  engines_.Find("d2")->outstanding = 50;
+  EXPECT_EQ(selector_.ChooseDecode(engines_, "s", "", {}, Time{1s})->record.id, "d2");
+  engines_.Remove("d2");
+  engines_.Find("d2")->gone = true;
+  EXPECT_EQ(selector_.ChooseDecode(engines_, "s", "", {}, Time{1s})->record.id, "d1");
+}
+
+TEST(PeerTableTest, NewerReportsReplaceAndSilentNodesAreForgotten) {
+  PeerTable peers("me");
+  PeerReport report;
+  report.node = "other";
+  report.boot = 1;
+  report.sequence = 5;
+  report.work = {{"e", 3, 1000}};
+  report.peers = {{"third", "1.2.3.4:5"}};
+  EXPECT_TRUE(peers.Note(report, Time{1s}));
+  report.sequence = 4;
+  EXPECT_FALSE(peers.Note(report, Time{1s}));
+  report.boot = 2;
+  report.sequence = 1;
+  report.work = {{"e", 1, 10}};
+  EXPECT_TRUE(peers.Note(report, Time{2s}));
+  EXPECT_EQ(peers.WorkByEngine()["e"].outstanding, 1);
+  EXPECT_EQ(peers.Addresses().size(), 2U);
+  EXPECT_EQ(peers.Count(), 2);
+  peers.Expire(Time{20s});
+  EXPECT_EQ(peers.Count(), 1);
+  EXPECT_TRUE(peers.Addresses().empty());
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- /dev/null
+++ b/tests/core/serving/flow_test.cc
@@ -0,0 +1,266 @@
+// One request's flow: what may be sent again, what is answered, and when.
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "tests/support/serving_fixture.h"
+
+namespace saltquay::serving {
+namespace {
+
+using FlowTest = ServingFixture;
+
+TEST_F(FlowTest, RelaysAnAnswerAndEnds) {
+  Arrive("safe");
+  const auto start = One<StartAttempt>();
+  EXPECT_EQ(start.mode, AttemptMode::kWhole);
+  Answer(start, 200);
+  EXPECT_EQ(One<RelayAnswer>().attempt, start.attempt);
+  EXPECT_EQ(core_.flows(), 0U);
+}
+
+TEST_F(FlowTest, UnknownRouteIs404OnlyWhileTheStoreIsHeard) {
+  Arrive("nowhere");
+  EXPECT_EQ(One<AnswerOwn>().status, 404);
+  Send(StoreContactChanged{false});
+  Arrive("nowhere");
+  EXPECT_EQ(One<AnswerOwn>().status, 503);
+  EXPECT_TRUE(One<AnswerOwn>().retry_after.has_value());
+}
+
+TEST_F(FlowTest, BeforeAnyConfigurationRequestsAreRefusedWithATime) {
+  ServingCore fresh(ServingKnobs{}, "a", 1);
+  std::vector<Action> actions;
+  RequestArrived arrived;
+  arrived.flow = 1;
+  fresh.OnEvent(now_, arrived, actions);
+  const auto* answer = std::get_if<AnswerOwn>(&actions.back());
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_TRUE(answer->retry_after.has_value());
+}
+
+TEST_F(FlowTest, AnOlderConfigurationNeverReplacesANewer) {
+  ServingConfig newer = MakeConfig();
+  newer.version = 5;
+  newer.routes.clear();
+  Send(ConfigurationChanged{newer});
+  Send(ConfigurationChanged{MakeConfig()});
+  EXPECT_EQ(core_.version(), 5U);
+}
+
+TEST_F(FlowTest, AtMostOnceIsNotSentAgainAfterItMayHaveRun) {
+  Arrive("once");
+  Fail(One<StartAttempt>(), AttemptFailure::kBroken);
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  EXPECT_EQ(One<AnswerOwn>().status, 502);
+  EXPECT_FALSE(One<AnswerOwn>().retry_after.has_value());
+}
+
+TEST_F(FlowTest, AtMostOnceGoesElsewhereWhenItWasNotSentOrNotRun) {
+  Arrive("once");
+  const auto first = One<StartAttempt>();
+  Fail(first, AttemptFailure::kNotSent);
+  const auto second = One<StartAttempt>();
+  EXPECT_NE(second.engine_id, first.engine_id);
+  Answer(second, 503, true);
+  EXPECT_TRUE(All<StartAttempt>().empty());  // Both engines were tried: it waits.
+  Pass(500ms);
+  EXPECT_EQ(One<AnswerOwn>().status, 503);
+  EXPECT_TRUE(One<AnswerOwn>().retry_after.has_value());
+}
+
+TEST_F(FlowTest, AFailureOfTheEnginesOwnIsRelayedForAtMostOnce) {
+  Arrive("once");
+  Answer(One<StartAttempt>(), 500);
+  EXPECT_EQ(All<RelayAnswer>().size(), 1U);
+}
+
+TEST_F(FlowTest, AnEnginesUnprovenRefusalIsNotPassedOnAsAPromise) {
+  Arrive("once");
+  Answer(One<StartAttempt>(), 503);
+  EXPECT_EQ(One<AnswerOwn>().status, 502);
+}
+
+TEST_F(FlowTest, RepeatableGoesToASecondEngineOnceAndNoFurther) {
+  Arrive("safe");
+  const auto first = One<StartAttempt>();
+  Fail(first, AttemptFailure::kBroken);
+  const auto second = One<StartAttempt>();
+  EXPECT_NE(second.engine_id, first.engine_id);
+  Fail(second, AttemptFailure::kBroken);
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  EXPECT_EQ(One<AnswerOwn>().status, 502);
+}
+
+TEST_F(FlowTest, TimeUpAnswersAtOnceWithoutAPromise) {
+  Arrive("once");
+  Pass(3900ms);
+  EXPECT_TRUE(All<AnswerOwn>().empty());
+  Pass(110ms);
+  EXPECT_EQ(One<AnswerOwn>().status, 504);
+  EXPECT_EQ(All<CancelAttempt>().size(), 1U);
+}
+
+TEST_F(FlowTest, NoEngineIsAnsweredWithinAQuarterOfTheObjective) {
+  Send(EnginesReplaced{});
+  Arrive("safe");
+  Pass(100ms);
+  EXPECT_EQ(One<AnswerOwn>().status, 503);
+}
+
+TEST_F(FlowTest, LeavingAndGoneEnginesGetNothing) {
+  EngineRecord leaving = MakeEngine("u1", "plain", EngineStage::kUniform);
+  leaving.leaving = true;
+  Send(EngineChanged{leaving});
+  Arrive("once");
+  EXPECT_EQ(One<StartAttempt>().engine_id, "u2");
+  Send(EngineRemoved{"u2"});
+  Arrive("once");
+  EXPECT_TRUE(All<StartAttempt>().empty());
+}
+
+TEST_F(FlowTest, ALongPromptIsReadApartAndHandedOver) {
+  Arrive("lone", LongPrompt());
+  const auto prefill = One<StartAttempt>();
+  EXPECT_EQ(prefill.mode, AttemptMode::kPrefill);
+  EXPECT_EQ(prefill.engine_id[0], 'p');
+  Answer(prefill, 200, false, "handle");
+  const auto run = One<StartAttempt>();
+  EXPECT_EQ(run.mode, AttemptMode::kContinue);
+  EXPECT_EQ(run.engine_id[0], 'd');
+  EXPECT_EQ(run.memory->handle, "handle");
+  Head(run, 200);
+  EXPECT_EQ(One<BeginRelay>().attempt, run.attempt);
+  Send(AttemptCompleted{run.flow, run.attempt, ""});
+  EXPECT_EQ(All<EndRelay>().size(), 1U);
+}
+
+TEST_F(FlowTest, ARefusedPrefillGoesToAnotherEngineNotTheSame) {
+  // Hunt of 2026-12-02, fcl-norte hunt-e402-7: the same engine was asked again after each 500.
+  Arrive("lone", LongPrompt());
+  const auto first = One<StartAttempt>();
+  Answer(first, 500, true);
+  const auto second = One<StartAttempt>();
+  EXPECT_EQ(second.mode, AttemptMode::kPrefill);
+  EXPECT_NE(second.engine_id, first.engine_id);
+}
+
+TEST_F(FlowTest, AMisdirectedHandOverKeepsTheMemoryAndTakesTheEngineOut) {
+  // fcl-norte trouble-3: a dead engine's address answered 421; each time the prompt was read anew.
+  Arrive("lone", LongPrompt());
+  Answer(One<StartAttempt>(), 200, false, "handle");
+  const auto first = One<StartAttempt>();
+  Answer(first, 421, true);
+  const auto second = One<StartAttempt>();
+  EXPECT_EQ(second.mode, AttemptMode::kContinue);
+  EXPECT_EQ(second.memory->handle, "handle");
+  EXPECT_NE(second.engine_id, first.engine_id);
+  EXPECT_GT(core_.engines().Find(first.engine_id)->ejected_until, now_);
+}
+
+TEST_F(FlowTest, AStreamGoesOnElsewhereAfterItsLastWholeEvent) {
+  Arrive("chat", LongPrompt());
+  Answer(One<StartAttempt>(), 200, false, "handle");
+  const auto run = One<StartAttempt>();
+  Head(run, 200);
+  Send(AttemptEvents{run.flow, run.attempt, "3"});
+  Fail(run, AttemptFailure::kBroken);
+  const auto again = One<StartAttempt>();
+  EXPECT_EQ(again.last_event_id, "3");
+  EXPECT_TRUE(All<BreakOff>().empty());
+}
+
+TEST_F(FlowTest, AStreamThatMayNotResumeIsBrokenOff) {
+  Arrive("lone", LongPrompt());
+  Answer(One<StartAttempt>(), 200, false, "handle");
+  const auto run = One<StartAttempt>();
+  Head(run, 200);
+  Fail(run, AttemptFailure::kBroken);
+  EXPECT_EQ(All<BreakOff>().size(), 1U);
+  EXPECT_TRUE(All<StartAttempt>().empty());
+}
+
+TEST_F(FlowTest, AClientThatLeavesCancelsItsStreamAndFreesItsMemory) {
+  Arrive("lone", LongPrompt());
+  const auto prefill = One<StartAttempt>();
+  Send(ClientLeft{prefill.flow});
+  EXPECT_EQ(One<CancelAttempt>().attempt, prefill.attempt);
+  EXPECT_EQ(core_.flows(), 0U);
+}
+
+TEST_F(FlowTest, ALostConnectionKeepsTheMemoryForTheNextEngine) {
+  Arrive("lone", LongPrompt());
+  Answer(One<StartAttempt>(), 200, false, "handle");
+  Fail(One<StartAttempt>(), AttemptFailure::kNotSent);
+  EXPECT_EQ(One<StartAttempt>().memory->handle, "handle");
+}
+
+TEST_F(FlowTest, ASilentEngineIsTakenOutAndTheRequestStays) {
+  Arrive("once");
+  const auto first = One<StartAttempt>();
+  Arrive("once");
+  Arrive("once");
+  Pass(1600ms);
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  EXPECT_TRUE(All<AnswerOwn>().empty());
+  EXPECT_EQ(core_.flows(), 3U);
+  EXPECT_NE(core_.engines().Find(first.engine_id)->consecutive_failures +
+                static_cast<int>(core_.engines().Find(first.engine_id)->ejected_until > now_),
+            0);
+}
+
+// Whatever engines do: one final answer, at-most-once work is sent again only
+// when it cannot have run, and runs stay within the route's attempts.
+RC_GTEST_FIXTURE_PROP(FlowTest, AnyOutcomesKeepThePromises, ()) {
+  const std::string route = *rc::gen::element<std::string>("safe", "once", "chat", "lone");
+  const bool long_prompt = (route == "chat" || route == "lone") && *rc::gen::arbitrary<bool>();
+  const int allowed = route == "safe" || route == "chat" ? 2 : 1;
+  const FlowId flow = Arrive(route, long_prompt ? std::optional(LongPrompt()) : std::nullopt);
+  std::vector<StartAttempt> open = All<StartAttempt>();
+  std::set<std::string> may_have_run;
+  int finals = 0;
+  const auto absorb = [&] {
+    for (const StartAttempt& start : All<StartAttempt>()) open.push_back(start);
+    for (const CancelAttempt& cancel : All<CancelAttempt>()) {
+      std::erase_if(open, [&](const StartAttempt& start) { return start.attempt == cancel.attempt; });
+    }
+    finals += static_cast<int>(All<RelayAnswer>().size() + All<EndRelay>().size() + All<BreakOff>().size());
+    for (const AnswerOwn& answer : All<AnswerOwn>()) {
+      ++finals;
+      const bool promise = answer.status == 503 || answer.status == 429;
+      if (promise && allowed == 1) RC_ASSERT(may_have_run.empty());
+    }
+  };
+  const int steps = *rc::gen::inRange(1, 12);
+  for (int step = 0; step < steps; ++step) {
+    if (open.empty()) {
+      Pass(50ms);
+      absorb();
+      continue;
+    }
+    const StartAttempt start = open.front();
+    open.erase(open.begin());
+    const int what = *rc::gen::inRange(0, 6);
+    const bool run = start.mode != AttemptMode::kPrefill;
+    if (run && (what == 0 || what == 1 || what == 5)) may_have_run.insert(std::to_string(start.attempt));
+    RC_ASSERT(static_cast<int>(may_have_run.size()) <= allowed);
+    if (what == 0) Fail(start, AttemptFailure::kBroken);
+    if (what == 1) Answer(start, 500);
+    if (what == 2) Fail(start, AttemptFailure::kNotSent);
+    if (what == 3) Answer(start, 503, true);
+    if (what == 4) Answer(start, 421, true);
+    if (what == 5) Answer(start, 200, false, "h");
+    absorb();
+    RC_ASSERT(finals <= 1);
+  }
+  Pass(5s);
+  absorb();
+  RC_ASSERT(finals == 1);
+  RC_ASSERT(core_.flows() == 0U);
+  static_cast<void>(flow);
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- /dev/null
+++ b/tests/core/serving/roles_test.cc
@@ -0,0 +1,221 @@
+// The split of roles, the lease, and the order of one change.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "src/core/serving/role_controller.h"
+
+namespace saltquay::serving {
+namespace {
+
+TEST(RolePlannerTest, MoreReadingWantsMorePrefillEngines) {
+  const RolePlannerKnobs knobs;
+  double before = 0;
+  for (const double prefill : {0.5, 1.0, 2.0, 4.0}) {
+    const double ideal = IdealPrefillEngines(knobs, {"s", prefill, 1.0}, 9);
+    EXPECT_GT(ideal, before);
+    before = ideal;
+  }
+}
+
+RC_GTEST_PROP(RolePlannerProperty, NeverLeavesAStageWithoutEngines, ()) {
+  const ServiceDemand demand{"s", *rc::gen::inRange(0, 200) / 10.0, *rc::gen::inRange(0, 200) / 10.0};
+  int prefill = *rc::gen::inRange(0, 12);
+  int decode = *rc::gen::inRange(0, 12);
+  RC_PRE(prefill + decode >= 2);
+  for (int step = 0; step < 30; ++step) {
+    const auto stage = PlanStageChange(RolePlannerKnobs{}, demand, prefill, decode);
+    if (!stage) return;
+    prefill += *stage == EngineStage::kPrefill ? 1 : -1;
+    decode += *stage == EngineStage::kPrefill ? -1 : 1;
+    RC_ASSERT(prefill >= 1);
+    RC_ASSERT(decode >= 1);
+  }
+  RC_FAIL("the plan does not come to rest");
+}
+
+class LeaseTest : public ::testing::Test {
+ protected:
+  RoleLeaseTimes times_;
+  RoleLease lease_{"me", times_, 100};
+  Time now_{10s};
+};
+
+TEST_F(LeaseTest, AFreeLeaseIsTakenAndRunsOutFromBeforeTheWrite) {
+  EXPECT_EQ(lease_.Next(now_, 0s), LeaseStep::kRead);
+  lease_.OnRead(LeaseRecord{}, now_);
+  EXPECT_EQ(lease_.Next(now_, 0s), LeaseStep::kWrite);
+  EXPECT_EQ(lease_.draft().revision, 0);
+  lease_.OnWritten(41);
+  EXPECT_TRUE(lease_.MayOrder(now_ + 900ms));
+  EXPECT_FALSE(lease_.MayOrder(now_ + 1s));
+  EXPECT_EQ(lease_.token(), 41);
+}
+
+TEST_F(LeaseTest, AnothersLeaseIsTakenOnlyAfterItWasSeenUnchangedLongEnough) {
+  lease_.Next(now_, 0s);
+  lease_.OnRead(LeaseRecord{"other", 7, 30}, now_);
+  for (Duration waited = 0s; waited < times_.lease + times_.window; waited += 500ms) {
+    EXPECT_EQ(lease_.Next(now_ + waited, 0s), LeaseStep::kNone) << waited.count();
+  }
+  EXPECT_EQ(lease_.Next(now_ + 6s, 0s), LeaseStep::kWrite);
+  EXPECT_EQ(lease_.draft().revision, 30);
+  lease_.OnWriteFailed(true, now_ + 6s);  // It was renewed meanwhile: the wait starts anew.
+  EXPECT_FALSE(lease_.MayOrder(now_ + 6s));
+  EXPECT_EQ(lease_.Next(now_ + 7s, 0s), LeaseStep::kRead);
+  lease_.OnRead(LeaseRecord{"other", 8, 31}, now_ + 7s);
+  EXPECT_EQ(lease_.Next(now_ + 8s, 0s), LeaseStep::kNone);
+}
+
+TEST_F(LeaseTest, AWriteWithoutAnswerIsSettledByReading) {
+  lease_.Next(now_, 0s);
+  lease_.OnRead(LeaseRecord{}, now_);
+  lease_.Next(now_, 0s);
+  const LeaseRecord draft = lease_.draft();
+  lease_.OnWriteFailed(false, now_);
+  EXPECT_FALSE(lease_.MayOrder(now_));
+  EXPECT_EQ(lease_.Next(now_ + 600ms, 0s), LeaseStep::kRead);
+  lease_.OnRead(LeaseRecord{"me", draft.nonce, 50}, now_ + 600ms);
+  EXPECT_TRUE(lease_.MayOrder(now_ + 700ms));
+  EXPECT_FALSE(lease_.MayOrder(now_ + 1100ms));  // Counted from before the write.
+  EXPECT_EQ(lease_.token(), 50);
+}
+
+// Two nodes, one object, any losses: orders of different holders are a lease apart.
+RC_GTEST_PROP(LeaseProperty, OrdersOfTwoHoldersAreALeaseApart, ()) {
+  const RoleLeaseTimes times;
+  std::vector<RoleLease> nodes;
+  nodes.emplace_back("a", times, 1000);
+  nodes.emplace_back("b", times, 2000);
+  LeaseRecord object;
+  std::int64_t revision = 10;
+  Time now{1s};
+  int last_holder = -1;
+  Time last_order{};
+  std::int64_t last_token = 0;
+  for (int step = 0; step < 300; ++step) {
+    now += std::chrono::milliseconds(*rc::gen::inRange(10, 400));
+    const int index = *rc::gen::inRange(0, 2);
+    RoleLease& lease = nodes[static_cast<std::size_t>(index)];
+    const LeaseStep next = lease.Next(now, 300ms);
+    const int luck = *rc::gen::inRange(0, 5);
+    if (next == LeaseStep::kRead) luck == 0 ? lease.OnReadFailed(now) : lease.OnRead(object, now);
+    if (next == LeaseStep::kWrite) {
+      const LeaseRecord draft = lease.draft();
+      const bool done = draft.revision == object.revision && luck != 1;
+      if (done) {
+        object = draft;
+        object.revision = ++revision;
+      }
+      const bool answered = luck > 1;
+      if (done && answered) lease.OnWritten(object.revision);
+      if (!done && answered) lease.OnWriteFailed(true, now);
+      if (!answered) lease.OnWriteFailed(false, now);
+    }
+    if (!lease.MayOrder(now)) continue;
+    if (last_holder >= 0 && last_holder != index) {
+      RC_ASSERT(now - last_order >= times.lease);
+      RC_ASSERT(lease.token() > last_token);
+    }
+    RC_ASSERT(lease.token() >= last_token);
+    last_holder = index;
+    last_order = now;
+    last_token = lease.token();
+  }
+}
+
+class ControllerTest : public ::testing::Test {
+ protected:
+  ControllerTest() {
+    Service service;
+    service.name = "s";
+    service.language = LanguageEngineTraits{64, 400000, 18432, 370000, 5s, 2300ms};
+    config_.services = {service};
+    for (int i = 0; i < 6; ++i) Add("d" + std::to_string(i), EngineStage::kDecode);
+    for (int i = 0; i < 3; ++i) Add("p" + std::to_string(i), EngineStage::kPrefill);
+  }
+  void Add(const std::string& id, EngineStage stage) {
+    EngineRecord record;
+    record.id = id;
+    record.service = "s";
+    record.stage = stage;
+    engines_.Update(record);
+  }
+  // Ticks until an action of type T comes, answering the lease's calls.
+  template <typename T>
+  std::optional<T> TickUntil(Duration limit) {
+    const Time end = now_ + limit;
+    while (now_ < end) {
+      std::vector<RoleAction> actions;
+      controller_.OnTick(now_, true, config_, demand_, engines_, actions);
+      for (const RoleAction& action : actions) {
+        if (const T* typed = std::get_if<T>(&action)) return *typed;
+        if (std::holds_alternative<ReadLease>(action)) controller_.OnLeaseRead(now_, LeaseRecord{});
+        if (std::holds_alternative<WriteLease>(action)) controller_.OnLeaseWritten(++revision_);
+      }
+      now_ += 50ms;
+    }
+    return std::nullopt;
+  }
+
+  Time now_{10s};
+  ServingConfig config_;
+  EngineDirectory engines_{EjectionPolicy{}};
+  std::map<std::string, ServiceDemand> demand_;
+  RoleController controller_{RoleControllerKnobs{}, "me", 5, Time{0s}};
+  std::int64_t revision_ = 20;
+};
+
+TEST_F(ControllerTest, AnOrderCarriesIdentitySequenceAndToken) {
+  const auto read = TickUntil<ReadEngineState>(5s);
+  ASSERT_TRUE(read);
+  std::vector<RoleAction> actions;
+  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 6}, engines_, actions);
+  const auto* order = std::get_if<SendStageOrder>(&actions.front());
+  ASSERT_NE(order, nullptr);
+  EXPECT_EQ(order->engine_id, read->engine_id);
+  EXPECT_EQ(order->stage, EngineStage::kPrefill);
+  EXPECT_EQ(order->expected_sequence, 6);
+  EXPECT_GE(order->fencing_token, 21);
+}
+
+TEST_F(ControllerTest, AChangingEngineIsHeldUntilItsRecordShowsTheStage) {
+  // First try on the bench: other nodes handed over to engines that were changing (425k tokens read for nothing).
+  const auto read = TickUntil<ReadEngineState>(5s);
+  ASSERT_TRUE(read);
+  std::vector<RoleAction> actions;
+  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_, actions);
+  controller_.OnOrderAnswered(now_, read->engine_id, OrderOutcome::kAccepted, engines_, actions);
+  ASSERT_EQ(controller_.Holds(now_).size(), 1U);
+  EXPECT_GT(controller_.Holds(now_)[0].left, 2300ms);
+  Add(read->engine_id, EngineStage::kPrefill);
+  controller_.OnTick(now_, false, config_, demand_, engines_, actions);
+  EXPECT_TRUE(controller_.Holds(now_).empty());
+}
+
+TEST_F(ControllerTest, NoOrderOnceTheLeaseHasRunOut) {
+  const auto read = TickUntil<ReadEngineState>(5s);
+  ASSERT_TRUE(read);
+  std::vector<RoleAction> actions;
+  controller_.OnEngineState(now_ + 2s, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_, actions);
+  EXPECT_TRUE(actions.empty());
+}
+
+TEST_F(ControllerTest, AnUnansweredOrderKeepsTheEngineFromAnother) {
+  const auto read = TickUntil<ReadEngineState>(5s);
+  ASSERT_TRUE(read);
+  std::vector<RoleAction> actions;
+  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_, actions);
+  controller_.OnOrderAnswered(now_, read->engine_id, OrderOutcome::kUnknown, engines_, actions);
+  engines_.Find(read->engine_id)->changing_until = Time{};
+  const auto next = TickUntil<ReadEngineState>(12s);
+  EXPECT_TRUE(!next || next->engine_id != read->engine_id);
+}
+
+TEST_F(ControllerTest, NoPlanForNodesThatAreNotCandidates) {
+  std::vector<RoleAction> actions;
+  for (int i = 0; i < 100; ++i) controller_.OnTick(now_ + i * 50ms, false, config_, demand_, engines_, actions);
+  EXPECT_TRUE(actions.empty());
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- /dev/null
+++ b/tests/gateway/pieces_test.cc
@@ -0,0 +1,214 @@
+// Event splitting, the engines' protocol, settings, log lines, peer reports.
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+#include "src/base/log_stream.h"
+#include "src/gateway/engine_protocol.h"
+#include "src/gateway/event_splitter.h"
+#include "src/gateway/gateway_settings.h"
+#include "src/gateway/peer_codec.h"
+
+namespace saltquay::gateway {
+namespace {
+
+RC_GTEST_PROP(EventSplitterProperty, AnySplitGivesTheSameEvents, ()) {
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: comment\n\nid: 30\ndata: d\n\nid: 31\ndata: cut";
+  const std::string whole = stream.substr(0, stream.rfind("id: 31"));
+  EventSplitter splitter;
+  std::string passed;
+  std::size_t at = 0;
+  while (at < stream.size()) {
+    const std::size_t size = *rc::gen::inRange<std::size_t>(1, 12);
+    passed += splitter.Feed(std::string_view(stream).substr(at, size));
+    at += size;
+  }
+  RC_ASSERT(passed == whole);
+  RC_ASSERT(splitter.last_event_id() == "30");
+  RC_ASSERT(splitter.TakeRest() == "id: 31\ndata: cut");
+}
+
+http::RequestHead ClientHead() {
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = "/a/b?c=1";
+  head.fields.Add("Host", "h.example:80");
+  head.fields.Add("saltquay-request-id", "r1");
+  head.fields.Add("Saltquay-Deadline-Ms", "5000");
+  head.fields.Add("Saltquay-Tokens", "1460,80");
+  head.fields.Add("Saltquay-Prompt-Parts", "5c1e:800,bad,91bd:410,e440:250");
+  head.fields.Add("Saltquay-Stage", "prefill");
+  head.fields.Add("Saltquay-Memory-Source", "1.1.1.1:1/forged");
+  head.fields.Add("Saltquay-Expect-Engine", "forged");
+  head.fields.Add("Saltquay-Priority", "0");
+  head.fields.Add("Connection", "X-Hop");
+  head.fields.Add("X-Hop", "1");
+  head.fields.Add("X-Other", "kept");
+  return head;
+}
+
+TEST(EngineProtocolTest, ReadsWhatTheCallerTold) {
+  const serving::RequestFacts facts = EngineProtocol(EngineProtocolNames{}).ReadRequest(ClientHead());
+  EXPECT_EQ(facts.request_id, "r1");
+  EXPECT_EQ(facts.host, "h.example");
+  EXPECT_EQ(facts.path, "/a/b");
+  EXPECT_EQ(facts.deadline, Duration(5s));
+  ASSERT_TRUE(facts.prompt);
+  EXPECT_EQ(facts.prompt->tokens, 1460);
+  EXPECT_EQ(facts.prompt->output_tokens, 80);
+  ASSERT_EQ(facts.prompt->parts.size(), 3U);
+  EXPECT_EQ(facts.prompt->parts[1].id, "91bd");
+}
+
+TEST(EngineProtocolTest, SystemFieldsOfAClientNeverPass) {
+  serving::StartAttempt attempt;
+  attempt.engine_id = "e7";
+  attempt.time_left = 1234ms;
+  attempt.priority = 2;
+  const http::RequestHead head = EngineProtocol(EngineProtocolNames{}).MakeRequest(ClientHead(), attempt);
+  EXPECT_EQ(head.target, "/a/b?c=1");
+  EXPECT_FALSE(head.fields.Has("Saltquay-Stage"));
+  EXPECT_FALSE(head.fields.Has("Saltquay-Memory-Source"));
+  EXPECT_FALSE(head.fields.Has("X-Hop"));
+  EXPECT_EQ(head.fields.Find("Saltquay-Expect-Engine").value_or(""), "e7");
+  EXPECT_EQ(head.fields.Find("Saltquay-Priority").value_or(""), "2");
+  EXPECT_EQ(head.fields.Find("Saltquay-Deadline-Ms").value_or(""), "1234");
+  EXPECT_EQ(head.fields.Find("X-Other").value_or(""), "kept");
+  EXPECT_EQ(head.fields.Find("Saltquay-Request-Id").value_or(""), "r1");
+}
+
+TEST(EngineProtocolTest, OddNumbersDoNotHurt) {
+  http::RequestHead head;
+  head.method = "GET";
+  head.target = "/";
+  head.fields.Add("Saltquay-Tokens", "99999999999999999999,x");
+  head.fields.Add("Saltquay-Deadline-Ms", "-5");
+  head.fields.Add("Saltquay-Prompt-Parts", ",,:,a:,b:-1");
+  const serving::RequestFacts facts = EngineProtocol(EngineProtocolNames{}).ReadRequest(head);
+  EXPECT_EQ(facts.deadline, Duration(0));
+  ASSERT_TRUE(facts.prompt);
+  EXPECT_EQ(facts.prompt->tokens, 0);
+}
+
+TEST(EngineProtocolTest, AnswersSayWhetherTheyRan) {
+  const EngineProtocol protocol{EngineProtocolNames{}};
+  http::ResponseHead head;
+  head.status = 503;
+  EXPECT_FALSE(protocol.ReadAnswer(head).not_executed);
+  head.fields.Add("Saltquay-Not-Executed", "1");
+  head.fields.Add("Saltquay-Load", "3, 1,8");
+  EXPECT_TRUE(protocol.ReadAnswer(head).not_executed);
+  EXPECT_EQ(protocol.ReadAnswer(head).load->waiting, 1);
+  head.fields.Add("Saltquay-Request-Id", "other");
+  EXPECT_FALSE(protocol.Answers(head, "r1"));
+  EXPECT_EQ(protocol.ReadHandle(R"({"handle":"h1"})"), "h1");
+  EXPECT_EQ(protocol.ReadHandle("not json"), "");
+  EXPECT_FALSE(protocol.ReadState("[]"));
+  EXPECT_EQ(protocol.ReadState(R"({"stage":"prefill","sequence":3,"busy":true})")->sequence, 3);
+}
+
+constexpr char kSettings[] = R"(node_name = "n1"
+zone = "a"
+client_listen = "127.0.0.1:1"
+ready_listen = "127.0.0.1:2"
+store_address = "127.0.0.1:3"
+[bounds]
+grace_s = 8
+retry_budget_slack = 54
+)";
+
+TEST(GatewaySettingsTest, ReadsDefaultsAndBounds) {
+  const auto settings = ParseGatewaySettings(kSettings, "f");
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->grace, std::chrono::milliseconds(8000));
+  EXPECT_EQ(settings->knobs.retry_budget.slack, 54);
+  EXPECT_TRUE(settings->changes_roles);
+}
+
+TEST(GatewaySettingsTest, ErrorsNameFileLineKeyAndRemedy) {
+  struct Case {
+    std::string text;
+    std::string part;
+  };
+  for (const Case& wrong : {Case{std::string(kSettings) + "grace = 1\n", "'bounds.grace' is unknown"},
+                            Case{"zone = \"a\"\n", "node_name"},
+                            Case{"client_listen = \"nowhere\"\n" + std::string(kSettings), "f:"},
+                            Case{std::string(kSettings) + "[policy]\nselection = \"best\"\n", "selection"}}) {
+    const auto settings = ParseGatewaySettings(wrong.text, "f");
+    ASSERT_FALSE(settings.ok()) << wrong.text;
+    EXPECT_NE(MessageOf(settings.status()).find(wrong.part), std::string::npos) << MessageOf(settings.status());
+  }
+}
+
+TEST(LogStreamTest, LinesAreJsonAndAReaderThatDoesNotReadBlocksNothing) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(pipe(ends.data()), 0);
+  LogStreamOptions options;
+  options.file_descriptor = ends[1];
+  options.process_name = "n1";
+  options.most_bytes = 200 * 1024;
+  options.lines_per_second = 1000000;
+  {
+    LogStream log(options);
+    log.Write(1, EventId::kRequestRouted, "r\"1\n", R"("a":1)");
+    log.Flush();
+    std::array<char, 4096> text{};
+    const ssize_t size = read(ends[0], text.data(), text.size());
+    const auto line = nlohmann::json::parse(std::string(text.data(), static_cast<std::size_t>(size)));
+    EXPECT_EQ(line["name"], "request_routed");
+    EXPECT_EQ(line["a"], 1);
+    for (int i = 0; i < 10000; ++i) log.Write(2, EventId::kRequestRouted, "r", R"("a":1)");
+    EXPECT_GT(log.dropped(), 0U);
+  }
+  close(ends[0]);
+  close(ends[1]);
+}
+
+TEST(LogStreamTest, AboveTheRateInfoIsDroppedAndTold) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(pipe(ends.data()), 0);
+  LogStreamOptions options;
+  options.file_descriptor = ends[1];
+  options.lines_per_second = 10;
+  LogStream log(options);
+  for (int i = 0; i < 30; ++i) log.Write(1000, EventId::kRequestRouted, "r", "");
+  log.Write(1000, EventId::kRequestFailed, "r", "");
+  EXPECT_EQ(log.dropped(), 20U);
+  log.Flush();
+  std::array<char, 16384> text{};
+  const std::string all(text.data(), static_cast<std::size_t>(read(ends[0], text.data(), text.size())));
+  EXPECT_NE(all.find(R"("lines":20)"), std::string::npos);
+  EXPECT_NE(all.find("request_failed"), std::string::npos);
+  close(ends[0]);
+  close(ends[1]);
+}
+
+TEST(PeerCodecTest, ReportsSurviveAndGarbageIsRefused) {
+  serving::PeerReport report;
+  report.node = "n1";
+  report.address = "1.2.3.4:5";
+  report.boot = 7;
+  report.sequence = 9;
+  report.work = {{"e1", 3, 12345}};
+  report.demand = {{"s", 1.5, 0.5}};
+  report.holds = {{"e2", 1500ms}};
+  report.peers = {{"n2", "1.2.3.5:5"}};
+  const auto decoded = DecodeReport(EncodeReport(report));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->work[0].prompt_tokens, 12345);
+  EXPECT_EQ(decoded->holds[0].left, Duration(1500ms));
+  EXPECT_EQ(decoded->peers[0].address, "1.2.3.5:5");
+  EXPECT_FALSE(DecodeReport("garbage"));
+}
+
+RC_GTEST_PROP(PeerCodecProperty, AnyBytesDecodeOrAreRefused, ()) {
+  DecodeReport(*rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
+}
+
+}  // namespace
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/tests/http/server_test.cc
@@ -0,0 +1,120 @@
+// The server over real sockets: framing, limits, clients that leave.
+#include "src/http/server.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include <boost/asio/post.hpp>
+
+#include "tests/support/scripted_server.h"
+
+namespace saltquay::http {
+namespace {
+
+using saltquay::testing::ScriptedConnection;
+
+class ServerTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    ServerLimits limits;
+    limits.parser.head_bytes = 2000;
+    limits.parser.body_bytes = 5000;
+    limits.head_timeout = std::chrono::milliseconds(200);
+    server_ = std::move(*Server::Listen(loop_, "127.0.0.1:0", limits,
+                                        [this](std::shared_ptr<Exchange> exchange) { handler_(std::move(exchange)); }));
+    thread_ = std::thread([this] { loop_.run(); });
+  }
+  void TearDown() override {
+    loop_.stop();
+    thread_.join();
+  }
+  // A connection to the server that sends `text`.
+  std::unique_ptr<ScriptedConnection> Connect(const std::string& text) {
+    const int client = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(server_->port());
+    EXPECT_EQ(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    auto connection = std::make_unique<ScriptedConnection>(client);
+    connection->Write(text);
+    return connection;
+  }
+
+  boost::asio::io_context loop_{1};
+  std::function<void(std::shared_ptr<Exchange>)> handler_ = [](const std::shared_ptr<Exchange>& exchange) {
+    ResponseHead head;
+    head.status = 200;
+    exchange->Respond(head, exchange->head.target + "|" + exchange->body);
+  };
+  std::unique_ptr<Server> server_;
+  std::thread thread_;
+};
+
+TEST_F(ServerTest, AnswersTwoRequestsInOnePacketInOrder) {
+  const auto client = Connect("GET /a?q=%20 HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n");
+  EXPECT_NE(client->ReadUntil("/a?q=%20|").find("200 OK"), std::string::npos);
+  EXPECT_NE(client->ReadUntil("/b|xyz").find("200 OK"), std::string::npos);
+}
+
+TEST_F(ServerTest, BadInputGetsItsStatusAndTheConnectionEnds) {
+  EXPECT_NE(Connect("nonsense\r\n\r\n")->ReadToEnd().find(" 400 "), std::string::npos);
+  EXPECT_NE(Connect("GET / HTTP/1.1\r\nX: " + std::string(4000, 'a') + "\r\n\r\n")->ReadToEnd().find(" 431 "),
+            std::string::npos);
+  EXPECT_NE(Connect("POST / HTTP/1.1\r\nContent-Length: 6000\r\n\r\n")->ReadToEnd().find(" 413 "), std::string::npos);
+  EXPECT_NE(Connect("GET / HTTP/1.1\r\nX:")->ReadToEnd().find(" 408 "), std::string::npos);
+}
+
+TEST_F(ServerTest, AnAbortedStreamDoesNotLookComplete) {
+  handler_ = [](const std::shared_ptr<Exchange>& exchange) {
+    ResponseHead head;
+    head.status = 200;
+    exchange->BeginStream(head);
+    exchange->Write("id: 1\n\n");
+    exchange->Abort();
+  };
+  const std::string text = Connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n")->ReadToEnd();
+  EXPECT_EQ(text.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(ServerTest, TellsWhenTheClientLeaves) {
+  std::atomic<bool> left = false;
+  std::shared_ptr<Exchange> kept;
+  handler_ = [&](const std::shared_ptr<Exchange>& exchange) {
+    kept = exchange;
+    exchange->on_client_left = [&] { left = true; };
+  };
+  {
+    const auto client = Connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    EXPECT_FALSE(left);
+  }
+  for (int i = 0; i < 100 && !left; ++i) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  EXPECT_TRUE(left);
+}
+
+TEST_F(ServerTest, TenThousandBadRequestsLeaveNoConnection) {
+  constexpr int kRequests = 10000;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string text = i % 3 == 0   ? "GET / HTTP/1.1\r\nbroken field\r\n\r\n"
+                             : i % 3 == 1 ? "\x01\x02\r\n\r\n"
+                                          : "POST / HTTP/1.1\r\nContent-Length: 9\r\nContent-Length: 8\r\n\r\n";
+    EXPECT_NE(Connect(text)->ReadToEnd().find(" 400 "), std::string::npos);
+  }
+  std::size_t open = 1;
+  for (int i = 0; i < 100 && open > 0; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    std::atomic<bool> read = false;
+    boost::asio::post(loop_, [&] {
+      open = server_->open_connections();
+      read = true;
+    });
+    while (!read) std::this_thread::yield();
+  }
+  EXPECT_EQ(open, 0U);
+}
+
+}  // namespace
+}  // namespace saltquay::http
--- /dev/null
+++ b/tests/platform/platform_test.cc
@@ -0,0 +1,137 @@
+// The adapter: objects into types, and the store's calls over real sockets.
+#include <gtest/gtest.h>
+
+#include "platform/object_store_client.h"
+#include "platform/records.h"
+#include "tests/support/scripted_server.h"
+
+namespace saltquay::platform {
+namespace {
+
+using saltquay::testing::ScriptedConnection;
+using saltquay::testing::ScriptedServer;
+
+std::string Reply(int status, const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+TEST(RecordsTest, AConfigurationDecodes) {
+  const auto config = ParseConfig({"main", 3, R"({"version":7,"routes":[
+    {"name":"r1","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":4000,"target_latency_ms":600,"priority":1,
+     "service":"s1","max_attempts":2},
+    {"name":"r2","host":"h","path_prefix":"/b/","kind":"streaming","timeout_ms":1,"resumable":true,"max_attempts":1,
+     "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],
+    "services":[{"name":"s1","health_check_path":"/h","max_connections":5,"engine":{"slots":64,"kv_capacity_tokens":9,
+     "stage_switch_s":2.5}},{"name":"s2"}],"limits":{"max_header_bytes":99}})"});
+  ASSERT_TRUE(config.ok()) << config.status();
+  EXPECT_EQ(config->version, 7U);
+  EXPECT_TRUE(config->routes[0].repeatable());
+  EXPECT_EQ(config->routes[1].services[1].weight, 10);
+  EXPECT_TRUE(config->routes[1].repeatable());
+  EXPECT_EQ(config->services[0].language->role_change, Duration(2500ms));
+  EXPECT_FALSE(config->services[1].language);
+  EXPECT_EQ(config->limits.head_bytes, 99U);
+}
+
+TEST(RecordsTest, WhatDoesNotDecodeIsATypedError) {
+  for (const char* text : {"", "[]", "{}", R"({"version":"x","routes":[],"services":[]})", R"({"version":1,"routes":[{}],"services":[]})"}) {
+    const auto config = ParseConfig({"main", 1, text});
+    ASSERT_FALSE(config.ok()) << text;
+    EXPECT_EQ(KindOf(config.status()), ErrorKind::kCorrupt);
+    EXPECT_FALSE(ParseEngine({"e", 1, text}).ok());
+  }
+}
+
+TEST(RecordsTest, AnEngineDecodes) {
+  const auto engine = ParseEngine({"i-1", 1, R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":64,
+    "state":"draining","stage":"decode","sequence":4,"cold_remaining_ms":0,"version":"v1"})"});
+  ASSERT_TRUE(engine.ok());
+  EXPECT_EQ(engine->id, "i-1");
+  EXPECT_TRUE(engine->leaving);
+  EXPECT_EQ(engine->stage, serving::EngineStage::kDecode);
+}
+
+class StoreTest : public ::testing::Test {
+ protected:
+  template <typename Result, typename Begin>
+  absl::StatusOr<Result> Run(const std::string& address, Begin begin) {
+    ObjectStoreClient client(loop_, address);
+    std::optional<absl::StatusOr<Result>> result;
+    begin(client, [&](absl::StatusOr<Result> value) { result = std::move(value); });
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!result && std::chrono::steady_clock::now() < limit) {
+      loop_.restart();
+      loop_.run_one_for(std::chrono::milliseconds(50));
+    }
+    loop_.restart();
+    loop_.poll();
+    return result ? *result : absl::InternalError("nothing came");
+  }
+  boost::asio::io_context loop_;
+};
+
+constexpr char kObject[] = R"({"metadata":{"name":"a","revision":5},"spec":{"x":1},"status":null})";
+
+TEST_F(StoreTest, ListsGoOverPages) {
+  std::vector<std::string> targets;
+  ScriptedServer server({[&](ScriptedConnection& connection) {
+    targets.push_back(connection.ReadHead());
+    connection.Write(Reply(200, std::string(R"({"items":[)") + kObject + R"(],"more":true,"at":10})"));
+    targets.push_back(connection.ReadHead());
+    connection.Write(Reply(200, R"({"items":[{"metadata":{"name":"b","revision":6},"spec":{}}],"more":false,"at":12})"));
+    connection.ReadToEnd();
+  }});
+  const auto list = Run<gateway::ObjectList>(server.address(), [](auto& client, auto done) { client.List("servers", done); });
+  ASSERT_TRUE(list.ok()) << list.status();
+  EXPECT_EQ(list->items.size(), 2U);
+  EXPECT_EQ(list->at, 10);
+  EXPECT_NE(targets[1].find("/objects/servers?after=a "), std::string::npos);
+}
+
+TEST_F(StoreTest, ErrorsSayWhetherAWriteMayHaveHappened) {
+  const auto write = [](auto& client, auto done) { client.Write("k", {"a", 4, "{}"}, done); };
+  ScriptedServer conflict({[](ScriptedConnection& connection) {
+    connection.ReadUntil("}}");
+    connection.Write(Reply(409, kObject));
+    connection.ReadToEnd();
+  }});
+  EXPECT_TRUE(absl::IsAborted(Run<gateway::StoredObject>(conflict.address(), write).status()));
+  ScriptedServer refuses({[](ScriptedConnection& connection) {
+    connection.ReadUntil("}}");
+    connection.Write(Reply(503, ""));
+    connection.ReadToEnd();
+  }});
+  EXPECT_TRUE(absl::IsUnavailable(Run<gateway::StoredObject>(refuses.address(), write).status()));
+  ScriptedServer lost({[](ScriptedConnection& connection) { connection.ReadUntil("}}"); }});
+  EXPECT_TRUE(absl::IsDeadlineExceeded(Run<gateway::StoredObject>(lost.address(), write).status()));
+  ScriptedServer silent({[](ScriptedConnection& connection) { connection.ReadToEnd(); }});
+  EXPECT_TRUE(absl::IsDeadlineExceeded(Run<gateway::StoredObject>(silent.address(), write).status()));
+}
+
+TEST_F(StoreTest, WatchesTellChangesAndForgottenHistory) {
+  ScriptedServer server({[](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(Reply(200, std::string(R"({"events":[{"gone":true,"object":)") + kObject + R"(}],"at":9})"));
+    connection.ReadToEnd();
+  }});
+  const auto watch = [](auto& client, auto done) { client.Watch("k", 3, std::chrono::milliseconds(100), done); };
+  const auto events = Run<gateway::ObjectEvents>(server.address(), watch);
+  ASSERT_TRUE(events.ok());
+  EXPECT_TRUE(events->events[0].gone);
+  EXPECT_EQ(events->at, 9);
+  ScriptedServer forgot({[](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(Reply(410, ""));
+    connection.ReadToEnd();
+  }});
+  EXPECT_TRUE(absl::IsOutOfRange(Run<gateway::ObjectEvents>(forgot.address(), watch).status()));
+  ScriptedServer garbage({[](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(Reply(200, R"({"events":[{}]})"));
+    connection.ReadToEnd();
+  }});
+  EXPECT_FALSE(Run<gateway::ObjectEvents>(garbage.address(), watch).ok());
+}
+
+}  // namespace
+}  // namespace saltquay::platform
--- /dev/null
+++ b/tests/support/scripted_server.h
@@ -0,0 +1,111 @@
+// A server on loopback whose behaviour a test scripts, connection by connection.
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace saltquay::testing {
+
+// One accepted connection, with blocking calls that give up after two seconds.
+class ScriptedConnection {
+ public:
+  explicit ScriptedConnection(int socket) : socket_(socket) {
+    const timeval limit{2, 0};
+    setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+  ~ScriptedConnection() { Close(); }
+  ScriptedConnection(const ScriptedConnection&) = delete;
+  ScriptedConnection& operator=(const ScriptedConnection&) = delete;
+
+  // Reads until `mark` has come, and returns all that came.
+  std::string ReadUntil(const std::string& mark) {
+    std::string text;
+    char byte = 0;
+    while (text.find(mark) == std::string::npos && recv(socket_, &byte, 1, 0) == 1) text += byte;
+    return text;
+  }
+  std::string ReadHead() { return ReadUntil("\r\n\r\n"); }
+  // Reads until the peer ends or two seconds pass.
+  std::string ReadToEnd() {
+    std::string text;
+    char byte = 0;
+    while (recv(socket_, &byte, 1, 0) == 1) text += byte;
+    return text;
+  }
+  void Write(const std::string& text) { static_cast<void>(send(socket_, text.data(), text.size(), MSG_NOSIGNAL)); }
+  void Close() {
+    if (socket_ >= 0) close(socket_);
+    socket_ = -1;
+  }
+  void Reset() {
+    const linger now{1, 0};
+    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    Close();
+  }
+
+ private:
+  int socket_;
+};
+
+class ScriptedServer {
+ public:
+  using Script = std::function<void(ScriptedConnection&)>;
+
+  // The first connection plays the first script, and so on; the last repeats.
+  explicit ScriptedServer(std::vector<Script> scripts) : scripts_(std::move(scripts)) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    listen(listener_, 64);
+    socklen_t length = sizeof(address);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { Accept(); });
+  }
+  ~ScriptedServer() {
+    stopping_ = true;
+    shutdown(listener_, SHUT_RDWR);
+    close(listener_);
+    thread_.join();
+    for (std::thread& connection : connections_) connection.join();
+  }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  int accepted() const { return accepted_; }
+
+ private:
+  void Accept() {
+    while (!stopping_) {
+      const int socket = accept(listener_, nullptr, nullptr);
+      if (socket < 0) return;
+      const std::size_t index = std::min<std::size_t>(static_cast<std::size_t>(accepted_++), scripts_.size() - 1);
+      connections_.emplace_back([this, socket, index] {
+        ScriptedConnection connection(socket);
+        scripts_[index](connection);
+      });
+    }
+  }
+
+  std::vector<Script> scripts_;
+  int listener_ = -1;
+  std::uint16_t port_ = 0;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<int> accepted_ = 0;
+  std::thread thread_;
+  std::vector<std::thread> connections_;
+};
+
+}  // namespace saltquay::testing
