--- a/src/base/log_stream.cc
+++ b/src/base/log_stream.cc
@@ -70,9 +70,9 @@
 void LogStream::Append(std::int64_t unix_milliseconds, EventId event, std::string_view request_id,
                        std::string_view members) {
   const EventDescription& description = DescribeEvent(event);
-  buffer_ += fmt::format(R"({{"time_ms":{},"process":"{}","event":{},"name":"{}","level":"{}")", unix_milliseconds,
-                         options_.process_name, static_cast<int>(event), description.name,
-                         LevelName(description.level));
+  buffer_ +=
+      fmt::format(R"({{"time_ms":{},"process":"{}","event":{},"name":"{}","level":"{}")", unix_milliseconds,
+                  options_.process_name, static_cast<int>(event), description.name, LevelName(description.level));
   if (!request_id.empty()) buffer_ += fmt::format(R"(,"request":"{}")", EscapeJson(request_id));
   if (!members.empty()) {
     buffer_ += ',';
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -70,10 +70,10 @@
 };
 
 struct EjectionPolicy {
-  int failures = 2;                  // In a row.
+  int failures = 2;  // In a row.
   Duration first = 1s;
   Duration longest = 8s;
-  double error_share = 0.3;          // Above the other engines' mean.
+  double error_share = 0.3;  // Above the other engines' mean.
   int min_answers = 6;
   double smoothing = 0.15;
 };
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -60,8 +60,8 @@
   return best->engine;
 }
 
-EngineState* EngineSelector::ChooseUniform(EngineDirectory& engines, const std::string& service,
-                                           const EngineIds& tried, Time now) {
+EngineState* EngineSelector::ChooseUniform(EngineDirectory& engines, const std::string& service, const EngineIds& tried,
+                                           Time now) {
   return Cheapest(engines, service, EngineStage::kUniform, tried, now, [&](const EngineState& engine) {
     if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
     const double bonus = engine.record.zone == zone_ ? knobs_.own_zone_bonus : 0.0;
@@ -86,7 +86,9 @@
   const EngineState* home = nullptr;
   std::uint64_t best_rank = 0;
   engines.ForEachServing(service, [&](EngineState& engine) {
-    if (part == nullptr || engine.record.stage != EngineStage::kPrefill || now < std::max(engine.ejected_until, engine.held_until)) return;
+    if (part == nullptr || engine.record.stage != EngineStage::kPrefill ||
+        now < std::max(engine.ejected_until, engine.held_until))
+      return;
     const std::uint64_t rank = HashPair(HashText(part->id), HashText(engine.record.id));
     if (home != nullptr && rank <= best_rank) return;
     home = &engine;
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -47,8 +47,8 @@
 
  private:
   template <typename Cost>
-  EngineState* Cheapest(EngineDirectory& engines, const std::string& service, EngineStage stage,
-                        const EngineIds& tried, Time now, Cost cost);
+  EngineState* Cheapest(EngineDirectory& engines, const std::string& service, EngineStage stage, const EngineIds& tried,
+                        Time now, Cost cost);
   double PrefillCost(const EngineState& engine, const PromptFacts& prompt, bool home, Time now) const;
   bool Keeps(const std::string& engine_id, const std::string& part, Time now) const;
 
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -111,9 +111,9 @@
 };
 struct TimePassed {};
 
-using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, StoreContactChanged,
-                           PeersChanged, RequestArrived, ClientLeft, AttemptHead, AttemptEvents, AttemptCompleted,
-                           AttemptFailed, TimePassed>;
+using Event =
+    std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, StoreContactChanged, PeersChanged,
+                 RequestArrived, ClientLeft, AttemptHead, AttemptEvents, AttemptCompleted, AttemptFailed, TimePassed>;
 
 struct MemorySource {
   std::string engine_id;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -96,9 +96,8 @@
       fmt::format(R"("route":"{}","service":"{}","version":{},"engine":"{}","mode":"{}","try":{},"load":{:.1f},)"
                   R"("load_age_ms":{},"backlog_tokens":{},"left_ms":{})",
                   flow.route.name, flow.service, version(), engine.record.id, ModeName(mode), flow.tries,
-                  selector_.EstimatedLoad(engine, now_),
-                  engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1, engine.outstanding_prompt_tokens,
-                  start.time_left.count() / 1000));
+                  selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
+                  engine.outstanding_prompt_tokens, start.time_left.count() / 1000));
   MeterStart(flow, attempt);
   flow.attempts[attempt.id] = attempt;
   actions_->push_back(std::move(start));
@@ -135,8 +134,9 @@
 void ServingCore::FinishRun(Flow& flow, const Attempt& attempt) {
   const int status = attempt.answer.status;
   if (flow.relayed_attempt == attempt.id) {
-    Log(EventId::kRequestAnswered, &flow, fmt::format(R"("status":{},"engine":"{}","took_ms":{},"tries":{},"stream":true)", status,
-                                                attempt.engine_id, (now_ - flow.arrived).count() / 1000, flow.tries));
+    Log(EventId::kRequestAnswered, &flow,
+        fmt::format(R"("status":{},"engine":"{}","took_ms":{},"tries":{},"stream":true)", status, attempt.engine_id,
+                    (now_ - flow.arrived).count() / 1000, flow.tries));
     actions_->push_back(EndRelay{flow.id});
     return Erase(flow.id);
   }
@@ -150,13 +150,15 @@
     if (FindFlow(id) == nullptr || flow.runs > runs) return;
   }
   // A promise that nothing ran is not ours to pass on once it may have.
-  const bool false_promise = status == kUnavailable || status == kTooManyRequests || status == kRequestTimeout || status == kMisdirected;
+  const bool false_promise =
+      status == kUnavailable || status == kTooManyRequests || status == kRequestTimeout || status == kMisdirected;
   if (false_promise || (status < kFirstRedirect && !attempt.answer.signed_by_engine)) {
     return Fail(flow, kBadGateway, "the engine's answer proves nothing");
   }
   CancelAttempts(flow, 0);
-  Log(EventId::kRequestAnswered, &flow, fmt::format(R"("status":{},"engine":"{}","took_ms":{},"tries":{})", status,
-                                              attempt.engine_id, (now_ - flow.arrived).count() / 1000, flow.tries));
+  Log(EventId::kRequestAnswered, &flow,
+      fmt::format(R"("status":{},"engine":"{}","took_ms":{},"tries":{})", status, attempt.engine_id,
+                  (now_ - flow.arrived).count() / 1000, flow.tries));
   actions_->push_back(RelayAnswer{flow.id, attempt.id});
   Erase(flow.id);
 }
@@ -208,8 +210,9 @@
 }
 
 void ServingCore::Retry(Flow& flow, std::string_view cause) {
-  Log(EventId::kRequestRetried, &flow, fmt::format(R"("cause":"{}","tries":{},"allowance":{:.1f})", cause, flow.tries,
-                                             allowance_.Left(flow.service, now_)));
+  Log(EventId::kRequestRetried, &flow,
+      fmt::format(R"("cause":"{}","tries":{},"allowance":{:.1f})", cause, flow.tries,
+                  allowance_.Left(flow.service, now_)));
   if (flow.tries >= knobs_.most_tries) {
     if (!flow.attempts.empty()) return Arm(flow);
     if (flow.relaying) return BreakOffFlow(flow, "too many tries");
@@ -255,25 +258,28 @@
 
 void ServingCore::Refuse(Flow& flow, std::string_view cause) {
   CancelAttempts(flow, 0);
-  Log(EventId::kRequestRefused, &flow, fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{},"retry_after_ms":{})",
-                                             kUnavailable, cause, (now_ - flow.arrived).count() / 1000, flow.tries,
-                                             version(), knobs_.retry_after.count() / 1000));
+  Log(EventId::kRequestRefused, &flow,
+      fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{},"retry_after_ms":{})", kUnavailable,
+                  cause, (now_ - flow.arrived).count() / 1000, flow.tries, version(),
+                  knobs_.retry_after.count() / 1000));
   actions_->push_back(AnswerOwn{flow.id, kUnavailable, knobs_.retry_after});
   Erase(flow.id);
 }
 
 void ServingCore::Fail(Flow& flow, int status, std::string_view cause) {
   CancelAttempts(flow, 0);
-  Log(EventId::kRequestFailed, &flow, fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{})", status,
-                                            cause, (now_ - flow.arrived).count() / 1000, flow.tries, version()));
+  Log(EventId::kRequestFailed, &flow,
+      fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{})", status, cause,
+                  (now_ - flow.arrived).count() / 1000, flow.tries, version()));
   actions_->push_back(AnswerOwn{flow.id, status, std::nullopt});
   Erase(flow.id);
 }
 
 void ServingCore::BreakOffFlow(Flow& flow, std::string_view cause) {
   CancelAttempts(flow, 0);
-  Log(EventId::kRequestBrokenOff, &flow, fmt::format(R"("cause":"{}","held_ms":{},"tries":{},"last_event":"{}")", cause,
-                                               (now_ - flow.arrived).count() / 1000, flow.tries, flow.last_event_id));
+  Log(EventId::kRequestBrokenOff, &flow,
+      fmt::format(R"("cause":"{}","held_ms":{},"tries":{},"last_event":"{}")", cause,
+                  (now_ - flow.arrived).count() / 1000, flow.tries, flow.last_event_id));
   actions_->push_back(BreakOff{flow.id});
   Erase(flow.id);
 }
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -12,8 +12,8 @@
   if (report.node == own_node_ || report.node.empty()) return false;
   Entry& entry = peers_[report.node];
   const bool known = entry.heard != Time{};
-  const bool newer = report.boot > entry.report.boot ||
-                     (report.boot == entry.report.boot && report.sequence > entry.report.sequence);
+  const bool newer =
+      report.boot > entry.report.boot || (report.boot == entry.report.boot && report.sequence > entry.report.sequence);
   if (known && !newer) return false;
   entry.report = report;
   entry.heard = now;
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -57,15 +57,16 @@
     const EngineState* engine = PickEngine(engines, service.name, OtherStage(*stage), now);
     if (engine == nullptr) continue;
     if (!lease_.MayOrder(now, knobs_.order_time)) return StepLease(now, actions);
-    change_ = Change{service.name,   engine->record.id, engine->record.address, *stage,
-                     service.language->role_change, now};
+    change_ =
+        Change{service.name, engine->record.id, engine->record.address, *stage, service.language->role_change, now};
     phase_ = Phase::kHolding;
     actions.push_back(AnnounceHolds{});
-    actions.push_back(LogRole{EventId::kEngineDraining,
-                              fmt::format(R"("engine":"{}","stage":"{}","prefill":{},"decode":{},"prefill_demand":{:.2f},)"
-                                          R"("decode_demand":{:.2f})",
-                                          change_.engine_id, StageName(*stage), prefill, decode, asked.prefill_engines,
-                                          asked.decode_engines)});
+    actions.push_back(
+        LogRole{EventId::kEngineDraining,
+                fmt::format(R"("engine":"{}","stage":"{}","prefill":{},"decode":{},"prefill_demand":{:.2f},)"
+                            R"("decode_demand":{:.2f})",
+                            change_.engine_id, StageName(*stage), prefill, decode, asked.prefill_engines,
+                            asked.decode_engines)});
     return;
   }
 }
@@ -124,7 +125,8 @@
     return EndChange();
   }
   phase_ = Phase::kOrdering;
-  actions.push_back(SendStageOrder{change_.engine_id, change_.address, change_.stage, lease_.token(), report->sequence});
+  actions.push_back(
+      SendStageOrder{change_.engine_id, change_.address, change_.stage, lease_.token(), report->sequence});
   actions.push_back(LogRole{EventId::kOrderSent,
                             fmt::format(R"("engine":"{}","stage":"{}","token":{},"sequence":{})", change_.engine_id,
                                         StageName(change_.stage), lease_.token(), report->sequence)});
@@ -143,8 +145,8 @@
   }
   if (outcome == OrderOutcome::kUnknown) settled_at_[engine_id] = now + knobs_.order_settle;
   if (outcome == OrderOutcome::kFenced) lease_.OnFenced();
-  actions.push_back(LogRole{EventId::kOrderAnswered, fmt::format(R"("engine":"{}","outcome":{})", engine_id,
-                                                                 static_cast<int>(outcome))});
+  actions.push_back(LogRole{EventId::kOrderAnswered,
+                            fmt::format(R"("engine":"{}","outcome":{})", engine_id, static_cast<int>(outcome))});
   EndChange();
   actions.push_back(AnnounceHolds{});
 }
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -26,15 +26,15 @@
 struct RoleControllerKnobs {
   RolePlannerKnobs planner;
   RoleLeaseTimes lease;
-  Duration settle_in = 1500ms;     // After a start, before the first plan.
+  Duration settle_in = 1500ms;  // After a start, before the first plan.
   Duration plan_interval = 250ms;
   Duration cooldown = 4s;          // Between changes of one service under load.
   Duration idle_cooldown = 300ms;  // The same before any demand is known.
   Duration shortest_hold = 60ms;
   Duration longest_hold = 900ms;
-  Duration order_time = 300ms;     // To read an engine's state and order it.
+  Duration order_time = 300ms;  // To read an engine's state and order it.
   Duration order_settle = 14s;
-  int short_queue = 1;             // Requests at the engine that the order need not wait for.
+  int short_queue = 1;  // Requests at the engine that the order need not wait for.
 };
 
 // What an engine says of itself.
--- a/src/core/serving/role_lease.h
+++ b/src/core/serving/role_lease.h
@@ -53,7 +53,10 @@
   bool MayOrder(Time now, Duration needed = 0s) const { return holds_ && now + needed < ordered_until_; }
   std::int64_t token() const { return token_; }
   // The engine saw a higher token: this node is not the holder any more.
-  void OnFenced() { holds_ = false; known_.reset(); }
+  void OnFenced() {
+    holds_ = false;
+    known_.reset();
+  }
 
  private:
   void StartWrite(Time now);
@@ -68,8 +71,8 @@
   Time ordered_until_{};
   Time not_before_{};
   bool holds_ = false;
-  bool busy_ = false;        // A call is under way.
-  bool unsettled_ = false;   // A write of ours may have happened.
+  bool busy_ = false;       // A call is under way.
+  bool unsettled_ = false;  // A write of ours may have happened.
   std::int64_t token_ = 0;
 };
 
--- a/src/core/serving/serving_config.h
+++ b/src/core/serving/serving_config.h
@@ -15,7 +15,7 @@
 enum class RouteKind {
   kRepeatable,  // May run more than once.
   kAtMostOnce,
-  kStreaming,   // Answers with events; at most once unless resumable.
+  kStreaming,  // Answers with events; at most once unless resumable.
 };
 
 struct WeightedService {
@@ -33,8 +33,8 @@
   Duration objective = 1s;      // Within it an answer (or its first event) has its full worth.
   Duration gap_objective = 0s;  // Longest pause between events; zero where none is set.
   int max_attempts = 1;
-  int priority = 5;             // 0 is the most urgent.
-  bool prefix_affine = false;   // Requests name the parts of their prompts.
+  int priority = 5;            // 0 is the most urgent.
+  bool prefix_affine = false;  // Requests name the parts of their prompts.
   bool resumable = false;
 
   bool repeatable() const { return kind == RouteKind::kRepeatable || (kind == RouteKind::kStreaming && resumable); }
@@ -46,8 +46,8 @@
   std::int64_t kv_capacity_tokens = 0;
   std::int64_t kv_token_bytes = 0;
   double link_mbps = 0;
-  Duration handle_hold = 5s;   // How long a prompt that was read waits to be taken.
-  Duration role_change = 2s;   // How long an engine is away when its stage changes.
+  Duration handle_hold = 5s;  // How long a prompt that was read waits to be taken.
+  Duration role_change = 2s;  // How long an engine is away when its stage changes.
 };
 
 struct Service {
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -43,8 +43,7 @@
   if (!engines_.Update(event.record)) return;
   Log(EventId::kEngineRecord, nullptr,
       fmt::format(R"("engine":"{}","service":"{}","zone":"{}","leaving":{},"stage":{})", event.record.id,
-                  event.record.service, event.record.zone, event.record.leaving,
-                  static_cast<int>(event.record.stage)));
+                  event.record.service, event.record.zone, event.record.leaving, static_cast<int>(event.record.stage)));
 }
 
 void ServingCore::On(const EngineRemoved& event) {
@@ -144,7 +143,8 @@
   const Service* service = config_->FindService(flow.service);
   flow.language = service != nullptr && service->language && flow.facts.prompt;
   const Duration patience = std::min(route->timeout, event.facts.deadline.value_or(route->timeout));
-  flow.ends = now_ + std::max(1ms, std::chrono::duration_cast<std::chrono::milliseconds>(patience - knobs_.answer_margin));
+  flow.ends =
+      now_ + std::max(1ms, std::chrono::duration_cast<std::chrono::milliseconds>(patience - knobs_.answer_margin));
   if (route->kind == RouteKind::kRepeatable) {
     flow.hedge_at = now_ + FromSeconds(ToSeconds(route->objective) * knobs_.hedge_share);
   }
@@ -204,8 +204,8 @@
   if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
   const Attempt attempt = flow->attempts[event.attempt];
   EndAttempt(*flow, event.attempt);
-  LogStanding(engines_.NoteFailure(attempt.engine_id,
-                                   event.failure == AttemptFailure::kNotSent ? "no connection" : "answer broken", now_));
+  LogStanding(engines_.NoteFailure(
+      attempt.engine_id, event.failure == AttemptFailure::kNotSent ? "no connection" : "answer broken", now_));
   OnLost(*flow, attempt, event.failure);
 }
 
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -34,7 +34,7 @@
   AnswerFacts answer;
   bool silence_noted = false;
   std::optional<MemorySource> memory;  // That it was to take.
-  bool alone_at_start = false;     // Nothing else of ours was under way there.
+  bool alone_at_start = false;         // Nothing else of ours was under way there.
 };
 
 struct Flow {
@@ -49,11 +49,11 @@
   EngineIds tried;
   std::optional<MemorySource> memory;
   std::string memory_zone;
-  int arrivals = 0;         // Attempts sent, prefills aside.
+  int arrivals = 0;  // Attempts sent, prefills aside.
   int prefills = 0;
-  int runs = 0;             // Attempts that may have run.
-  int tries = 0;            // All attempts.
-  bool relaying = false;    // The client has the head of a stream.
+  int runs = 0;           // Attempts that may have run.
+  int tries = 0;          // All attempts.
+  bool relaying = false;  // The client has the head of a stream.
   std::string last_event_id;
   std::optional<Time> waiting_until;  // For any engine to come.
   std::optional<Time> hedge_at;
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -1,7 +1,7 @@
 #include "src/gateway/coordination.h"
 
-#include <boost/asio/post.hpp>
 #include <fmt/format.h>
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 namespace saltquay::gateway {
@@ -102,7 +102,8 @@
   const int before = peers_.Count();
   if (!peers_.Note(report, gateway_.Now())) return;
   if (peers_.Count() != before) {
-    gateway_.Log(EventId::kMemberAlive, "", fmt::format(R"("node":"{}","nodes":{})", EscapeJson(report.node), peers_.Count()));
+    gateway_.Log(EventId::kMemberAlive, "",
+                 fmt::format(R"("node":"{}","nodes":{})", EscapeJson(report.node), peers_.Count()));
   }
   TellCore();
 }
@@ -172,30 +173,33 @@
       return roles_.OnLeaseWritten(written->revision);
     }
     const bool settled = !absl::IsDeadlineExceeded(written.status());
-    gateway_.Log(EventId::kLeaseLost, "", fmt::format(R"("cause":"{}","settled":{})",
-                                                      EscapeJson(MessageOf(written.status())), settled));
+    gateway_.Log(EventId::kLeaseLost, "",
+                 fmt::format(R"("cause":"{}","settled":{})", EscapeJson(MessageOf(written.status())), settled));
     roles_.OnLeaseWriteFailed(gateway_.Now(), settled);
   });
 }
 
 void Coordination::CarryOne(const serving::ReadEngineState& action) {
   std::string request = http::SerializeRequest(protocol_.MakeStateRead(action), "");
-  CallEngine(action.address, action.engine_id, std::move(request), [this, id = action.engine_id](const EngineReply& reply) {
-    std::vector<serving::RoleAction> actions;
-    const auto report = reply.status == kOk ? protocol_.ReadState(reply.body) : std::nullopt;
-    roles_.OnEngineState(gateway_.Now(), id, report, gateway_.core().engines(), actions);
-    Carry(actions);
-  });
+  CallEngine(action.address, action.engine_id, std::move(request),
+             [this, id = action.engine_id](const EngineReply& reply) {
+               std::vector<serving::RoleAction> actions;
+               const auto report = reply.status == kOk ? protocol_.ReadState(reply.body) : std::nullopt;
+               roles_.OnEngineState(gateway_.Now(), id, report, gateway_.core().engines(), actions);
+               Carry(actions);
+             });
 }
 
 void Coordination::CarryOne(const serving::SendStageOrder& action) {
-  std::string request = http::SerializeRequest(protocol_.MakeOrderHead(action),
-                                               protocol_.MakeOrderBody(action, settings_.node_name));
-  CallEngine(action.address, action.engine_id, std::move(request), [this, id = action.engine_id](const EngineReply& reply) {
-    std::vector<serving::RoleAction> actions;
-    roles_.OnOrderAnswered(gateway_.Now(), id, ToOutcome(reply.status, reply.sent), gateway_.core().engines(), actions);
-    Carry(actions);
-  });
+  std::string request =
+      http::SerializeRequest(protocol_.MakeOrderHead(action), protocol_.MakeOrderBody(action, settings_.node_name));
+  CallEngine(action.address, action.engine_id, std::move(request),
+             [this, id = action.engine_id](const EngineReply& reply) {
+               std::vector<serving::RoleAction> actions;
+               roles_.OnOrderAnswered(gateway_.Now(), id, ToOutcome(reply.status, reply.sent),
+                                      gateway_.core().engines(), actions);
+               Carry(actions);
+             });
 }
 
 void Coordination::CarryOne(const serving::AnnounceHolds& /*action*/) {
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -19,7 +19,7 @@
   std::string deadline_ms = "Saltquay-Deadline-Ms";
   std::string last_event_id = "Last-Event-Id";
   std::string model = "Saltquay-Model";
-  std::string token_counts = "Saltquay-Tokens";       // Prompt and most output, by a comma.
+  std::string token_counts = "Saltquay-Tokens";        // Prompt and most output, by a comma.
   std::string prompt_parts = "Saltquay-Prompt-Parts";  // ID:TOKENS by commas.
   std::string expected_engine = "Saltquay-Expect-Engine";
   std::string priority = "Saltquay-Priority";
@@ -29,14 +29,14 @@
   std::string memory_source = "Saltquay-Memory-Source";
   std::string signature = "Saltquay-Signature";
   std::string not_executed = "Saltquay-Not-Executed";
-  std::string load = "Saltquay-Load";                 // Running, waiting, slots.
-  std::string handle_member = "handle";               // Of the JSON answer to a prefill.
-  std::string release_path = "/handles/";             // DELETE it with a handle behind.
+  std::string load = "Saltquay-Load";      // Running, waiting, slots.
+  std::string handle_member = "handle";    // Of the JSON answer to a prefill.
+  std::string release_path = "/handles/";  // DELETE it with a handle behind.
   // Orders to engines, and what engines say of themselves.
   std::string order_path = "/orders";
   std::string report_path = "/state";
   std::string operation_member = "operation";
-  std::string stage_member = "stage";      // Also the word of the operation.
+  std::string stage_member = "stage";  // Also the word of the operation.
   std::string holder_member = "holder";
   std::string token_member = "fencing_token";
   std::string expected_sequence_member = "expected_sequence";
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include <boost/asio/post.hpp>
 #include <fmt/format.h>
+#include <boost/asio/post.hpp>
 
 namespace saltquay::gateway {
 namespace {
@@ -187,8 +187,7 @@
   const auto entry = attempts_.find(id);
   if (entry == attempts_.end()) return;
   const serving::FlowId flow = entry->second.flow;
-  metrics_.CountAttempt(ModeName(entry->second.mode),
-                        failure == http::CallFailure::kNotSent ? "not_sent" : "broken");
+  metrics_.CountAttempt(ModeName(entry->second.mode), failure == http::CallFailure::kNotSent ? "not_sent" : "broken");
   attempts_.erase(entry);
   Dispatch(serving::AttemptFailed{flow, id, ToAttemptFailure(failure)});
 }
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -120,10 +120,10 @@
   engines.on_contact = [this](bool in_contact, const std::string& cause) {
     OnContact(codec_.engine_kind, in_contact, cause);
   };
-  config_watcher_ = std::make_unique<CollectionWatcher>(loop_, store_, codec_.config_kind, WatcherTimes{},
-                                                        RandomSeed(), std::move(config));
-  engine_watcher_ = std::make_unique<CollectionWatcher>(loop_, store_, codec_.engine_kind, WatcherTimes{},
-                                                        RandomSeed(), std::move(engines));
+  config_watcher_ = std::make_unique<CollectionWatcher>(loop_, store_, codec_.config_kind, WatcherTimes{}, RandomSeed(),
+                                                        std::move(config));
+  engine_watcher_ = std::make_unique<CollectionWatcher>(loop_, store_, codec_.engine_kind, WatcherTimes{}, RandomSeed(),
+                                                        std::move(engines));
   config_watcher_->Start();
   engine_watcher_->Start();
 }
@@ -132,8 +132,8 @@
   if (object.name != codec_.config_name) return;
   absl::StatusOr<serving::ServingConfig> config = codec_.parse_config(object);
   if (!config.ok()) {
-    gateway_.Log(EventId::kConfigRefused, "", fmt::format(R"("revision":{},"cause":"{}")", object.revision,
-                                                          EscapeJson(MessageOf(config.status()))));
+    gateway_.Log(EventId::kConfigRefused, "",
+                 fmt::format(R"("revision":{},"cause":"{}")", object.revision, EscapeJson(MessageOf(config.status()))));
     return;
   }
   if (client_server_ != nullptr) client_server_->set_limits(ToServerLimits(config->limits));
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -18,7 +18,7 @@
   std::string metrics_listen;  // ip:port for GET /metrics; empty: none.
   std::string peer_listen;     // ip:port (UDP) for other nodes; empty: none.
   std::vector<std::string> peer_seeds;
-  std::string store_address;   // ip:port.
+  std::string store_address;              // ip:port.
   std::chrono::milliseconds grace{8000};  // From the stop signal to the end.
   std::chrono::milliseconds lease{3000};
   bool changes_roles = true;
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -36,9 +36,8 @@
 
 bool SameName(std::string_view first, std::string_view second) {
   if (first.size() != second.size()) return false;
-  return std::equal(first.begin(), first.end(), second.begin(), [](unsigned char a, unsigned char b) {
-    return std::tolower(a) == std::tolower(b);
-  });
+  return std::equal(first.begin(), first.end(), second.begin(),
+                    [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
 std::optional<std::string_view> Fields::Find(std::string_view name) const {
@@ -69,9 +68,9 @@
   }
   // Framing fields named here by mistake are rewritten anyway.
   for (const std::string& name : named) fields.Remove(name);
-  for (const std::string_view name : {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-                                      "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-                                      "Content-Length", "Expect"}) {
+  for (const std::string_view name :
+       {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+        "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}) {
     fields.Remove(name);
   }
 }
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -62,8 +62,7 @@
       head.reason = ToString(reason);
     }
   }
-  void on_field_impl(beast::http::field /*known*/, string_view name, string_view value,
-                     ErrorCode& /*error*/) override {
+  void on_field_impl(beast::http::field /*known*/, string_view name, string_view value, ErrorCode& /*error*/) override {
     head.fields.Add(ToString(name), ToString(value));
   }
   void on_header_impl(ErrorCode& /*error*/) override { head.keep_alive = this->keep_alive(); }
--- a/src/http/socket.cc
+++ b/src/http/socket.cc
@@ -28,7 +28,8 @@
     valid = first != last && std::from_chars(first, last, port).ptr == last;
     ip = boost::asio::ip::make_address_v4(address.substr(0, colon), error);
   }
-  if (!valid || error) return absl::InvalidArgumentError("'" + address + "' is not IPV4:PORT; write for example 127.0.0.1:8080");
+  if (!valid || error)
+    return absl::InvalidArgumentError("'" + address + "' is not IPV4:PORT; write for example 127.0.0.1:8080");
   return Endpoint(ip, port);
 }
 
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -53,7 +53,8 @@
   for (const char* id : {"a", "b", "c"}) engines.Update(Record(id, EngineStage::kUniform));
   bool ejected = false;
   for (int i = 0; i < 40; ++i) {
-    for (const char* id : {"a", "b", "c"}) ejected = ejected || engines.NoteAnswer(id, i % 2 == 0, Time{1s}).has_value();
+    for (const char* id : {"a", "b", "c"})
+      ejected = ejected || engines.NoteAnswer(id, i % 2 == 0, Time{1s}).has_value();
   }
   EXPECT_FALSE(ejected);  // All alike: taking one out would help nobody.
   for (int i = 0; i < 40 && !ejected; ++i) {
--- a/tests/core/serving/roles_test.cc
+++ b/tests/core/serving/roles_test.cc
@@ -169,7 +169,8 @@
   const auto read = TickUntil<ReadEngineState>(5s);
   ASSERT_TRUE(read);
   std::vector<RoleAction> actions;
-  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 6}, engines_, actions);
+  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 6}, engines_,
+                            actions);
   const auto* order = std::get_if<SendStageOrder>(&actions.front());
   ASSERT_NE(order, nullptr);
   EXPECT_EQ(order->engine_id, read->engine_id);
@@ -183,7 +184,8 @@
   const auto read = TickUntil<ReadEngineState>(5s);
   ASSERT_TRUE(read);
   std::vector<RoleAction> actions;
-  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_, actions);
+  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_,
+                            actions);
   controller_.OnOrderAnswered(now_, read->engine_id, OrderOutcome::kAccepted, engines_, actions);
   ASSERT_EQ(controller_.Holds(now_).size(), 1U);
   EXPECT_GT(controller_.Holds(now_)[0].left, 2300ms);
@@ -196,7 +198,8 @@
   const auto read = TickUntil<ReadEngineState>(5s);
   ASSERT_TRUE(read);
   std::vector<RoleAction> actions;
-  controller_.OnEngineState(now_ + 2s, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_, actions);
+  controller_.OnEngineState(now_ + 2s, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_,
+                            actions);
   EXPECT_TRUE(actions.empty());
 }
 
@@ -204,7 +207,8 @@
   const auto read = TickUntil<ReadEngineState>(5s);
   ASSERT_TRUE(read);
   std::vector<RoleAction> actions;
-  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_, actions);
+  controller_.OnEngineState(now_, read->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_,
+                            actions);
   controller_.OnOrderAnswered(now_, read->engine_id, OrderOutcome::kUnknown, engines_, actions);
   engines_.Find(read->engine_id)->changing_until = Time{};
   const auto next = TickUntil<ReadEngineState>(12s);
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -5,8 +5,8 @@
 #include <array>
 
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "src/base/log_stream.h"
 #include "src/gateway/engine_protocol.h"
@@ -18,7 +18,8 @@
 namespace {
 
 RC_GTEST_PROP(EventSplitterProperty, AnySplitGivesTheSameEvents, ()) {
-  const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: comment\n\nid: 30\ndata: d\n\nid: 31\ndata: cut";
+  const std::string stream =
+      "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: comment\n\nid: 30\ndata: d\n\nid: 31\ndata: cut";
   const std::string whole = stream.substr(0, stream.rfind("id: 31"));
   EventSplitter splitter;
   std::string passed;
@@ -135,10 +136,10 @@
     std::string text;
     std::string part;
   };
-  for (const Case& wrong : {Case{std::string(kSettings) + "grace = 1\n", "'bounds.grace' is unknown"},
-                            Case{"zone = \"a\"\n", "node_name"},
-                            Case{"client_listen = \"nowhere\"\n" + std::string(kSettings), "f:"},
-                            Case{std::string(kSettings) + "[policy]\nselection = \"best\"\n", "selection"}}) {
+  for (const Case& wrong :
+       {Case{std::string(kSettings) + "grace = 1\n", "'bounds.grace' is unknown"}, Case{"zone = \"a\"\n", "node_name"},
+        Case{"client_listen = \"nowhere\"\n" + std::string(kSettings), "f:"},
+        Case{std::string(kSettings) + "[policy]\nselection = \"best\"\n", "selection"}}) {
     const auto settings = ParseGatewaySettings(wrong.text, "f");
     ASSERT_FALSE(settings.ok()) << wrong.text;
     EXPECT_NE(MessageOf(settings.status()).find(wrong.part), std::string::npos) << MessageOf(settings.status());
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -106,8 +106,9 @@
 TEST_F(ClientTest, AnAnswerToAnotherRequestIsDroppedAndTheOwnAwaited) {
   ScriptedServer server({[](ScriptedConnection& connection) {
     connection.ReadUntil("body");
-    connection.Write("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 201 Made\r\nId: 1\r\n"
-                     "Content-Length: 5\r\n\r\nright");
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 201 Made\r\nId: 1\r\n"
+        "Content-Length: 5\r\n\r\nright");
     connection.ReadToEnd();
   }});
   const Outcome outcome = Post(server.address(), "1");
@@ -138,7 +139,8 @@
 TEST_F(ClientTest, BytesBehindAnAnswerEndTheConnection) {
   ScriptedServer server({[](ScriptedConnection& connection) {
                            connection.ReadUntil("body");
-                           connection.Write(std::string(kOkEmpty) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+                           connection.Write(std::string(kOkEmpty) +
+                                            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
                            connection.ReadToEnd();
                          },
                          [](ScriptedConnection& connection) {
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -47,7 +47,8 @@
       "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\nGET /next HTTP/1.1\r\n";
   const std::string with_length =
       "POST /p HTTP/1.1\r\nhOsT: h.example\r\nContent-Length: 11\r\n\r\nhello worldGET /next HTTP/1.1\r\n";
-  const auto sizes = *rc::gen::nonEmpty(rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(1, 40)));
+  const auto sizes =
+      *rc::gen::nonEmpty(rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(1, 40)));
   for (const std::string& text : {chunked, with_length}) {
     const Parsed whole = ParseRequest(text, {text.size()});
     RC_ASSERT(whole.done);
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -53,8 +53,9 @@
 };
 
 TEST_F(ServerTest, AnswersTwoRequestsInOnePacketInOrder) {
-  const auto client = Connect("GET /a?q=%20 HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
-                              "Transfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n");
+  const auto client = Connect(
+      "GET /a?q=%20 HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n");
   EXPECT_NE(client->ReadUntil("/a?q=%20|").find("200 OK"), std::string::npos);
   EXPECT_NE(client->ReadUntil("/b|xyz").find("200 OK"), std::string::npos);
 }
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -12,7 +12,8 @@
 using saltquay::testing::ScriptedServer;
 
 std::string Reply(int status, const std::string& body) {
-  return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 TEST(RecordsTest, AConfigurationDecodes) {
@@ -34,7 +35,8 @@
 }
 
 TEST(RecordsTest, WhatDoesNotDecodeIsATypedError) {
-  for (const char* text : {"", "[]", "{}", R"({"version":"x","routes":[],"services":[]})", R"({"version":1,"routes":[{}],"services":[]})"}) {
+  for (const char* text : {"", "[]", "{}", R"({"version":"x","routes":[],"services":[]})",
+                           R"({"version":1,"routes":[{}],"services":[]})"}) {
     const auto config = ParseConfig({"main", 1, text});
     ASSERT_FALSE(config.ok()) << text;
     EXPECT_EQ(KindOf(config.status()), ErrorKind::kCorrupt);
@@ -78,10 +80,12 @@
     targets.push_back(connection.ReadHead());
     connection.Write(Reply(200, std::string(R"({"items":[)") + kObject + R"(],"more":true,"at":10})"));
     targets.push_back(connection.ReadHead());
-    connection.Write(Reply(200, R"({"items":[{"metadata":{"name":"b","revision":6},"spec":{}}],"more":false,"at":12})"));
+    connection.Write(
+        Reply(200, R"({"items":[{"metadata":{"name":"b","revision":6},"spec":{}}],"more":false,"at":12})"));
     connection.ReadToEnd();
   }});
-  const auto list = Run<gateway::ObjectList>(server.address(), [](auto& client, auto done) { client.List("servers", done); });
+  const auto list =
+      Run<gateway::ObjectList>(server.address(), [](auto& client, auto done) { client.List("servers", done); });
   ASSERT_TRUE(list.ok()) << list.status();
   EXPECT_EQ(list->items.size(), 2U);
   EXPECT_EQ(list->at, 10);
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -29,10 +29,9 @@
   static ServingConfig MakeConfig() {
     ServingConfig config;
     config.version = 1;
-    config.routes = {MakeRoute("safe", RouteKind::kRepeatable, "plain", 2),
-                     MakeRoute("once", RouteKind::kAtMostOnce, "plain", 1),
-                     MakeRoute("chat", RouteKind::kStreaming, "model", 2),
-                     MakeRoute("lone", RouteKind::kStreaming, "model", 1)};
+    config.routes = {
+        MakeRoute("safe", RouteKind::kRepeatable, "plain", 2), MakeRoute("once", RouteKind::kAtMostOnce, "plain", 1),
+        MakeRoute("chat", RouteKind::kStreaming, "model", 2), MakeRoute("lone", RouteKind::kStreaming, "model", 1)};
     config.routes[2].resumable = true;
     Service model;
     model.name = "model";
@@ -52,9 +51,10 @@
   }
   void Configure(const ServingConfig& config) {
     Send(ConfigurationChanged{config});
-    Send(EnginesReplaced{{MakeEngine("u1", "plain", EngineStage::kUniform), MakeEngine("u2", "plain", EngineStage::kUniform),
-                          MakeEngine("p1", "model", EngineStage::kPrefill), MakeEngine("p2", "model", EngineStage::kPrefill),
-                          MakeEngine("d1", "model", EngineStage::kDecode), MakeEngine("d2", "model", EngineStage::kDecode)}});
+    Send(EnginesReplaced{
+        {MakeEngine("u1", "plain", EngineStage::kUniform), MakeEngine("u2", "plain", EngineStage::kUniform),
+         MakeEngine("p1", "model", EngineStage::kPrefill), MakeEngine("p2", "model", EngineStage::kPrefill),
+         MakeEngine("d1", "model", EngineStage::kDecode), MakeEngine("d2", "model", EngineStage::kDecode)}});
     Send(StoreContactChanged{true});
     Send(PeersChanged{});
   }
