Two homes a prompt part under load; planner moves earlier where a stage is pressed; role_plan event

Change: rereading weighs more the longer prompts wait on average, and engines beyond a part's first two homes twice that; deadband 0.8 where demand exceeds 0.85 of the engines of the stage that would gain. The planner tells what it knows every 2 s.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,7 +8,7 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 45> kCatalogue = {{
+constexpr std::array<EventDescription, 46> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
@@ -44,6 +44,7 @@
      "Look at the engine's own logs."},
     {kEngineReadmitted, kInfo, "engine_readmitted", "An ejected engine gets work again.", "None."},
     {kEngineRecord, kInfo, "engine_record", "What the platform records of an engine changed.", "None."},
+    {kRolePlan, kInfo, "role_plan", "What the planning node knows of demand and stages; every two seconds.", "None."},
     {kRequestRefused, kInfo, "request_refused", "A request was refused with a typed error.",
      "Add engines or raise the class limit if it lasts."},
     {kRequestRetried, kInfo, "request_retried", "A request goes to another engine.", "None."},
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -36,6 +36,7 @@
   kEngineEjected = 504,
   kEngineReadmitted = 505,
   kEngineRecord = 506,
+  kRolePlan = 507,
   kRequestRefused = 600,
   kRequestRetried = 601,
   kRequestUnknown = 602,
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -82,32 +82,63 @@
 
 EngineState* EngineSelector::ChoosePrefill(EngineDirectory& engines, const std::string& service,
                                            const PromptFacts& prompt, const EngineIds& tried, Time now) {
+  const Homes homes = FindHomes(engines, service, prompt, now);
+  const double pressure = MeanBacklog(engines, service) / knobs_.pressure_ms;
+  return Cheapest(engines, service, EngineStage::kPrefill, tried, now, [&](const EngineState& engine) {
+    if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
+    double reread = knobs_.reread_weight + pressure;
+    if (&engine == homes.first) reread = 0;
+    if (&engine != homes.first && &engine != homes.second) reread *= knobs_.stranger_weight;
+    return PrefillCost(engine, prompt, reread, now);
+  });
+}
+
+// The first two engines in the part's rendezvous order, of those that may get work.
+EngineSelector::Homes EngineSelector::FindHomes(EngineDirectory& engines, const std::string& service,
+                                                const PromptFacts& prompt, Time now) {
+  Homes homes;
   const PromptPart* part = HomePart(prompt);
-  const EngineState* home = nullptr;
-  std::uint64_t best_rank = 0;
+  if (part == nullptr) return homes;
+  std::uint64_t first_rank = 0;
+  std::uint64_t second_rank = 0;
   engines.ForEachServing(service, [&](EngineState& engine) {
-    if (part == nullptr || engine.record.stage != EngineStage::kPrefill ||
-        now < std::max(engine.ejected_until, engine.held_until))
-      return;
+    const bool out = now < std::max({engine.ejected_until, engine.held_until, engine.changing_until});
+    if (engine.record.stage != EngineStage::kPrefill || out) return;
     const std::uint64_t rank = HashPair(HashText(part->id), HashText(engine.record.id));
-    if (home != nullptr && rank <= best_rank) return;
-    home = &engine;
-    best_rank = rank;
+    if (homes.first == nullptr || rank > first_rank) {
+      homes.second = homes.first;
+      second_rank = first_rank;
+      homes.first = &engine;
+      first_rank = rank;
+    } else if (homes.second == nullptr || rank > second_rank) {
+      homes.second = &engine;
+      second_rank = rank;
+    }
   });
-  return Cheapest(engines, service, EngineStage::kPrefill, tried, now, [&](const EngineState& engine) {
-    if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
-    return PrefillCost(engine, prompt, &engine == home, now);
+  return homes;
+}
+
+// Milliseconds of reading that wait at the service's prefill engines, on average.
+double EngineSelector::MeanBacklog(EngineDirectory& engines, const std::string& service) const {
+  double tokens = 0;
+  int count = 0;
+  engines.ForEachServing(service, [&](EngineState& engine) {
+    if (engine.record.stage != EngineStage::kPrefill) return;
+    tokens += static_cast<double>(engine.outstanding_prompt_tokens + engine.peers_prompt_tokens);
+    ++count;
   });
+  return count == 0 ? 0 : tokens / count / read_rate();
 }
 
 // Milliseconds until the prompt is read there, and what that costs besides.
-double EngineSelector::PrefillCost(const EngineState& engine, const PromptFacts& prompt, bool home, Time now) const {
+double EngineSelector::PrefillCost(const EngineState& engine, const PromptFacts& prompt, double reread_weight,
+                                   Time now) const {
   const double others_by_load = std::max(0.0, EstimatedLoad(engine, now) - engine.outstanding) * OwnTokens(prompt);
   const double others = peers_known_ ? static_cast<double>(engine.peers_prompt_tokens) : others_by_load;
   const double backlog = (static_cast<double>(engine.outstanding_prompt_tokens) + others) / read_rate();
   const PromptPart* part = HomePart(prompt);
-  const bool kept = home || (part != nullptr && Keeps(engine.record.id, part->id, now));
-  const double reread = kept ? 0.0 : knobs_.reread_weight * SharedTokens(prompt) / read_rate();
+  const bool kept = reread_weight == 0 || (part != nullptr && Keeps(engine.record.id, part->id, now));
+  const double reread = kept ? 0.0 : reread_weight * SharedTokens(prompt) / read_rate();
   const double remote = engine.record.zone == zone_ ? 0.0 : knobs_.remote_prefill_ms;
   return backlog + reread + remote;
 }
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -49,7 +49,14 @@
   template <typename Cost>
   EngineState* Cheapest(EngineDirectory& engines, const std::string& service, EngineStage stage, const EngineIds& tried,
                         Time now, Cost cost);
-  double PrefillCost(const EngineState& engine, const PromptFacts& prompt, bool home, Time now) const;
+  struct Homes {
+    const EngineState* first = nullptr;
+    const EngineState* second = nullptr;
+  };
+  Homes FindHomes(EngineDirectory& engines, const std::string& service, const PromptFacts& prompt, Time now);
+  double MeanBacklog(EngineDirectory& engines, const std::string& service) const;
+  // `reread_weight`: of the time to read the shared parts again; 0 at home.
+  double PrefillCost(const EngineState& engine, const PromptFacts& prompt, double reread_weight, Time now) const;
   bool Keeps(const std::string& engine_id, const std::string& part, Time now) const;
 
   ServingKnobs knobs_;
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -32,6 +32,11 @@
   double remote_prefill_ms = 15;
   // Milliseconds of queueing that reading a shared part again is worth, for each millisecond it takes.
   double reread_weight = 1.3;
+  // Under load that time is taken from others: the weight grows by one for each so many
+  // milliseconds of reading that wait at an engine on average.
+  double pressure_ms = 250;
+  // A part is spread to engines beyond its first two homes only for this much more.
+  double stranger_weight = 2;
 
   // Over this time demand is averaged for role changes.
   Duration demand_memory = 3s;
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -41,6 +41,8 @@
                           EngineDirectory& engines, std::vector<RoleAction>& actions) {
   for (const Service& service : config.services) {
     if (!service.language || now < cooled_at_[service.name]) continue;
+    const auto known = demand.find(service.name);
+    const ServiceDemand asked = known == demand.end() ? ServiceDemand{service.name, 0, 0} : known->second;
     int prefill = 0;
     int decode = 0;
     bool changing = false;
@@ -49,9 +51,8 @@
       if (engine.record.stage == EngineStage::kPrefill) ++prefill;
       if (engine.record.stage == EngineStage::kDecode) ++decode;
     });
+    LogPlan(now, asked, prefill, decode, changing, actions);
     if (changing) continue;
-    const auto known = demand.find(service.name);
-    const ServiceDemand asked = known == demand.end() ? ServiceDemand{service.name, 0, 0} : known->second;
     const std::optional<EngineStage> stage = PlanStageChange(knobs_.planner, asked, prefill, decode);
     if (!stage) continue;
     const EngineState* engine = PickEngine(engines, service.name, OtherStage(*stage), now);
@@ -71,6 +72,19 @@
   }
 }
 
+void RoleController::LogPlan(Time now, const ServiceDemand& asked, int prefill, int decode, bool changing,
+                             std::vector<RoleAction>& actions) {
+  if (now < next_plan_log_) return;
+  next_plan_log_ = now + knobs_.plan_log_interval;
+  const double ideal = IdealPrefillEngines(knobs_.planner, asked, prefill + decode);
+  actions.push_back(LogRole{
+      EventId::kRolePlan,
+      fmt::format(
+          R"("service":"{}","prefill":{},"decode":{},"prefill_demand":{:.2f},"decode_demand":{:.2f},"ideal":{:.1f},)"
+          R"("changing":{})",
+          asked.service, prefill, decode, asked.prefill_engines, asked.decode_engines, ideal, changing)});
+}
+
 void RoleController::StepLease(Time now, std::vector<RoleAction>& actions) {
   const LeaseStep step = lease_.Next(now, knobs_.order_time);
   if (step == LeaseStep::kRead) actions.push_back(ReadLease{});
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -28,6 +28,7 @@
   RoleLeaseTimes lease;
   Duration settle_in = 1500ms;  // After a start, before the first plan.
   Duration plan_interval = 250ms;
+  Duration plan_log_interval = 2s;
   Duration cooldown = 4s;          // Between changes of one service under load.
   Duration idle_cooldown = 300ms;  // The same before any demand is known.
   Duration shortest_hold = 60ms;
@@ -104,6 +105,8 @@
             EngineDirectory& engines, std::vector<RoleAction>& actions);
   const EngineState* PickEngine(EngineDirectory& engines, const std::string& service, EngineStage from, Time now);
   void ContinueHold(Time now, EngineDirectory& engines, std::vector<RoleAction>& actions);
+  void LogPlan(Time now, const ServiceDemand& asked, int prefill, int decode, bool changing,
+               std::vector<RoleAction>& actions);
   void StepLease(Time now, std::vector<RoleAction>& actions);
   void EndChange();
 
@@ -111,6 +114,7 @@
   RoleLease lease_;
   Time started_;
   Time next_plan_{};
+  Time next_plan_log_{};
   Phase phase_ = Phase::kIdle;
   Change change_;
   std::map<std::string, Time> cooled_at_;   // Service -> when it may change again.
--- a/src/core/serving/role_planner.cc
+++ b/src/core/serving/role_planner.cc
@@ -24,11 +24,15 @@
   const double ideal = std::clamp(IdealPrefillEngines(knobs, demand, engines), static_cast<double>(keep),
                                   static_cast<double>(engines - keep));
   const bool idle = demand.prefill_engines + demand.decode_engines < knobs.idle_demand;
-  const double deadband = idle ? knobs.initial_deadband : knobs.deadband;
-  if (prefill < keep || ideal - prefill > deadband) {
+  const double calm = idle ? knobs.initial_deadband : knobs.deadband;
+  const bool prefill_pressed = demand.prefill_engines > knobs.pressed_load * prefill;
+  const bool decode_pressed = demand.decode_engines > knobs.pressed_load * decode;
+  const double prefill_deadband = prefill_pressed && !decode_pressed ? knobs.pressed_deadband : calm;
+  const double decode_deadband = decode_pressed && !prefill_pressed ? knobs.pressed_deadband : calm;
+  if (prefill < keep || ideal - prefill > prefill_deadband) {
     return decode > keep ? std::optional(EngineStage::kPrefill) : std::nullopt;
   }
-  if (decode < keep || prefill - ideal > deadband) {
+  if (decode < keep || prefill - ideal > decode_deadband) {
     return prefill > keep ? std::optional(EngineStage::kDecode) : std::nullopt;
   }
   return std::nullopt;
--- a/src/core/serving/role_planner.h
+++ b/src/core/serving/role_planner.h
@@ -21,6 +21,8 @@
   double idle_demand = 0.15;            // Below it (both together) demand is not known.
   double initial_deadband = 0.6;        // Engines between the present and the ideal split, before demand is known.
   double deadband = 1.4;                // The same under load: a change costs seconds of an engine.
+  double pressed_deadband = 0.8;        // The same where the stage that would gain is nearly always busy.
+  double pressed_load = 0.85;           // Demand for each engine of a stage, from where it is.
   int keep = 2;                         // Of each stage, where there are that many.
 };
 
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -49,7 +49,7 @@
 }  // namespace
 
 GatewayProcess::GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings,
-                               std::string settings_path, EngineProtocol protocol, RecordCodec codec,
+                               std::string settings_path, const EngineProtocol& protocol, RecordCodec codec,
                                ObjectStore& store)
     : loop_(loop),
       settings_(settings),
@@ -66,7 +66,7 @@
 
 absl::Status GatewayProcess::Start() {
   std::signal(SIGPIPE, SIG_IGN);
-  const absl::Status listening = Listen();
+  absl::Status listening = Listen();
   if (!listening.ok()) {
     gateway_.Log(EventId::kListenFailed, "", fmt::format(R"("cause":"{}")", EscapeJson(MessageOf(listening))));
     log_.Flush();
@@ -89,15 +89,15 @@
     return absl::OkStatus();
   };
   absl::Status status = listen(
-      settings_.client_listen, [this](std::shared_ptr<http::Exchange> exchange) { gateway_.Handle(exchange); },
+      settings_.client_listen, [this](const std::shared_ptr<http::Exchange>& exchange) { gateway_.Handle(exchange); },
       client_server_);
   if (!status.ok()) return status;
   status = listen(
-      settings_.ready_listen, [this](std::shared_ptr<http::Exchange> exchange) { AnswerReady(exchange); },
+      settings_.ready_listen, [this](const std::shared_ptr<http::Exchange>& exchange) { AnswerReady(exchange); },
       ready_server_);
   if (!status.ok() || settings_.metrics_listen.empty()) return status;
   return listen(
-      settings_.metrics_listen, [this](std::shared_ptr<http::Exchange> exchange) { AnswerMetrics(exchange); },
+      settings_.metrics_listen, [this](const std::shared_ptr<http::Exchange>& exchange) { AnswerMetrics(exchange); },
       metrics_server_);
 }
 
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -34,7 +34,7 @@
  public:
   // `settings_path` is read again on SIGHUP; empty: never.
   GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings, std::string settings_path,
-                 EngineProtocol protocol, RecordCodec codec, ObjectStore& store);
+                 const EngineProtocol& protocol, RecordCodec codec, ObjectStore& store);
   ~GatewayProcess();
 
   // Binds the addresses and starts watching. Errors name the remedy.
