One way of doing HTTP: the product's own interface moves to src/http; libcurl and libmicrohttpd leave

Cause: libcurl sends a request again by itself when a kept connection dies before the first byte of an answer. That breaks our own at-most-once promise.

Ruled out: a new connection for each call (dear), CURLOPT_FRESH_CONNECT only for work that may not repeat (two ways to keep right). Two HTTP stacks side by side, too.

Change: HttpClient and HttpServer keep their interfaces and drive src/http on a thread of their own. The server sees a client leave by itself, so CheckClients and its polling thread go; one thread serves, so the setting http_threads goes (a settings test used it as its out-of-range case: idle_timeout_seconds takes its place, as strict). What cannot be read gets the typed error body still. The leaving-client test no longer polls: the notice must come by itself, within 2 s.

--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -41,7 +41,10 @@
   return parts;
 }
 
-std::string HostWithoutPort(std::string_view host) { return std::string(host.substr(0, host.find(':'))); }
+std::string HostWithoutPort(std::string_view host) {
+  host = host.substr(0, host.find(':'));
+  return std::string{host};
+}
 
 }  // namespace
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -45,7 +45,7 @@
   if (entry == pools_.end()) return nullptr;
   // The most recently used first: the others may run out their time.
   while (!entry->second.resting.empty()) {
-    const std::shared_ptr<ClientConnection> connection = entry->second.resting.back();
+    std::shared_ptr<ClientConnection> connection = entry->second.resting.back();
     entry->second.resting.pop_back();
     if (connection->FitForUse()) return connection;
     connection->Close();
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -112,7 +112,9 @@
 
 std::string SerializeResponseHead(const ResponseHead& head, Framing framing, std::size_t length) {
   const std::string_view reason = head.reason.empty() ? ReasonPhrase(head.status) : std::string_view(head.reason);
-  std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
+  std::string text = "HTTP/1.1 ";
+  text += std::to_string(head.status);
+  text += ' ';
   text += reason;
   text += "\r\n";
   AppendFields(text, head.fields);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -27,8 +27,10 @@
 
 struct ServerLimits {
   ParserLimits parser;
-  std::chrono::milliseconds head_timeout{3000};       // From a request's first byte to the end of its head.
-  std::chrono::milliseconds idle_timeout{15000};      // Between requests, and between the pieces of a body.
+  std::chrono::milliseconds head_timeout{3000};   // From a request's first byte to the end of its head.
+  std::chrono::milliseconds idle_timeout{15000};  // Between requests, and between the pieces of a body.
+  // The body of an answer to what cannot be read, by its status; may be empty.
+  std::function<std::string(int)> rejection_body;
   std::size_t unread_answer_bytes = 4 * 1024 * 1024;  // Of a client that does not read.
 };
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -118,21 +118,24 @@
   server_->handler_(exchange);
 }
 
-void ServerConnection::Reject(ParseError error) {
+void ServerConnection::Reject(ParseError error) { RejectWith(StatusOf(error)); }
+
+void ServerConnection::RejectWith(int status) {
   ResponseHead head;
-  head.status = StatusOf(error);
-  head.keep_alive = false;
+  head.status = status;
   request_keeps_alive_ = false;
   state_ = State::kHandling;
-  SendWhole(head, "");
+  SendWhole(head, limits_.rejection_body ? limits_.rejection_body(status) : "");
 }
 
 void ServerConnection::OnPeerEnd() {
-  const std::shared_ptr<Exchange> exchange = std::move(exchange_);
+  const std::shared_ptr<Exchange> exchange = std::exchange(exchange_, nullptr);
   Close();
   if (exchange == nullptr || exchange->answer_ended_) return;
   exchange->client_left_ = true;
-  if (exchange->on_client_left) exchange->on_client_left();
+  const std::function<void()> on_client_left = std::move(exchange->on_client_left);
+  exchange->on_client_left = nullptr;
+  if (on_client_left) on_client_left();
 }
 
 bool ServerConnection::ClosesAfterAnswer() const {
@@ -164,9 +167,12 @@
   Send("0\r\n\r\n");
 }
 
-void ServerConnection::AbortAnswer() {
+void ServerConnection::AbortAnswer() { Close(); }
+
+// What is called when the client leaves may hold the exchange itself.
+void ServerConnection::DropExchange() {
+  if (exchange_ != nullptr) exchange_->on_client_left = nullptr;
   exchange_.reset();
-  Close();
 }
 
 void ServerConnection::Send(std::string bytes) {
@@ -193,7 +199,7 @@
 
 void ServerConnection::OnAnswerWritten() {
   answer_finished_ = false;
-  exchange_.reset();
+  DropExchange();
   since_ = std::chrono::steady_clock::now();
   if (!request_keeps_alive_) return Linger();
   state_ = State::kIdle;
@@ -213,6 +219,7 @@
 void ServerConnection::Close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
+  DropExchange();
   boost::system::error_code ignored;
   socket_.close(ignored);
   if (server_ != nullptr) server_->connections_.erase(shared_from_this());
@@ -231,11 +238,7 @@
   const bool head_late = !parser_->head_done() && now - request_began_ > limits_.head_timeout;
   const bool body_late = parser_->head_done() && now - since_ > limits_.idle_timeout;
   if (!head_late && !body_late) return;
-  ResponseHead head;
-  head.status = kRequestTimeout;
-  request_keeps_alive_ = false;
-  state_ = State::kHandling;
-  SendWhole(head, "");
+  RejectWith(kRequestTimeout);
 }
 
 }  // namespace saltquay::http
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -38,11 +38,13 @@
   void Parse();
   void Dispatch();
   void Reject(ParseError error);
+  void RejectWith(int status);
   void OnPeerEnd();
   void Send(std::string bytes);
   void WriteNext();
   void OnAnswerWritten();
   void Linger();
+  void DropExchange();
   bool ClosesAfterAnswer() const;
 
   Server* server_;
--- a/src/programs/saltquayd.cc
+++ b/src/programs/saltquayd.cc
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr int kExitListen = 3;
-constexpr std::chrono::milliseconds kClientCheckInterval{250};
 
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("saltquayd", "Serves language models on a fixed fleet.");
@@ -26,10 +25,9 @@
                                                                  cxxopts::value<std::string>())(
       "http-listen", "ip:port for callers and operators", cxxopts::value<std::string>())(
       "platform-url", "http://ip:port of the platform", cxxopts::value<std::string>())(
-      "seeds", "id@ip:port of some nodes, by commas", cxxopts::value<std::string>())("log-format", "text or json",
-                                                                                     cxxopts::value<std::string>())(
-      "max-body-bytes", "Largest request body", cxxopts::value<std::string>())("http-threads", "Threads for callers",
-                                                                               cxxopts::value<std::string>())(
+      "seeds", "id@ip:port of some nodes, by commas", cxxopts::value<std::string>())(
+      "log-format", "text or json", cxxopts::value<std::string>())("max-body-bytes", "Largest request body",
+                                                                   cxxopts::value<std::string>())(
       "idle-timeout-seconds", "Patience with a client that sends nothing", cxxopts::value<std::string>());
   return options;
 }
@@ -44,7 +42,6 @@
                                   {"seeds", "seeds"},
                                   {"log-format", "log_format"},
                                   {"max-body-bytes", "max_body_bytes"},
-                                  {"http-threads", "http_threads"},
                                   {"idle-timeout-seconds", "idle_timeout_seconds"}}) {
     if (arguments.count(flag) > 0) overrides.push_back({key, arguments[flag].as<std::string>()});
   }
@@ -61,19 +58,11 @@
   }
   LogEvent(EventId::kNodeStarted, fmt::format("callers on port {}, peers on port {}", (*server)->http_port(),
                                               (*server)->driver().peer_port()));
-  std::jthread checker([&](const std::stop_token& stop) {
-    while (!stop.stop_requested()) {
-      (*server)->CheckClients();
-      std::this_thread::sleep_for(kClientCheckInterval);
-    }
-  });
   std::thread stopper([&] {
     stop_signals.Wait();
     (*server)->driver().Post(StopRequested{});
   });
   (*server)->driver().WaitForExit();
-  checker.request_stop();
-  checker.join();
   stopper.join();
   return EXIT_SUCCESS;
 }
--- a/src/programs/standin_engine.cc
+++ b/src/programs/standin_engine.cc
@@ -15,7 +15,6 @@
   options.id = EngineId{arguments["id"].as<std::uint32_t>()};
   options.http.address = address.host;
   options.http.port = address.port;
-  options.http.threads = 1;
   EngineModelOptions& model = options.model;
   model.profile.prefill_tokens_per_second = arguments["prefill-rate"].as<double>();
   model.profile.decode_step = FromSeconds(arguments["decode-step-ms"].as<double>() / 1000);
--- a/src/runtime/caller_request.cc
+++ b/src/runtime/caller_request.cc
@@ -130,7 +130,6 @@
 }
 
 absl::StatusOr<ParsedRequest> ParseCallerRequest(const HttpRequest& request, CompletionShape shape) {
-  if (request.body_too_large) return Invalid("the body is larger than this node takes; shorten it");
   ParsedRequest parsed;
   parsed.shape = shape;
   const absl::Status headers = ReadHeaders(request, &parsed.spec);
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -1,191 +1,121 @@
 #include "src/runtime/http_client.h"
 
-#include <curl/curl.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace saltquay {
 namespace {
 
-constexpr int kPollMilliseconds = 1000;
-constexpr long kMaxConnections = 4096;
-constexpr long kHttpOk = 200;
-constexpr long kHttpMultipleChoices = 300;
-constexpr std::size_t kIdleHandleLimit = 256;
+constexpr int kHttpOk = 200;
+constexpr int kHttpMultipleChoices = 300;
+constexpr std::string_view kScheme = "http://";
 
-bool NeverConnected(CURL* handle, CURLcode code) {
-  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) return true;
-  curl_off_t connect_time = 0;
-  curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connect_time);
-  return code == CURLE_OPERATION_TIMEDOUT && connect_time == 0;
+struct Url {
+  std::string address;
+  std::string target = "/";
+};
+
+Url ParseUrl(std::string_view text) {
+  if (text.starts_with(kScheme)) text.remove_prefix(kScheme.size());
+  Url url;
+  const std::size_t slash = text.find('/');
+  url.address = std::string(text.substr(0, slash));
+  if (slash != std::string_view::npos) url.target = std::string(text.substr(slash));
+  return url;
+}
+
+http::RequestHead MakeHead(const HttpCall& call, const Url& url) {
+  http::RequestHead head;
+  head.method = call.method;
+  head.target = url.target;
+  head.fields.Add("Host", url.address);
+  for (const std::string& header : call.headers) {
+    const std::size_t colon = header.find(':');
+    if (colon == std::string::npos) continue;
+    const std::size_t value = header.find_first_not_of(' ', colon + 1);
+    head.fields.Add(header.substr(0, colon), value == std::string::npos ? "" : header.substr(value));
+  }
+  return head;
 }
 
 }  // namespace
 
 struct HttpClient::Transfer {
-  CallId id = 0;
+  explicit Transfer(boost::asio::io_context& loop) : timer(loop) {}
   HttpCall call;
-  CURL* handle = nullptr;
-  curl_slist* headers = nullptr;
+  std::unique_ptr<http::Call> sent;
+  boost::asio::steady_timer timer;
+  int status = 0;
   std::string body;
-
-  static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* closure) {
-    auto* transfer = static_cast<Transfer*>(closure);
-    const std::size_t bytes = size * count;
-    long status = 0;
-    curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE, &status);
-    const bool streams = transfer->call.on_data && status >= kHttpOk && status < kHttpMultipleChoices;
-    if (streams) {
-      transfer->call.on_data(std::string_view(data, bytes));
-    } else {
-      transfer->body.append(data, bytes);
-    }
-    return bytes;
-  }
 };
 
 HttpClient::HttpClient() {
-  static std::once_flag once;
-  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
-  multi_ = curl_multi_init();
-  curl_multi_setopt(static_cast<CURLM*>(multi_), CURLMOPT_MAXCONNECTS, kMaxConnections);
-  thread_ = std::thread([this] { Run(); });
+  thread_ = std::thread([this] {
+    const auto guard = boost::asio::make_work_guard(loop_);
+    loop_.run();
+  });
 }
 
 HttpClient::~HttpClient() {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    stopping_ = true;
-  }
-  curl_multi_wakeup(static_cast<CURLM*>(multi_));
+  loop_.stop();
   thread_.join();
-  for (auto& [id, transfer] : active_) {
-    curl_multi_remove_handle(static_cast<CURLM*>(multi_), transfer->handle);
-    curl_easy_cleanup(transfer->handle);
-    curl_slist_free_all(transfer->headers);
-  }
-  for (void* handle : idle_handles_) curl_easy_cleanup(static_cast<CURL*>(handle));
-  curl_multi_cleanup(static_cast<CURLM*>(multi_));
 }
 
 HttpClient::CallId HttpClient::Begin(HttpCall call) {
-  auto transfer = std::make_unique<Transfer>();
-  transfer->call = std::move(call);
   CallId id = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     id = ++last_id_;
-    transfer->id = id;
-    queued_.push_back(std::move(transfer));
   }
-  curl_multi_wakeup(static_cast<CURLM*>(multi_));
+  boost::asio::post(loop_, [this, id, call = std::move(call)]() mutable { Start(id, std::move(call)); });
   return id;
 }
 
 void HttpClient::Cancel(CallId id) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    cancels_.push_back(id);
-  }
-  curl_multi_wakeup(static_cast<CURLM*>(multi_));
-}
-
-void HttpClient::StartTransfer(std::unique_ptr<Transfer> transfer) {
-  CURL* handle = nullptr;
-  if (idle_handles_.empty()) {
-    handle = curl_easy_init();
-  } else {
-    handle = static_cast<CURL*>(idle_handles_.back());
-    idle_handles_.pop_back();
-  }
-  const HttpCall& call = transfer->call;
-  transfer->handle = handle;
-  for (const std::string& header : call.headers) {
-    transfer->headers = curl_slist_append(transfer->headers, header.c_str());
-  }
-  // Otherwise curl asks leave before a large body and waits for the answer.
-  transfer->headers = curl_slist_append(transfer->headers, "Expect:");
-  curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
-  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-  if (call.method != "GET") {
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
-  }
-  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer->headers);
-  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
-  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connect_timeout.count()));
-  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
-  curl_easy_setopt(handle, CURLOPT_WRITEDATA, transfer.get());
-  curl_easy_setopt(handle, CURLOPT_PRIVATE, transfer.get());
-  curl_multi_add_handle(static_cast<CURLM*>(multi_), handle);
-  active_[transfer->id] = std::move(transfer);
-}
-
-void HttpClient::StartQueued() {
-  std::vector<std::unique_ptr<Transfer>> queued;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    queued.swap(queued_);
-  }
-  for (std::unique_ptr<Transfer>& transfer : queued) StartTransfer(std::move(transfer));
+  boost::asio::post(loop_, [this, id] { Finish(id, HttpResult::kCancelled); });
 }
 
-void HttpClient::CancelQueued() {
-  std::vector<CallId> cancels;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    cancels.swap(cancels_);
-  }
-  for (const CallId id : cancels) {
-    const auto entry = active_.find(id);
-    if (entry != active_.end()) Finish(entry->second.get(), HttpResult::kCancelled, 0);
-  }
+void HttpClient::Start(CallId id, HttpCall call) {
+  const auto transfer = std::make_shared<Transfer>(loop_);
+  transfer->call = std::move(call);
+  active_[id] = transfer;
+  const Url url = ParseUrl(transfer->call.url);
+  const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(url.address);
+  if (!endpoint.ok()) return Finish(id, HttpResult::kNotSent);
+  http::CallHandlers handlers;
+  handlers.on_head = [transfer](const http::ResponseHead& head) { transfer->status = head.status; };
+  handlers.on_body = [transfer](std::string_view bytes) {
+    const bool success = transfer->status >= kHttpOk && transfer->status < kHttpMultipleChoices;
+    if (success && transfer->call.on_data) return transfer->call.on_data(bytes);
+    transfer->body += bytes;
+  };
+  handlers.on_complete = [this, id] { Finish(id, HttpResult::kAnswered); };
+  handlers.on_failure = [this, id](http::CallFailure failure) {
+    Finish(id, failure == http::CallFailure::kNotSent ? HttpResult::kNotSent : HttpResult::kBroken);
+  };
+  http::CallOptions options;
+  options.connect_timeout = transfer->call.connect_timeout;
+  options.head_request = transfer->call.method == "HEAD";
+  transfer->sent =
+      client_.Start(*endpoint, url.address, http::SerializeRequest(MakeHead(transfer->call, url), transfer->call.body),
+                    options, std::move(handlers));
+  if (transfer->call.timeout.count() == 0) return;
+  transfer->timer.expires_after(transfer->call.timeout);
+  transfer->timer.async_wait([this, id](boost::system::error_code error) {
+    if (!error) Finish(id, HttpResult::kBroken);
+  });
 }
 
-void HttpClient::Finish(Transfer* transfer, HttpResult result, long status) {
-  curl_multi_remove_handle(static_cast<CURLM*>(multi_), transfer->handle);
-  if (idle_handles_.size() < kIdleHandleLimit) {
-    curl_easy_reset(transfer->handle);
-    idle_handles_.push_back(transfer->handle);
-  } else {
-    curl_easy_cleanup(transfer->handle);
-  }
-  curl_slist_free_all(transfer->headers);
-  const auto entry = active_.find(transfer->id);
-  const std::unique_ptr<Transfer> owned = std::move(entry->second);
+void HttpClient::Finish(CallId id, HttpResult result) {
+  const auto entry = active_.find(id);
+  if (entry == active_.end()) return;
+  const std::shared_ptr<Transfer> transfer = entry->second;
   active_.erase(entry);
-  if (owned->call.on_done) owned->call.on_done(result, status, std::move(owned->body));
-}
-
-void HttpClient::CollectDone() {
-  int left = 0;
-  while (CURLMsg* message = curl_multi_info_read(static_cast<CURLM*>(multi_), &left)) {
-    if (message->msg != CURLMSG_DONE) continue;
-    CURL* handle = message->easy_handle;
-    const CURLcode code = message->data.result;
-    void* closure = nullptr;
-    long status = 0;
-    curl_easy_getinfo(handle, CURLINFO_PRIVATE, &closure);
-    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-    HttpResult result = HttpResult::kAnswered;
-    if (code != CURLE_OK) result = NeverConnected(handle, code) ? HttpResult::kNotSent : HttpResult::kBroken;
-    Finish(static_cast<Transfer*>(closure), result, status);
-  }
-}
-
-void HttpClient::Run() {
-  while (true) {
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      if (stopping_) return;
-    }
-    StartQueued();
-    CancelQueued();
-    int running = 0;
-    curl_multi_perform(static_cast<CURLM*>(multi_), &running);
-    CollectDone();
-    curl_multi_poll(static_cast<CURLM*>(multi_), nullptr, 0, kPollMilliseconds, nullptr);
-  }
+  transfer->timer.cancel();
+  // The call may be what runs now: it ends after this.
+  boost::asio::post(loop_, [transfer] { transfer->sent.reset(); });
+  if (transfer->call.on_done) transfer->call.on_done(result, transfer->status, std::move(transfer->body));
 }
 
 }  // namespace saltquay
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -1,4 +1,4 @@
-// HTTP client on libcurl's multi interface: one thread, reused connections.
+// src/http's client on a thread of its own, for callers on any thread.
 #pragma once
 
 #include <chrono>
@@ -12,19 +12,21 @@
 #include <thread>
 #include <vector>
 
+#include "src/http/client.h"
+
 namespace saltquay {
 
 // How a call ended.
 enum class HttpResult {
   kAnswered,   // A status and a whole body came.
-  kNotSent,    // No connection was made; the server never got it.
+  kNotSent,    // The server never got it.
   kBroken,     // It may have been sent; no whole answer came.
   kCancelled,  // By Cancel().
 };
 
 struct HttpCall {
   std::string method = "GET";
-  std::string url;
+  std::string url;  // http://IPV4:PORT/PATH
   std::string body;
   std::vector<std::string> headers;         // "Name: value".
   std::chrono::milliseconds timeout{5000};  // 0: none, for streams.
@@ -35,7 +37,8 @@
   std::function<void(HttpResult result, long status, std::string body)> on_done;
 };
 
-// Thread-safe. Callbacks run on the client's thread and must not block.
+// Thread-safe. Callbacks run on the client's thread and must not block. A
+// request is sent once: nothing here sends it again.
 class HttpClient {
  public:
   using CallId = std::uint64_t;
@@ -52,22 +55,14 @@
  private:
   struct Transfer;
 
-  void Run();
-  void StartQueued();
-  void StartTransfer(std::unique_ptr<Transfer> transfer);
-  void CancelQueued();
-  void CollectDone();
-  void Finish(Transfer* transfer, HttpResult result, long status);
+  void Start(CallId id, HttpCall call);
+  void Finish(CallId id, HttpResult result);
 
-  void* multi_ = nullptr;
+  boost::asio::io_context loop_;
+  http::Client client_{loop_};
   std::mutex mutex_;
-  bool stopping_ = false;
   CallId last_id_ = 0;
-  std::vector<std::unique_ptr<Transfer>> queued_;
-  std::vector<CallId> cancels_;
-  // Only the client's thread.
-  std::map<CallId, std::unique_ptr<Transfer>> active_;
-  std::vector<void*> idle_handles_;
+  std::map<CallId, std::shared_ptr<Transfer>> active_;  // Only the client's thread.
   std::thread thread_;
 };
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -1,8 +1,9 @@
-// HTTP/1.1 server on libmicrohttpd.
+// The product's own HTTP/1.1 interface: src/http's server on a thread of its
+// own, for handlers that answer from any thread.
 //
-// The handler runs on the server's threads and must not block: it keeps the
-// exchange and answers from any thread, at once or later, whole or as a
-// stream. A waiting exchange holds no thread.
+// The handler runs on the server's thread and must not block: it keeps the
+// exchange and answers at once or later, whole or as a stream. A waiting
+// exchange holds no thread.
 #pragma once
 
 #include <cstddef>
@@ -11,14 +12,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "src/base/status.h"
-
-struct MHD_Connection;
-struct MHD_Daemon;
+#include "src/http/server.h"
 
 namespace saltquay {
 
@@ -33,7 +32,6 @@
   std::map<std::string, std::string> headers;  // Names in lower case.
   std::map<std::string, std::string> query;
   std::string body;
-  bool body_too_large = false;
 
   // The header's value, or "".
   std::string Header(const std::string& name) const;
@@ -42,6 +40,8 @@
 // One request and its answer. Thread-safe.
 class HttpExchange {
  public:
+  HttpExchange(std::shared_ptr<boost::asio::io_context> loop, std::shared_ptr<http::Exchange> exchange);
+
   const HttpRequest& request() const { return request_; }
 
   // Answers whole. Only the first answer counts.
@@ -56,36 +56,23 @@
 
  private:
   friend class HttpServer;
-  friend struct HttpServerCallbacks;
-
-  void ResumeLocked();
-  void Close(bool completed);
+  void OnClientLeft();
 
   HttpRequest request_;
-  MHD_Connection* connection_ = nullptr;
-  int socket_ = -1;
+  std::shared_ptr<boost::asio::io_context> loop_;
+  std::shared_ptr<http::Exchange> exchange_;  // Used on the loop's thread only.
   std::mutex mutex_;
-  bool dispatched_ = false;
-  bool answered_ = false;
-  bool streaming_ = false;
-  bool ended_ = false;
   bool closed_ = false;
-  bool suspended_ = false;
-  unsigned status_ = 0;
-  std::vector<HttpHeader> response_headers_;
-  std::string buffer_;
-  std::size_t sent_ = 0;
   std::function<void()> on_closed_;
-  std::shared_ptr<HttpExchange> self_;  // Held by the connection.
 };
 
 struct HttpServerOptions {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;  // 0: any free port.
-  unsigned threads = 2;
   std::size_t max_body_bytes = 4 * 1024 * 1024;
   unsigned idle_timeout_seconds = 30;  // Of a client that sends nothing.
-  unsigned max_connections = 8192;
+  // The body of an answer to what cannot be read, by its status; may be empty.
+  std::function<std::string(int)> rejection_body;
 };
 
 class HttpServer {
@@ -100,19 +87,15 @@
 
   std::uint16_t port() const { return port_; }
 
-  // Closes exchanges whose client is gone while they wait. Call now and then.
-  void CheckClients();
-
  private:
-  friend struct HttpServerCallbacks;
-  HttpServer(const HttpServerOptions& options, Handler handler) : options_(options), handler_(std::move(handler)) {}
+  explicit HttpServer(Handler handler);
+  void Handle(const std::shared_ptr<http::Exchange>& raw);
 
-  HttpServerOptions options_;
+  std::shared_ptr<boost::asio::io_context> loop_;
   Handler handler_;
-  MHD_Daemon* daemon_ = nullptr;
+  std::unique_ptr<http::Server> server_;
   std::uint16_t port_ = 0;
-  std::mutex mutex_;
-  std::set<std::shared_ptr<HttpExchange>> open_;
+  std::thread thread_;
 };
 
 }  // namespace saltquay
--- a/src/runtime/node_server.cc
+++ b/src/runtime/node_server.cc
@@ -14,15 +14,22 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kServiceUnavailable = 503;
-constexpr unsigned kPayloadTooLarge = 413;
+constexpr int kPayloadTooLarge = 413;
 constexpr char kOperatorPrefix[] = "/admin/bundles/";
 
 std::vector<HttpHeader> JsonHeaders() { return {{"Content-Type", "application/json"}}; }
 
 void RespondError(const std::shared_ptr<HttpExchange>& exchange, const absl::Status& status,
                   const std::string& outcome) {
-  const unsigned code = exchange->request().body_too_large ? kPayloadTooLarge : HttpStatusOf(KindOf(status));
-  exchange->Respond(code, RefusalHeaders(outcome, std::nullopt), ErrorJson(status, outcome, std::nullopt));
+  exchange->Respond(HttpStatusOf(KindOf(status)), RefusalHeaders(outcome, std::nullopt),
+                    ErrorJson(status, outcome, std::nullopt));
+}
+
+// What a caller gets whose request cannot be read.
+std::string RejectionJson(int status) {
+  const char* text = status == kPayloadTooLarge ? "the body is larger than this node takes; shorten it"
+                                                : "the request is not HTTP/1.1 as this node takes it; mend it";
+  return ErrorJson(MakeError(ErrorKind::kInvalidRequest, text), "not_run", std::nullopt);
 }
 
 // The command that an operator's request stands for.
@@ -68,9 +75,9 @@
   HttpServerOptions options;
   options.address = settings.http_listen.host;
   options.port = settings.http_listen.port;
-  options.threads = settings.http_threads;
   options.max_body_bytes = settings.max_body_bytes;
   options.idle_timeout_seconds = settings.idle_timeout_seconds;
+  options.rejection_body = &RejectionJson;
   absl::StatusOr<std::unique_ptr<HttpServer>> http = HttpServer::Start(
       options, [raw = server.get()](const std::shared_ptr<HttpExchange>& exchange) { raw->Handle(exchange); });
   if (!http.ok()) return http.status();
--- a/src/runtime/node_server.h
+++ b/src/runtime/node_server.h
@@ -22,8 +22,6 @@
 
   std::uint16_t http_port() const { return http_->port(); }
   NodeDriver& driver() { return *driver_; }
-  // Looks for callers that left while they waited. Call now and then.
-  void CheckClients() { http_->CheckClients(); }
 
   void OnTokens(const DeliverTokens& tokens) override;
   void OnFinished(const FinishRequest& finish) override;
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -98,7 +98,6 @@
   settings.log_format = ReadLogFormat(root);
   settings.max_body_bytes =
       static_cast<std::size_t>(root.Integer("max_body_bytes", 1024, kLargestBody, 4 * 1024 * 1024));
-  settings.http_threads = static_cast<unsigned>(root.Integer("http_threads", 1, 64, 2));
   settings.idle_timeout_seconds = static_cast<unsigned>(root.Integer("idle_timeout_seconds", 1, 3600, 30));
   root.RejectUnreadKeys();
   if (!root.status().ok()) return root.status();
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -22,7 +22,6 @@
   std::vector<std::string> seeds;  // "id@ip:port" of some nodes' peer ports.
   LogFormat log_format = LogFormat::kText;
   std::size_t max_body_bytes = 4 * 1024 * 1024;
-  unsigned http_threads = 2;
   unsigned idle_timeout_seconds = 30;
 };
 
--- a/tests/runtime/runtime_test.cc
+++ b/tests/runtime/runtime_test.cc
@@ -20,6 +20,7 @@
 #include "src/runtime/peer_transport.h"
 #include "src/runtime/platform_protocol.h"
 #include "src/runtime/settings.h"
+#include "tests/support/scripted_server.h"
 
 namespace saltquay {
 namespace {
@@ -38,7 +39,7 @@
 TEST(SettingsTest, MistakesAreRefusedWithFileLineKeyAndRemedy) {
   const std::pair<const char*, const char*> cases[] = {
       {"nod_id = 3\n", "s.toml:4: key 'nod_id' is unknown"},
-      {"http_threads = 1000\n", "s.toml:4: key 'http_threads' is 1000, out of range"},
+      {"idle_timeout_seconds = 9000\n", "s.toml:4: key 'idle_timeout_seconds' is 9000, out of range"},
       {"http_listen = \"nowhere\"\n", "s.toml:4: key 'http_listen'"},
       {"max_body_bytes = \"big\"\n", "is not an integer"},
       {"log_format = \"xml\"\n", "text"},
@@ -151,8 +152,8 @@
   std::thread answerer;
   HttpServerOptions options;
   options.max_body_bytes = 100;
+  options.rejection_body = [](int) { return "large"; };
   auto server = HttpServer::Start(options, [&](const std::shared_ptr<HttpExchange>& exchange) {
-    if (exchange->request().body_too_large) return exchange->Respond(413, {}, "large");
     if (exchange->request().path == "/whole") return exchange->Respond(200, {}, exchange->request().body);
     answerer = std::thread([exchange] {
       exchange->BeginStream(200, {});
@@ -172,7 +173,9 @@
   call.body = "hello";
   EXPECT_EQ(Call(client, call).body, "hello");
   call.body = std::string(101, 'x');
-  EXPECT_EQ(Call(client, call).status, 413);
+  const CallResult large = Call(client, call);
+  EXPECT_EQ(large.status, 413);
+  EXPECT_EQ(large.body, "large");
   call.url = base + "/stream";
   call.body = "";
   EXPECT_EQ(Call(client, call).body, "one two three");
@@ -191,7 +194,7 @@
   call.timeout = std::chrono::milliseconds(100);
   EXPECT_EQ(Call(client, call).result, HttpResult::kBroken);
   std::future<void> noticed = closed.get_future();
-  while (noticed.wait_for(std::chrono::milliseconds(10)) != std::future_status::ready) (*server)->CheckClients();
+  EXPECT_EQ(noticed.wait_for(std::chrono::seconds(2)), std::future_status::ready);
 }
 
 TEST(HttpTest, NobodyListeningMeansNotSent) {
@@ -226,5 +229,37 @@
   EXPECT_EQ(received.get_future().get().sender, message.sender);
 }
 
+TEST(HttpClientTest, ARequestOnADyingConnectionArrivesOnce) {
+  // libcurl sent it again by itself: work that may run once could run twice.
+  std::atomic<int> arrived = 0;
+  const auto count = [&](testing::ScriptedConnection& connection) {
+    if (connection.ReadUntil("payload").find("payload") != std::string::npos) ++arrived;
+  };
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  testing::ScriptedServer server({[&](testing::ScriptedConnection& connection) {
+                                    count(connection);
+                                    connection.Write(answer);
+                                    count(connection);  // Read, and closed without an answer.
+                                  },
+                                  [&](testing::ScriptedConnection& connection) {
+                                    count(connection);
+                                    connection.Write(answer);
+                                  }});
+  HttpClient client;
+  HttpResult last = HttpResult::kCancelled;
+  for (int i = 0; i < 2; ++i) {
+    std::promise<HttpResult> done;
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + server.address() + "/x";
+    call.body = "payload";
+    call.on_done = [&](HttpResult result, long /*status*/, const std::string& /*body*/) { done.set_value(result); };
+    client.Begin(std::move(call));
+    last = done.get_future().get();
+  }
+  EXPECT_EQ(last, HttpResult::kBroken);
+  EXPECT_EQ(arrived, 2);
+}
+
 }  // namespace
 }  // namespace saltquay
