Engines without stages serve; out engines are not counted as kept; prompts a hung engine holds are read elsewhere

Change: engines without stages read and answer, at the homes of the parts; engines that are out do not count as kept and a stage without any is filled at once; at least a third (three) of the engines known stay in each stage; a reading is given up after 1.5 s plus three times what the whole prompt and the backlog should take; the read rate follows the median.

Tests for each cause in tests/core/serving.

--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -9,7 +9,9 @@
 namespace saltquay::serving {
 namespace {
 
-constexpr double kRateSmoothing = 0.1;
+// Single readings look too slow (shared parts were read along) or too fast (the
+// whole prompt was kept): the estimate follows their median by small steps.
+constexpr double kRateStep = 1.03;
 constexpr std::size_t kMostParts = 20000;
 constexpr double kMillisecond = 1000.0;  // In microseconds.
 
@@ -80,11 +82,11 @@
   });
 }
 
-EngineState* EngineSelector::ChoosePrefill(EngineDirectory& engines, const std::string& service,
-                                           const PromptFacts& prompt, const EngineIds& tried, Time now) {
-  const Homes homes = FindHomes(engines, service, prompt, now);
-  const double pressure = MeanBacklog(engines, service) / knobs_.pressure_ms;
-  return Cheapest(engines, service, EngineStage::kPrefill, tried, now, [&](const EngineState& engine) {
+EngineState* EngineSelector::ChooseReader(EngineDirectory& engines, const std::string& service, EngineStage stage,
+                                          const PromptFacts& prompt, const EngineIds& tried, Time now) {
+  const Homes homes = FindHomes(engines, service, stage, prompt, now);
+  const double pressure = MeanBacklog(engines, service, stage) / knobs_.pressure_ms;
+  return Cheapest(engines, service, stage, tried, now, [&](const EngineState& engine) {
     if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
     double reread = knobs_.reread_weight + pressure;
     if (&engine == homes.first) reread = 0;
@@ -94,7 +96,7 @@
 }
 
 // The first two engines in the part's rendezvous order, of those that may get work.
-EngineSelector::Homes EngineSelector::FindHomes(EngineDirectory& engines, const std::string& service,
+EngineSelector::Homes EngineSelector::FindHomes(EngineDirectory& engines, const std::string& service, EngineStage stage,
                                                 const PromptFacts& prompt, Time now) {
   Homes homes;
   const PromptPart* part = HomePart(prompt);
@@ -103,7 +105,7 @@
   std::uint64_t second_rank = 0;
   engines.ForEachServing(service, [&](EngineState& engine) {
     const bool out = now < std::max({engine.ejected_until, engine.held_until, engine.changing_until});
-    if (engine.record.stage != EngineStage::kPrefill || out) return;
+    if (engine.record.stage != stage || out) return;
     const std::uint64_t rank = HashPair(HashText(part->id), HashText(engine.record.id));
     if (homes.first == nullptr || rank > first_rank) {
       homes.second = homes.first;
@@ -119,11 +121,11 @@
 }
 
 // Milliseconds of reading that wait at the service's prefill engines, on average.
-double EngineSelector::MeanBacklog(EngineDirectory& engines, const std::string& service) const {
+double EngineSelector::MeanBacklog(EngineDirectory& engines, const std::string& service, EngineStage stage) const {
   double tokens = 0;
   int count = 0;
   engines.ForEachServing(service, [&](EngineState& engine) {
-    if (engine.record.stage != EngineStage::kPrefill) return;
+    if (engine.record.stage != stage) return;
     tokens += static_cast<double>(engine.outstanding_prompt_tokens + engine.peers_prompt_tokens);
     ++count;
   });
@@ -140,7 +142,9 @@
   const bool kept = reread_weight == 0 || (part != nullptr && Keeps(engine.record.id, part->id, now));
   const double reread = kept ? 0.0 : reread_weight * SharedTokens(prompt) / read_rate();
   const double remote = engine.record.zone == zone_ ? 0.0 : knobs_.remote_prefill_ms;
-  return backlog + reread + remote;
+  const bool answers_too = engine.record.stage == EngineStage::kUniform;
+  const double answering = answers_too ? knobs_.answering_ms * EstimatedLoad(engine, now) : 0.0;
+  return backlog + reread + remote + answering;
 }
 
 bool EngineSelector::Keeps(const std::string& engine_id, const std::string& part, Time now) const {
@@ -156,7 +160,7 @@
 void EngineSelector::NotePrefillTime(std::int64_t tokens, Duration time) {
   if (tokens <= 0 || time <= 0s) return;
   const double rate = static_cast<double>(tokens) * kMillisecond / static_cast<double>(time.count());
-  read_rate_ = read_rate_ == 0 ? rate : read_rate_ + kRateSmoothing * (rate - read_rate_);
+  read_rate_ = rate > read_rate() ? read_rate() * kRateStep : read_rate() / kRateStep;
 }
 
 }  // namespace saltquay::serving
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -29,8 +29,10 @@
   // Each returns nullptr where no engine can take the attempt. Engines in
   // `tried` are taken only when `tried` says nothing else is left, never twice.
   EngineState* ChooseUniform(EngineDirectory& engines, const std::string& service, const EngineIds& tried, Time now);
-  EngineState* ChoosePrefill(EngineDirectory& engines, const std::string& service, const PromptFacts& prompt,
-                             const EngineIds& tried, Time now);
+  // The engine that reads the prompt: of stage kPrefill, or of kUniform where
+  // the service's engines read and answer alike.
+  EngineState* ChooseReader(EngineDirectory& engines, const std::string& service, EngineStage stage,
+                            const PromptFacts& prompt, const EngineIds& tried, Time now);
   EngineState* ChooseDecode(EngineDirectory& engines, const std::string& service, const std::string& memory_zone,
                             const EngineIds& tried, Time now);
 
@@ -53,8 +55,9 @@
     const EngineState* first = nullptr;
     const EngineState* second = nullptr;
   };
-  Homes FindHomes(EngineDirectory& engines, const std::string& service, const PromptFacts& prompt, Time now);
-  double MeanBacklog(EngineDirectory& engines, const std::string& service) const;
+  Homes FindHomes(EngineDirectory& engines, const std::string& service, EngineStage stage, const PromptFacts& prompt,
+                  Time now);
+  double MeanBacklog(EngineDirectory& engines, const std::string& service, EngineStage stage) const;
   // `reread_weight`: of the time to read the shared parts again; 0 at home.
   double PrefillCost(const EngineState& engine, const PromptFacts& prompt, double reread_weight, Time now) const;
   bool Keeps(const std::string& engine_id, const std::string& part, Time now) const;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -39,7 +39,8 @@
 bool ServingCore::StartPrefill(Flow& flow) {
   const bool extra = flow.prefills > 0;
   if (extra && allowance_.Left(flow.service, now_) < 1) return false;
-  EngineState* engine = selector_.ChoosePrefill(engines_, flow.service, *flow.facts.prompt, flow.tried, now_);
+  EngineState* engine =
+      selector_.ChooseReader(engines_, flow.service, EngineStage::kPrefill, *flow.facts.prompt, flow.tried, now_);
   if (engine == nullptr) return false;
   if (extra) allowance_.NoteExtra(flow.service, now_);
   ++flow.prefills;
@@ -61,7 +62,10 @@
 EngineState* ServingCore::ChooseRunEngine(Flow& flow, AttemptMode mode) {
   if (flow.language) {
     const std::string& zone = mode == AttemptMode::kContinue ? flow.memory_zone : std::string();
-    return selector_.ChooseDecode(engines_, flow.service, zone, flow.tried, now_);
+    EngineState* decode = selector_.ChooseDecode(engines_, flow.service, zone, flow.tried, now_);
+    if (decode != nullptr || mode == AttemptMode::kContinue) return decode;
+    // Engines without stages read and answer alike.
+    return selector_.ChooseReader(engines_, flow.service, EngineStage::kUniform, *flow.facts.prompt, flow.tried, now_);
   }
   return selector_.ChooseUniform(engines_, flow.service, flow.tried, now_);
 }
@@ -98,6 +102,7 @@
                   flow.route.name, flow.service, version(), engine.record.id, ModeName(mode), flow.tries,
                   selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
                   engine.outstanding_prompt_tokens, start.time_left.count() / 1000));
+  attempt.patience_ends = now_ + PatienceFor(flow, attempt, engine);
   MeterStart(flow, attempt);
   flow.attempts[attempt.id] = attempt;
   actions_->push_back(std::move(start));
@@ -233,18 +238,41 @@
   Retry(flow, "no answer in most of the objective");
 }
 
-// An engine that has said nothing to anybody since our request is taken out;
-// the request itself stays there, for it may be at work.
-void ServingCore::NoteSilence(Flow& flow) {
+// A reading may be awaited for some times what it should take; work that may
+// run once, for as long as the request has.
+Duration ServingCore::PatienceFor(const Flow& flow, const Attempt& attempt, const EngineState& engine) const {
+  if (attempt.mode != AttemptMode::kPrefill) return knobs_.silence;
+  constexpr double kMillisecond = 0.001;
+  // Shared parts may be read along; what was cut short would be read for nothing.
+  const auto tokens =
+      static_cast<double>(flow.facts.prompt->tokens + engine.outstanding_prompt_tokens + engine.peers_prompt_tokens);
+  const Duration expected = FromSeconds(kMillisecond * tokens / selector_.read_rate());
+  return knobs_.silence + FromSeconds(knobs_.prefill_patience * ToSeconds(expected));
+}
+
+// An engine that has said nothing to anybody since our request is taken out.
+// What is only read, or may run again, goes elsewhere; other work stays there.
+void ServingCore::CheckPatience(Flow& flow) {
   for (auto& [id, attempt] : flow.attempts) {
-    if (attempt.silence_noted || attempt.head_seen || now_ < attempt.sent_at + knobs_.silence) continue;
+    if (attempt.silence_noted || attempt.head_seen || now_ < attempt.patience_ends) continue;
     attempt.silence_noted = true;
     const EngineState* engine = engines_.Find(attempt.engine_id);
-    if (engine == nullptr || engine->last_heard > attempt.sent_at) continue;
-    LogStanding(engines_.NoteFailure(attempt.engine_id, "silent", now_));
+    const bool silent = engine == nullptr || engine->last_heard < attempt.sent_at;
+    if (silent) LogStanding(engines_.NoteFailure(attempt.engine_id, "silent", now_));
+    if (!GivesUpOn(flow, attempt, silent)) continue;
+    flow.tried.insert(attempt.engine_id);
+    actions_->push_back(CancelAttempt{id});
+    EndAttempt(flow, id);
+    return Retry(flow, "no answer from the engine");  // The attempts have changed.
   }
 }
 
+bool ServingCore::GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent) {
+  if (allowance_.Left(flow.service, now_) < 1 || flow.tries >= knobs_.most_tries) return false;
+  if (attempt.mode == AttemptMode::kPrefill) return true;
+  return silent && flow.route.kind == RouteKind::kStreaming && MayRunAgain(flow);
+}
+
 void ServingCore::TimeOut(Flow& flow) {
   if (flow.relaying) {
     CancelAttempts(flow, 0);
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -30,6 +30,8 @@
   double memory_zone_bonus = 5;
   // Milliseconds that sending a prompt to another zone's prefill engine is worth.
   double remote_prefill_ms = 15;
+  // Milliseconds by which each request under way delays another at an engine that reads and answers.
+  double answering_ms = 10;
   // Milliseconds of queueing that reading a shared part again is worth, for each millisecond it takes.
   double reread_weight = 1.3;
   // Under load that time is taken from others: the weight grows by one for each so many
@@ -50,6 +52,8 @@
   double hedge_share = 0.8;
   // An engine that said nothing for so long, with work under way, is taken out.
   Duration silence = 1500ms;
+  // A prompt whose reading takes so many times what it should is read elsewhere.
+  double prefill_patience = 3;
   // Connections come up within this share of the objective, and these bounds.
   double connect_share = 0.4;
   Duration shortest_connect = 60ms;
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -40,20 +40,26 @@
 void RoleController::Plan(Time now, const ServingConfig& config, const std::map<std::string, ServiceDemand>& demand,
                           EngineDirectory& engines, std::vector<RoleAction>& actions) {
   for (const Service& service : config.services) {
-    if (!service.language || now < cooled_at_[service.name]) continue;
+    if (!service.language) continue;
     const auto known = demand.find(service.name);
     const ServiceDemand asked = known == demand.end() ? ServiceDemand{service.name, 0, 0} : known->second;
     int prefill = 0;
     int decode = 0;
+    int known_engines = 0;
     bool changing = false;
     engines.ForEachServing(service.name, [&](EngineState& engine) {
       changing = changing || now < engine.changing_until;
+      ++known_engines;
+      // One that is out serves nobody: it must not count as what is kept.
+      if (now < std::max(engine.ejected_until, engine.changing_until)) return;
       if (engine.record.stage == EngineStage::kPrefill) ++prefill;
       if (engine.record.stage == EngineStage::kDecode) ++decode;
     });
     LogPlan(now, asked, prefill, decode, changing, actions);
-    if (changing) continue;
-    const std::optional<EngineStage> stage = PlanStageChange(knobs_.planner, asked, prefill, decode);
+    // A stage without any engine cannot wait for the change before.
+    const bool empty_stage = (prefill == 0) != (decode == 0);
+    if (!empty_stage && (changing || now < cooled_at_[service.name])) continue;
+    const std::optional<EngineStage> stage = PlanStageChange(knobs_.planner, asked, prefill, decode, known_engines);
     if (!stage) continue;
     const EngineState* engine = PickEngine(engines, service.name, OtherStage(*stage), now);
     if (engine == nullptr) continue;
--- a/src/core/serving/role_planner.cc
+++ b/src/core/serving/role_planner.cc
@@ -17,10 +17,11 @@
 }
 
 std::optional<EngineStage> PlanStageChange(const RolePlannerKnobs& knobs, const ServiceDemand& demand, int prefill,
-                                           int decode) {
+                                           int decode, int known) {
   const int engines = prefill + decode;
   if (engines < 2) return std::nullopt;
-  const int keep = std::clamp(engines / 3, 1, knobs.keep);
+  // What is out may not come back soon, but its loss must not lower what is kept.
+  const int keep = std::min(std::clamp(known / 3, 1, knobs.keep), engines / 2);
   const double ideal = std::clamp(IdealPrefillEngines(knobs, demand, engines), static_cast<double>(keep),
                                   static_cast<double>(engines - keep));
   const bool idle = demand.prefill_engines + demand.decode_engines < knobs.idle_demand;
--- a/src/core/serving/role_planner.h
+++ b/src/core/serving/role_planner.h
@@ -23,14 +23,15 @@
   double deadband = 1.4;                // The same under load: a change costs seconds of an engine.
   double pressed_deadband = 0.8;        // The same where the stage that would gain is nearly always busy.
   double pressed_load = 0.85;           // Demand for each engine of a stage, from where it is.
-  int keep = 2;                         // Of each stage, where there are that many.
+  int keep = 3;                         // Of each stage, or a third where there are fewer.
 };
 
 // Returns the ideal number of prefill engines of `engines`, as a fraction.
 double IdealPrefillEngines(const RolePlannerKnobs& knobs, const ServiceDemand& demand, int engines);
 
-// Returns the stage that one more engine should take, or nothing.
+// Returns the stage that one more engine should take, or nothing. `prefill` and
+// `decode` count engines that serve; `known` counts those that are out, too.
 std::optional<EngineStage> PlanStageChange(const RolePlannerKnobs& knobs, const ServiceDemand& demand, int prefill,
-                                           int decode);
+                                           int decode, int known);
 
 }  // namespace saltquay::serving
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -93,7 +93,8 @@
   constexpr double kSecond = 1000;
   constexpr double kDecodeReadsSlower = 2;
   if (attempt.mode == AttemptMode::kPrefill) {
-    meter.prefill.Add(milliseconds / kSecond, now_);
+    // Reading once more is the engines' failure, not the callers' demand.
+    if (flow.prefills <= 1) meter.prefill.Add(milliseconds / kSecond, now_);
   } else {
     meter.decode.Add(kDecodeReadsSlower * milliseconds / kSecond, now_);
   }
@@ -220,8 +221,9 @@
       TimeOut(*flow);
       continue;
     }
-    NoteSilence(*flow);
-    if (flow->hedge_at && now_ >= *flow->hedge_at) Hedge(*flow);
+    CheckPatience(*flow);
+    flow = FindFlow(id);
+    if (flow != nullptr && flow->hedge_at && now_ >= *flow->hedge_at) Hedge(*flow);
     flow = FindFlow(id);
     if (flow != nullptr && flow->waiting_until) Advance(*flow);
     flow = FindFlow(id);
@@ -241,7 +243,7 @@
   if (flow.hedge_at && *flow.hedge_at > now_) at = std::min(at, *flow.hedge_at);
   if (flow.waiting_until) at = std::min({at, *flow.waiting_until, now_ + kWaitStep});
   for (const auto& [id, attempt] : flow.attempts) {
-    if (!attempt.silence_noted && !attempt.head_seen) at = std::min(at, attempt.sent_at + knobs_.silence);
+    if (!attempt.silence_noted && !attempt.head_seen) at = std::min(at, attempt.patience_ends);
   }
   const auto armed = armed_.find(flow.id);
   if (armed != armed_.end()) deadlines_.erase({armed->second, flow.id});
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -32,6 +32,7 @@
   std::int64_t prompt_tokens = 0;  // That it reads, by our reckoning.
   bool head_seen = false;          // Of an answer that the engine made itself.
   AnswerFacts answer;
+  Time patience_ends{};  // Without an answer by then, it is looked into once.
   bool silence_noted = false;
   std::optional<MemorySource> memory;  // That it was to take.
   bool alone_at_start = false;         // Nothing else of ours was under way there.
@@ -110,7 +111,9 @@
   bool MayRunAgain(const Flow& flow) const;
   void Hedge(Flow& flow);
   void TimeOut(Flow& flow);
-  void NoteSilence(Flow& flow);
+  void CheckPatience(Flow& flow);
+  bool GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent);
+  Duration PatienceFor(const Flow& flow, const Attempt& attempt, const EngineState& engine) const;
 
   // Ends of a flow.
   void Refuse(Flow& flow, std::string_view cause);
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -111,24 +111,25 @@
   std::map<std::string, std::string> homes;
   for (int part = 0; part < 60; ++part) {
     const std::string name = "part" + std::to_string(part);
-    EngineState* home = selector_.ChoosePrefill(engines_, "s", Prompt(name), {}, Time{1s});
-    EXPECT_EQ(home, other_node_.ChoosePrefill(engines_, "s", Prompt(name), {}, Time{1s}));
+    EngineState* home = selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt(name), {}, Time{1s});
+    EXPECT_EQ(home, other_node_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt(name), {}, Time{1s}));
     homes[name] = home->record.id;
   }
   engines_.Remove("p3");
   for (const auto& [part, home] : homes) {
     if (home == "p3") continue;
-    EXPECT_EQ(selector_.ChoosePrefill(engines_, "s", Prompt(part), {}, Time{1s})->record.id, home);
+    EXPECT_EQ(selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt(part), {}, Time{1s})->record.id,
+              home);
   }
 }
 
 TEST_F(SelectorTest, ABacklogLargerThanReadingAgainSendsThePromptElsewhere) {
   for (int i = 0; i < 3; ++i) engines_.Update(Record("p" + std::to_string(i), EngineStage::kPrefill));
-  EngineState* home = selector_.ChoosePrefill(engines_, "s", Prompt("x"), {}, Time{1s});
+  EngineState* home = selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s});
   home->outstanding_prompt_tokens = 10000;
-  EXPECT_EQ(selector_.ChoosePrefill(engines_, "s", Prompt("x"), {}, Time{1s}), home);
+  EXPECT_EQ(selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s}), home);
   home->outstanding_prompt_tokens = 60000;
-  EXPECT_NE(selector_.ChoosePrefill(engines_, "s", Prompt("x"), {}, Time{1s}), home);
+  EXPECT_NE(selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s}), home);
 }
 
 TEST_F(SelectorTest, EnginesThatAreOutAreTheLastResort) {
--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -211,6 +211,31 @@
             0);
 }
 
+TEST_F(FlowTest, EnginesWithoutStagesReadAndAnswerAtThePartsHome) {
+  // Own site one-zone (no prefill share): every prompt was refused, for no engine had the stage looked for.
+  Send(EnginesReplaced{{MakeEngine("m1", "model", EngineStage::kUniform),
+                        MakeEngine("m2", "model", EngineStage::kUniform),
+                        MakeEngine("m3", "model", EngineStage::kUniform)}});
+  Arrive("chat", LongPrompt());
+  const auto first = One<StartAttempt>();
+  EXPECT_EQ(first.mode, AttemptMode::kWhole);
+  Answer(first, 200);
+  Send(AttemptCompleted{first.flow, first.attempt, ""});
+  Arrive("chat", LongPrompt());
+  EXPECT_EQ(One<StartAttempt>().engine_id, first.engine_id);
+}
+
+TEST_F(FlowTest, APromptThatAHungEngineDoesNotReadIsReadElsewhere) {
+  // Own day sick_engines: 13 requests waited for a hung prefill until their time was up.
+  Arrive("lone", LongPrompt());
+  const auto first = One<StartAttempt>();
+  Pass(3s);
+  EXPECT_EQ(All<CancelAttempt>().front().attempt, first.attempt);
+  const auto second = All<StartAttempt>().front();
+  EXPECT_EQ(second.mode, AttemptMode::kPrefill);
+  EXPECT_NE(second.engine_id, first.engine_id);
+}
+
 // Whatever engines do: one final answer, at-most-once work is sent again only
 // when it cannot have run, and runs stay within the route's attempts.
 RC_GTEST_FIXTURE_PROP(FlowTest, AnyOutcomesKeepThePromises, ()) {
--- a/tests/core/serving/roles_test.cc
+++ b/tests/core/serving/roles_test.cc
@@ -23,7 +23,7 @@
   int decode = *rc::gen::inRange(0, 12);
   RC_PRE(prefill + decode >= 2);
   for (int step = 0; step < 30; ++step) {
-    const auto stage = PlanStageChange(RolePlannerKnobs{}, demand, prefill, decode);
+    const auto stage = PlanStageChange(RolePlannerKnobs{}, demand, prefill, decode, prefill + decode);
     if (!stage) return;
     prefill += *stage == EngineStage::kPrefill ? 1 : -1;
     decode += *stage == EngineStage::kPrefill ? -1 : 1;
@@ -215,6 +215,21 @@
   EXPECT_TRUE(!next || next->engine_id != read->engine_id);
 }
 
+TEST_F(ControllerTest, EnginesThatAreOutDoNotCountAsKept) {
+  // Own day sick_engines --seed 3: the last decode engine that worked was turned, since dead ones counted beside it.
+  demand_["s"] = ServiceDemand{"s", 9.0, 0.5};
+  for (int i = 0; i < 4; ++i) engines_.Find("d" + std::to_string(i))->ejected_until = now_ + 60s;
+  EXPECT_FALSE(TickUntil<ReadEngineState>(5s));
+}
+
+TEST_F(ControllerTest, AStageWithoutEnginesDoesNotWaitForTheChangeBefore) {
+  for (int i = 0; i < 6; ++i) Add("d" + std::to_string(i), EngineStage::kPrefill);
+  engines_.Find("d0")->changing_until = now_ + 60s;
+  demand_["s"] = ServiceDemand{"s", 2.0, 1.0};
+  const auto read = TickUntil<ReadEngineState>(3s);
+  EXPECT_TRUE(read);
+}
+
 TEST_F(ControllerTest, NoPlanForNodesThatAreNotCandidates) {
   std::vector<RoleAction> actions;
   for (int i = 0; i < 100; ++i) controller_.OnTick(now_ + i * 50ms, false, config_, demand_, engines_, actions);
