--- /dev/null
+++ b/src/gateway/log_explainer.cc
@@ -0,0 +1,98 @@
+#include "src/gateway/log_explainer.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace saltquay::gateway {
+namespace {
+
+using nlohmann::json;
+
+bool IsBelief(const LogLine& line) { return line.request.empty(); }
+
+bool IsNodeBelief(const LogLine& line) {
+  return line.name == "store_contact" || line.name == "config_in_force" || line.name == "node_ready" ||
+         line.name == "node_stopping";
+}
+
+std::string EngineOf(const LogLine& line) {
+  const json members = json::parse(line.text, nullptr, false);
+  return members.is_object() ? members.value("engine", "") : "";
+}
+
+}  // namespace
+
+void LogExplainer::Read(std::istream& log, const std::string& source) {
+  std::string text;
+  for (int number = 1; std::getline(log, text); ++number) {
+    const std::size_t brace = text.find('{');
+    const json members = brace == std::string::npos ? json() : json::parse(text.substr(brace), nullptr, false);
+    const bool event = members.is_object() && members.contains("time_ms") && members["time_ms"].is_number_integer() &&
+                       members.contains("name") && members["name"].is_string();
+    if (!event) {
+      if (!text.empty()) bad_lines_.push_back({source, number});
+      continue;
+    }
+    const auto word = [&](const char* key) {
+      return members.contains(key) && members[key].is_string() ? members[key].get<std::string>() : std::string();
+    };
+    lines_.push_back(
+        {members["time_ms"].get<std::int64_t>(), word("process"), word("name"), word("request"), text.substr(brace)});
+  }
+  std::stable_sort(lines_.begin(), lines_.end(),
+                   [](const LogLine& first, const LogLine& second) { return first.time_ms < second.time_ms; });
+}
+
+std::vector<LogLine> LogExplainer::Request(const std::string& id) const {
+  std::set<std::pair<std::string, std::string>> engines;  // (node, engine)
+  std::set<std::string> nodes;
+  std::map<std::string, std::int64_t> last_at;
+  for (const LogLine& line : lines_) {
+    if (line.request != id) continue;
+    nodes.insert(line.process);
+    last_at[line.process] = line.time_ms;
+    const std::string engine = EngineOf(line);
+    if (!engine.empty()) engines.insert({line.process, engine});
+  }
+  std::map<std::string, std::size_t> last_belief;  // Subject -> its last line before the request's end.
+  std::set<std::size_t> chosen;
+  for (std::size_t i = 0; i < lines_.size(); ++i) {
+    const LogLine& line = lines_[i];
+    if (line.request == id) chosen.insert(i);
+    if (!IsBelief(line) || !nodes.contains(line.process) || line.time_ms > last_at[line.process]) continue;
+    const std::string engine = EngineOf(line);
+    if (!engine.empty() && engines.contains({line.process, engine})) {
+      last_belief[line.process + " " + engine + " " + line.name] = i;
+    } else if (IsNodeBelief(line)) {
+      last_belief[line.process + " " + line.name] = i;
+    }
+  }
+  for (const auto& [subject, index] : last_belief) chosen.insert(index);
+  std::vector<LogLine> life;
+  for (const std::size_t index : chosen) life.push_back(lines_[index]);
+  return life;
+}
+
+std::vector<LogLine> LogExplainer::Engine(const std::string& id) const {
+  std::vector<LogLine> beliefs;
+  for (const LogLine& line : lines_) {
+    if (IsBelief(line) && EngineOf(line) == id) beliefs.push_back(line);
+  }
+  return beliefs;
+}
+
+std::string FormatLogLine(const LogLine& line) {
+  json members = json::parse(line.text, nullptr, false);
+  for (const char* key : {"time_ms", "process", "name", "event", "level", "request"}) members.erase(key);
+  std::string details;
+  for (const auto& [key, value] : members.items()) {
+    details += fmt::format(" {}={}", key, value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return fmt::format("{} {} {}:{}", line.time_ms, line.process, line.name, details);
+}
+
+}  // namespace saltquay::gateway
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -111,7 +111,7 @@
 }
 
 std::string SerializeResponseHead(const ResponseHead& head, Framing framing, std::size_t length) {
-  const std::string_view reason = head.reason.empty() ? ReasonPhrase(head.status) : std::string_view(head.reason);
+  const std::string_view reason = head.reason.empty() ? ReasonPhrase(head.status) : std::string_view{head.reason};
   std::string text = "HTTP/1.1 ";
   text += std::to_string(head.status);
   text += ' ';
--- a/src/programs/saltquayctl.cc
+++ b/src/programs/saltquayctl.cc
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "src/core/bundle/bundle.h"
+#include "src/gateway/log_explainer.h"
 #include "src/runtime/http_client.h"
 #include "src/runtime/line_diff.h"
 #include "src/runtime/program.h"
@@ -35,7 +36,9 @@
     "  bundle status NAME              text, publisher and approver\n"
     "  bundle history                  generations rolled\n"
     "  bundle diff NAME NAME           lines that differ\n"
-    "  status                          nodes, engines, roles, lease, generation\n";
+    "  status                          nodes, engines, roles, lease, generation\n"
+    "  explain --request ID FILE...    a request's life, from the gateways' logs; --json: the lines themselves\n"
+    "  explain --engine ID FILE...     what the gateways believed of an engine\n";
 
 struct NodeAnswer {
   bool answered = false;
@@ -217,11 +220,38 @@
   return control.Command("roll", body);
 }
 
+int Explain(const std::vector<std::string>& files, const cxxopts::ParseResult& arguments) {
+  const bool by_request = arguments.count("request") > 0;
+  if (files.empty() || by_request == (arguments.count("engine") > 0)) return kExitUsage;
+  gateway::LogExplainer explainer;
+  for (const std::string& path : files) {
+    std::ifstream file(path);
+    if (!file) {
+      std::cerr << fmt::format("cannot read '{}'; check its path\n", path);
+      return kExitRefused;
+    }
+    explainer.Read(file, path);
+  }
+  const std::string id = arguments[by_request ? "request" : "engine"].as<std::string>();
+  const std::vector<gateway::LogLine> lines = by_request ? explainer.Request(id) : explainer.Engine(id);
+  for (const gateway::LogLine& line : lines) {
+    std::cout << (arguments.count("json") > 0 ? line.text : gateway::FormatLogLine(line)) << "\n";
+  }
+  for (const gateway::BadLine& bad : explainer.bad_lines()) {
+    std::cerr << fmt::format("{}:{}: not an event line, skipped\n", bad.source, bad.number);
+  }
+  if (!lines.empty()) return EXIT_SUCCESS;
+  std::cerr << fmt::format("no line names '{}'; check the id and that the logs cover its time\n", id);
+  return kExitRefused;
+}
+
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("saltquayctl", "Publishes, approves and rolls bundles; shows what runs.");
   options.add_options()("node", "A node's URL", cxxopts::value<std::string>()->default_value("http://127.0.0.1:8100"))(
       "operator", "Who you are", cxxopts::value<std::string>()->default_value(""))(
       "expect", "Generation that must be in force", cxxopts::value<std::uint64_t>())("json", "Answer as JSON")(
+      "request", "A request's id", cxxopts::value<std::string>())("engine", "An engine's id",
+                                                                  cxxopts::value<std::string>())(
       "words", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
   options.parse_positional({"words"});
   options.positional_help("COMMAND");
@@ -234,6 +264,7 @@
                   arguments.count("json") > 0);
   int code = kExitUsage;
   if (!words.empty() && words[0] == "status") code = control.Status();
+  if (!words.empty() && words[0] == "explain") code = Explain({words.begin() + 1, words.end()}, arguments);
   if (!words.empty() && words[0] == "bundle") code = RunBundle(control, words, arguments);
   if (code == kExitUsage) std::cerr << kCommands;
   return code;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -74,13 +74,13 @@
   request_.body = std::move(exchange_->body);
 }
 
-void HttpExchange::Respond(unsigned status, std::vector<HttpHeader> headers, std::string body) {
+void HttpExchange::Respond(unsigned status, const std::vector<HttpHeader>& headers, std::string body) {
   boost::asio::post(*loop_, [exchange = exchange_, head = MakeHead(status, headers), body = std::move(body)] {
     exchange->Respond(head, body);
   });
 }
 
-void HttpExchange::BeginStream(unsigned status, std::vector<HttpHeader> headers) {
+void HttpExchange::BeginStream(unsigned status, const std::vector<HttpHeader>& headers) {
   boost::asio::post(*loop_, [exchange = exchange_, head = MakeHead(status, headers)] { exchange->BeginStream(head); });
 }
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -45,9 +45,9 @@
   const HttpRequest& request() const { return request_; }
 
   // Answers whole. Only the first answer counts.
-  void Respond(unsigned status, std::vector<HttpHeader> headers, std::string body);
+  void Respond(unsigned status, const std::vector<HttpHeader>& headers, std::string body);
   // Begins a streamed answer; then Write any number of times, then EndStream.
-  void BeginStream(unsigned status, std::vector<HttpHeader> headers);
+  void BeginStream(unsigned status, const std::vector<HttpHeader>& headers);
   void Write(const std::string& bytes);
   void EndStream();
 
--- /dev/null
+++ b/tests/gateway/gateway_test.cc
@@ -0,0 +1,204 @@
+// A gateway between a real client and scripted engines: the failures that
+// docs/OPERATIONS.md walks through, and what the logs say of them.
+#include "src/gateway/gateway.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/post.hpp>
+
+#include "src/gateway/log_explainer.h"
+#include "tests/support/scripted_server.h"
+
+namespace saltquay::gateway {
+namespace {
+
+using saltquay::testing::ScriptedConnection;
+using saltquay::testing::ScriptedServer;
+
+class GatewayTest : public ::testing::Test {
+ protected:
+  GatewayTest() {
+    EXPECT_EQ(pipe(pipe_.data()), 0);
+    LogStreamOptions options;
+    options.file_descriptor = pipe_[1];
+    options.process_name = "node-1";
+    log_ = std::make_unique<LogStream>(options);
+    GatewaySettings settings;
+    settings.node_name = "node-1";
+    settings.zone = "a";
+    settings.knobs.retry_budget.slack = 100;
+    gateway_ = std::make_unique<Gateway>(loop_, settings, EngineProtocol(EngineProtocolNames{}), *log_, 3);
+    server_ = std::move(
+        *http::Server::Listen(loop_, "127.0.0.1:0", http::ServerLimits{},
+                              [this](const std::shared_ptr<http::Exchange>& exchange) { gateway_->Handle(exchange); }));
+  }
+  ~GatewayTest() override {
+    loop_.stop();
+    if (thread_.joinable()) thread_.join();
+    server_.reset();
+    gateway_.reset();
+    log_.reset();
+    close(pipe_[0]);
+    close(pipe_[1]);
+  }
+
+  void Serve(const std::vector<std::string>& engines, serving::RouteKind kind) {
+    serving::ServingConfig config;
+    config.version = 1;
+    serving::Route route;
+    route.name = "r";
+    route.host = "h";
+    route.path_prefix = "/";
+    route.services = {{"s", 1.0}};
+    route.kind = kind;
+    route.timeout = 2s;
+    route.objective = 400ms;
+    route.max_attempts = kind == serving::RouteKind::kRepeatable ? 2 : 1;
+    config.routes = {route};
+    config.services = {serving::Service{"s", "/health", 0, std::nullopt}};
+    serving::EnginesReplaced replaced;
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+      serving::EngineRecord record;
+      record.id = "e" + std::to_string(i);
+      record.service = "s";
+      record.address = engines[i];
+      record.zone = "a";
+      replaced.records.push_back(record);
+    }
+    gateway_->Dispatch(serving::ConfigurationChanged{config});
+    gateway_->Dispatch(replaced);
+    gateway_->Dispatch(serving::StoreContactChanged{true});
+    thread_ = std::thread([this] { loop_.run(); });
+  }
+
+  std::string Ask(const std::string& id, const std::string& path = "/x") {
+    const int client = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(server_->port());
+    EXPECT_EQ(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    ScriptedConnection connection(client);
+    connection.Write("POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nSaltquay-Request-Id: " + id +
+                     "\r\nContent-Length: 4\r\n\r\nbody");
+    return connection.ReadToEnd();
+  }
+
+  // What `explain --request` prints.
+  std::string Explain(const std::string& id) {
+    std::atomic<bool> flushed = false;
+    boost::asio::post(loop_, [&] {
+      log_->Flush();
+      flushed = true;
+    });
+    while (!flushed) std::this_thread::yield();
+    std::array<char, 65536> text{};
+    const ssize_t size = read(pipe_[0], text.data(), text.size());
+    std::istringstream lines(std::string(text.data(), static_cast<std::size_t>(size)));
+    LogExplainer explainer;
+    explainer.Read(lines, "log");
+    EXPECT_TRUE(explainer.bad_lines().empty());
+    std::string all;
+    for (const LogLine& line : explainer.Request(id)) all += FormatLogLine(line) + "\n";
+    return all;
+  }
+
+  static ScriptedServer::Script Always(const std::string& answer) {
+    return [answer](ScriptedConnection& connection) {
+      while (connection.ReadUntil("body").find("body") != std::string::npos) connection.Write(answer);
+    };
+  }
+
+  boost::asio::io_context loop_{1};
+  std::array<int, 2> pipe_{};
+  std::unique_ptr<LogStream> log_;
+  std::unique_ptr<Gateway> gateway_;
+  std::unique_ptr<http::Server> server_;
+  std::thread thread_;
+};
+
+constexpr char kSigned[] = "HTTP/1.1 200 OK\r\nSaltquay-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+constexpr char kFull[] = "HTTP/1.1 503 Busy\r\nSaltquay-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+TEST_F(GatewayTest, RelaysAWholeAnswer) {
+  ScriptedServer engine({Always(kSigned)});
+  Serve({engine.address()}, serving::RouteKind::kAtMostOnce);
+  const std::string answer = Ask("r1");
+  EXPECT_NE(answer.find("200 OK"), std::string::npos);
+  EXPECT_NE(answer.find("Saltquay-Signature: s"), std::string::npos);
+  EXPECT_TRUE(answer.ends_with("ok"));
+  EXPECT_NE(Explain("r1").find("request_answered: engine=e0"), std::string::npos);
+}
+
+TEST_F(GatewayTest, RefusedThoughEnginesWereFreeAsSeenFromOutside) {
+  ScriptedServer first({Always(kFull)});
+  ScriptedServer second({Always(kFull)});
+  Serve({first.address(), second.address()}, serving::RouteKind::kAtMostOnce);
+  const std::string answer = Ask("r1");
+  EXPECT_NE(answer.find(" 503 "), std::string::npos);
+  EXPECT_NE(answer.find("Retry-After: 0.40"), std::string::npos);
+  const std::string told = Explain("r1");
+  EXPECT_NE(told.find("engine=e0"), std::string::npos);
+  EXPECT_NE(told.find("engine=e1"), std::string::npos);
+  EXPECT_NE(told.find("cause=refused by the engine"), std::string::npos);
+  EXPECT_NE(told.find("request_refused: cause=no engine can take it"), std::string::npos);
+}
+
+TEST_F(GatewayTest, BadGatewayAfterAnEngineDiedWithTheRequest) {
+  ScriptedServer engine({[](ScriptedConnection& connection) {
+    connection.ReadUntil("body");
+    connection.Reset();
+  }});
+  Serve({engine.address()}, serving::RouteKind::kAtMostOnce);
+  EXPECT_NE(Ask("r1").find(" 502 "), std::string::npos);
+  const std::string told = Explain("r1");
+  EXPECT_NE(told.find("request_routed"), std::string::npos);
+  EXPECT_NE(told.find("request_failed: cause=the engine broke off; it may have run"), std::string::npos);
+  EXPECT_EQ(engine.accepted(), 1);
+}
+
+TEST_F(GatewayTest, AStreamBrokenOffMidwayDoesNotLookComplete) {
+  ScriptedServer engine({[](ScriptedConnection& connection) {
+    connection.ReadUntil("body");
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nSaltquay-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "f\r\nid: 1\ndata: a\n\n\r\n9\r\nid: 2\ndat\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    connection.Reset();
+  }});
+  Serve({engine.address()}, serving::RouteKind::kStreaming);
+  const std::string answer = Ask("r1");
+  EXPECT_NE(answer.find("id: 1\ndata: a\n\n"), std::string::npos);
+  EXPECT_EQ(answer.find("id: 2"), std::string::npos);
+  EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos);
+  EXPECT_NE(Explain("r1").find("request_broken_off: cause=the engine broke off"), std::string::npos);
+}
+
+TEST_F(GatewayTest, ARepeatableRequestIsServedByTheSecondEngine) {
+  ScriptedServer dies({[](ScriptedConnection& connection) {
+    connection.ReadUntil("body");
+    connection.Reset();
+  }});
+  ScriptedServer lives({Always(kSigned)});
+  Serve({dies.address(), lives.address()}, serving::RouteKind::kRepeatable);
+  for (int i = 0; i < 4; ++i) EXPECT_NE(Ask("r" + std::to_string(i)).find("200 OK"), std::string::npos);
+}
+
+TEST(LogExplainerTest, BadLinesAreCountedWithTheirNumber) {
+  std::istringstream log(
+      "noise\n{\"time_ms\":2,\"name\":\"request_routed\",\"request\":\"r\",\"process\":\"n\"}\n{\"cut\":\n");
+  LogExplainer explainer;
+  explainer.Read(log, "f");
+  ASSERT_EQ(explainer.bad_lines().size(), 2U);
+  EXPECT_EQ(explainer.bad_lines()[1].number, 3);
+  EXPECT_EQ(explainer.Request("r").size(), 1U);
+  EXPECT_TRUE(explainer.Request("other").empty());
+}
+
+}  // namespace
+}  // namespace saltquay::gateway
