Fault soak: real gateways as processes between stand-ins, hurt from outside

Change: tests/platform/soak.py starts gateways as processes on loopback between a store and engines of our own (identity, stages, handles, fenced orders, lost answers, cut events) behind proxies that delay, reset, cut one way or fall silent; gateways are killed, stopped, paused and told to reload; engines drain; the store refuses. Checked: own, whole, signed answers; at most once; nothing refused ran; streams whole and in order; one holder a token. soak_check_test.py shows that each check notices its breach.

Not in it yet: clock steps, prompts of several sizes.

--- /dev/null
+++ b/tests/platform/soak.py
@@ -0,0 +1,255 @@
+#!/usr/bin/env python3
+"""Fault soak: real gateway processes between stand-ins on loopback, hurt from outside, with the promises checked.
+
+usage: soak.py PATH/saltquay-gateway [--seconds 60] [--seed N] [--gateways 4]
+
+Faults: proxies in front of engines and store (delay, reset, one way, silence), the store refusing, engines that lose
+answers or leave, gateways stopped, paused, killed and started again. Promises, from what callers and engines see: an
+answer is the own one, whole and signed; what may run once ran at most once; what was refused never ran; a stream that
+ends well has each event once, in order; no two holders of one fencing token. Exit 1 and a line for each breach.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from soak_world import Engine, Proxy, Store  # noqa: E402
+
+ROUTES = {"once": ("unsafe", "plain", 1), "safe": ("safe", "plain", 2), "chat": ("streaming", "model", 2),
+          "lone": ("streaming", "model", 1)}
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Truth:
+    """What engines ran and what callers were told."""
+
+    def __init__(self):
+        self.runs, self.told, self.breaks, self.counts = {}, {}, [], {}
+        self.restage = None
+
+    def ran(self, request, body):
+        self.runs[request] = self.runs.get(request, 0) + 1
+        if body != f"ask {request}".encode():
+            self.breaks.append(f"{request}: ran with another body")
+
+    async def restaged(self, engine):
+        await asyncio.sleep(0.5)
+        await self.restage(engine)
+
+    def check(self):
+        for request, (route, outcome) in self.told.items():
+            runs = self.runs.get(request, 0)
+            allowed = ROUTES[route][2]
+            if runs > allowed:
+                self.breaks.append(f"{request}: {route} ran {runs} times, {allowed} allowed")
+            if outcome == "refused" and allowed == 1 and runs:
+                self.breaks.append(f"{request}: refused, yet it ran")
+
+
+class Gateway:
+    def __init__(self, program, folder, index, store_port, seeds):
+        self.program, self.name = program, f"node-{index}"
+        self.client, self.ready, self.peer = free_port(), free_port(), free_port()
+        self.path = os.path.join(folder, f"{self.name}.toml")
+        self.log = open(os.path.join(folder, f"{self.name}.log"), "ab")
+        self.store_port, self.process, self.seeds = store_port, None, seeds
+
+    def start(self):
+        with open(self.path, "w", encoding="utf-8") as file:
+            file.write(f'node_name = "{self.name}"\nzone = "a"\nclient_listen = "127.0.0.1:{self.client}"\n'
+                       f'ready_listen = "127.0.0.1:{self.ready}"\npeer_listen = "127.0.0.1:{self.peer}"\n'
+                       f'peer_seeds = {json.dumps(self.seeds)}\nstore_address = "127.0.0.1:{self.store_port}"\n'
+                       "[bounds]\ngrace_s = 4\nlease_ms = 1000\nretry_budget_slack = 50\n")
+        self.process = subprocess.Popen([self.program, "--settings", self.path], stdout=self.log, stderr=self.log)
+
+    def send(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class Soak:
+    def __init__(self, arguments, folder):
+        self.arguments, self.folder = arguments, folder
+        self.luck, self.truth, self.store = random.Random(arguments.seed), Truth(), Store()
+        self.engines, self.proxies, self.gateways, self.number = [], {}, [], 0
+
+    async def build(self):
+        await self.store.start()
+        stages = [(f"u{i}", "plain", None) for i in range(3)]
+        stages += [(f"m{i}", "model", "prefill" if i < 2 else "decode") for i in range(6)]
+        for identity, service, stage in stages:
+            await self.add_engine(identity, service, stage)
+        self.truth.restage = self.publish
+        routes = [{"name": name, "host": "h", "path_prefix": f"/{name}/", "kind": kind, "timeout_ms": 2000,
+                   "target_latency_ms": 400, "service": service, "max_attempts": attempts,
+                   "resumable": name == "chat"} for name, (kind, service, attempts) in ROUTES.items()]
+        model = {"name": "model", "engine": {"slots": 8, "kv_capacity_tokens": 400000, "stage_switch_s": 0.5}}
+        await self.store.put("config", "main", {"version": 1, "routes": routes, "services": [{"name": "plain"}, model]})
+        store_proxy = Proxy(self.store.port)
+        await store_proxy.start()
+        self.proxies["store"] = store_proxy
+        seeds = []
+        for index in range(self.arguments.gateways):
+            gateway = Gateway(self.arguments.program, self.folder, index, store_proxy.port, list(seeds))
+            seeds.append(f"127.0.0.1:{gateway.peer}")
+            gateway.start()
+            self.gateways.append(gateway)
+
+    async def add_engine(self, identity, service, stage):
+        engine = Engine(identity, service, stage, self.truth, self.luck)
+        await engine.start()
+        proxy = Proxy(engine.port)
+        await proxy.start()
+        self.engines.append(engine)
+        self.proxies[identity] = proxy
+        await self.publish(engine)
+
+    async def publish(self, engine, state="ready"):
+        address = f"127.0.0.1:{self.proxies[engine.identity].port}"
+        await self.store.put("servers", engine.identity, engine.record(address, state))
+
+    async def caller(self, until):
+        luck = random.Random(self.luck.random())
+        while time.monotonic() < until:
+            self.number += 1
+            route = luck.choice(list(ROUTES))
+            request = f"{route}-{self.arguments.seed}-{self.number}"
+            outcome = await self.ask(luck.choice(self.gateways), route, request)
+            self.truth.told[request] = (route, outcome)
+            self.truth.counts[outcome] = self.truth.counts.get(outcome, 0) + 1
+            await asyncio.sleep(luck.uniform(0, 0.08))
+
+    async def ask(self, gateway, route, request):
+        headers = f"Host: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\n"
+        if ROUTES[route][1] == "model":
+            headers += "X-Model: m\r\nX-Token-Count: 3000,64\r\nX-Prompt-Prefix: aa:2000,bb:1000\r\n"
+        body = f"ask {request}"
+        text = f"POST /{route}/x HTTP/1.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n{body}"
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", gateway.client), 1)
+        except (OSError, asyncio.TimeoutError):
+            return "unreachable"
+        try:
+            writer.write(text.encode())
+            data = await asyncio.wait_for(reader.read(-1), 8)
+        except (OSError, asyncio.TimeoutError):
+            return "cut"
+        finally:
+            writer.close()
+        return self.judge(route, request, data)
+
+    def judge(self, route, request, data):
+        head, _, body = data.partition(b"\r\n\r\n")
+        if not head.startswith(b"HTTP/1.1 "):
+            return "cut"
+        status = int(head.split(b" ")[1])
+        if status in (429, 503, 408, 421):
+            return "refused"
+        if status != 200:
+            return f"status {status}"
+        if f"x-server-stamp: ".encode() not in head.lower() or f".{request}".encode() not in head:
+            self.truth.breaks.append(f"{request}: success without its own signature")
+        if ROUTES[route][1] == "plain":
+            if body != f"done {request}".encode():
+                self.truth.breaks.append(f"{request}: answer of another or cut: {body[:60]!r}")
+            return "served"
+        if not body.endswith(b"0\r\n\r\n"):
+            return "stream cut"
+        events = [line for line in body.split(b"\n") if line.startswith(b"id: ")]
+        if events != [f"id: {number}".encode() for number in range(1, 9)]:
+            self.truth.breaks.append(f"{request}: ended as whole with events {events}")
+        if body.count(f"data: {request}".encode()) != 8:
+            self.truth.breaks.append(f"{request}: events of another")
+        return "served"
+
+    async def hurt(self, until):
+        while time.monotonic() < until:
+            await asyncio.sleep(self.luck.uniform(0.3, 1.5))
+            await self.luck.choice([self.hurt_link, self.hurt_gateway, self.hurt_engine, self.hurt_store])()
+
+    async def hurt_link(self):
+        proxy = self.proxies[self.luck.choice(list(self.proxies))]
+        proxy.set(self.luck.choice(["delay", "reset", "one way", "silence"]))
+        asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 4), proxy.set, "pass")
+
+    async def hurt_gateway(self):
+        gateway = self.luck.choice(self.gateways)
+        number = self.luck.choice([signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP])
+        gateway.send(number)
+        if number == signal.SIGSTOP:
+            asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 4), gateway.send, signal.SIGCONT)
+
+    async def hurt_engine(self):
+        engine = self.luck.choice(self.engines)
+        if self.luck.random() < 0.3:
+            await self.publish(engine, "draining")
+            asyncio.get_running_loop().call_later(
+                3, lambda: asyncio.get_running_loop().create_task(self.publish(engine)))
+            return
+        engine.failing = self.luck.uniform(0.1, 0.6)
+        asyncio.get_running_loop().call_later(self.luck.uniform(1, 4), setattr, engine, "failing", 0.0)
+
+    async def hurt_store(self):
+        self.store.available = False
+        asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 3), setattr, self.store, "available", True)
+
+    async def keep_running(self, until):
+        while time.monotonic() < until:
+            await asyncio.sleep(0.1)
+            for gateway in self.gateways:
+                if gateway.process.poll() is None:
+                    continue
+                if gateway.process.returncode not in (0, -signal.SIGKILL):
+                    self.truth.breaks.append(f"{gateway.name} ended by itself: {gateway.process.returncode}")
+                gateway.start()
+
+    async def run(self):
+        await self.build()
+        await asyncio.sleep(2)
+        until = time.monotonic() + self.arguments.seconds
+        await asyncio.gather(self.hurt(until), self.keep_running(until + 3), *[self.caller(until) for _ in range(24)])
+        for gateway in self.gateways:
+            gateway.send(signal.SIGCONT)
+            gateway.send(signal.SIGTERM)
+        for gateway in self.gateways:
+            await asyncio.get_running_loop().run_in_executor(None, gateway.process.wait)
+        self.truth.check()
+        return self.truth
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("program")
+    parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument("--seed", type=int, default=int(time.time()))
+    parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--keep", help="folder for settings and logs; default: a new temporary one")
+    arguments = parser.parse_args()
+    folder = arguments.keep or tempfile.mkdtemp(prefix="saltquay-soak-")
+    os.makedirs(folder, exist_ok=True)
+    truth = asyncio.run(Soak(arguments, folder).run())
+    total = sum(truth.counts.values())
+    print(f"seed {arguments.seed}: {total} requests, {json.dumps(truth.counts, sort_keys=True)}, "
+          f"{len(truth.breaks)} promises broken; logs in {folder}")
+    for line in truth.breaks[:20]:
+        print("  " + line)
+    served = truth.counts.get("served", 0)
+    sys.exit(1 if truth.breaks or served * 4 < total else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform/soak_check_test.py
@@ -0,0 +1,65 @@
+"""The soak's own checks must notice each breach, or its silence means nothing."""
+
+import argparse
+import random
+import unittest
+
+from soak import Soak, Truth
+from soak_world import Engine
+
+
+def soak():
+    return Soak(argparse.Namespace(seed=1, seconds=1, gateways=1, program=""), "")
+
+
+def stream(numbers, request, end=b"0\r\n\r\n"):
+    events = b"".join(f"id: {number}\ndata: {request}\n\n".encode() for number in numbers)
+    return f"HTTP/1.1 200 OK\r\nX-Server-Stamp: e.{request}\r\n\r\n".encode() + events + end
+
+
+class SoakCheckTest(unittest.TestCase):
+    def test_work_that_may_run_once_and_ran_twice(self):
+        truth = Truth()
+        truth.ran("r", b"ask r")
+        truth.ran("r", b"ask r")
+        truth.told["r"] = ("once", "served")
+        truth.check()
+        self.assertEqual(len(truth.breaks), 1)
+
+    def test_refused_work_that_ran(self):
+        truth = Truth()
+        truth.ran("r", b"ask r")
+        truth.told["r"] = ("lone", "refused")
+        truth.check()
+        self.assertEqual(len(truth.breaks), 1)
+
+    def test_a_changed_body(self):
+        truth = Truth()
+        truth.ran("r", b"ask other")
+        self.assertEqual(len(truth.breaks), 1)
+
+    def test_an_answer_of_another_or_without_signature(self):
+        run = soak()
+        run.judge("safe", "r1", b"HTTP/1.1 200 OK\r\nX-Server-Stamp: e.r2\r\n\r\ndone r2")
+        run.judge("safe", "r1", b"HTTP/1.1 200 OK\r\n\r\ndone r1")
+        self.assertEqual(len(run.truth.breaks), 3)
+
+    def test_streams_with_gaps_doubles_or_foreign_events(self):
+        run = soak()
+        self.assertEqual(run.judge("chat", "r", stream(range(1, 9), "r")), "served")
+        self.assertEqual(run.judge("chat", "r", stream(range(1, 5), "r", b"")), "stream cut")
+        self.assertEqual(run.truth.breaks, [])
+        run.judge("chat", "r", stream([1, 2, 4, 5, 6, 7, 8], "r"))
+        run.judge("chat", "r", stream([1, 2, 2, 3, 4, 5, 6, 7, 8], "r"))
+        self.assertGreaterEqual(len(run.truth.breaks), 2)
+
+    def test_two_holders_of_one_token(self):
+        truth = Truth()
+        engine = Engine("e", "model", "decode", truth, random.Random(1))
+        engine.fence = (5, "a")
+        engine._order({"fencing_token": 5, "holder": "b", "expect_revision": 9, "stage": "prefill"})
+        self.assertEqual(len(truth.breaks), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/soak_world.py
@@ -0,0 +1,251 @@
+"""Stand-ins for the fault soak: a store, engines, and proxies that hurt. All on loopback, in one event loop."""
+
+import asyncio
+import json
+import random
+
+
+async def read_message(reader):
+    """Returns (first line, headers in lower case, body), or None at the end of the connection."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    except (asyncio.IncompleteReadError, ConnectionError, OSError):
+        return None
+    lines = head.split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", "0"))
+    body = await reader.readexactly(length) if length else b""
+    return lines[0], headers, body
+
+
+def answer(status, body=b"", headers=None):
+    text = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    for name, value in (headers or {}).items():
+        text += f"{name}: {value}\r\n"
+    return text.encode() + b"\r\n" + body
+
+
+class Server:
+    """Serves HTTP/1.1 with kept connections; subclasses define handle(first line, headers, body, writer)."""
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                message = await read_message(reader)
+                if message is None:
+                    break
+                if not await self.handle(*message, writer):
+                    break
+                await writer.drain()
+        except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The peer or the soak has ended.
+        finally:
+            writer.close()
+
+
+class Store(Server):
+    """Versioned objects with lists, watches and conditional writes."""
+
+    def __init__(self):
+        self.revision = 1
+        self.objects = {}
+        self.events = []
+        self.changed = asyncio.Condition()
+        self.available = True
+
+    async def put(self, kind, name, spec, revision=None):
+        held = self.objects.get((kind, name))
+        if revision is not None and (held["metadata"]["revision"] if held else 0) != revision:
+            return None
+        self.revision += 1
+        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec, "status": None}
+        self.objects[(kind, name)] = item
+        await self._note(kind, item, False)
+        return item
+
+    async def remove(self, kind, name):
+        item = self.objects.pop((kind, name), None)
+        if item:
+            self.revision += 1
+            await self._note(kind, item, True)
+
+    async def _note(self, kind, item, gone):
+        self.events.append((self.revision, kind, {"gone": gone, "object": item}))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def handle(self, line, headers, body, writer):
+        method, target, _ = line.split(" ")
+        path, _, query = target.partition("?")
+        arguments = dict(item.split("=") for item in query.split("&")) if query else {}
+        words = path.strip("/").split("/")[1:]
+        if not self.available:
+            writer.write(answer(503))
+        elif method == "GET" and "watch" in arguments:
+            await self._watch(words[0], int(arguments["watch"]), int(arguments["wait_ms"]) / 1000, writer)
+        elif method == "GET" and len(words) == 2:
+            item = self.objects.get(tuple(words))
+            writer.write(answer(200, json.dumps(item).encode()) if item else answer(404))
+        elif method == "GET":
+            items = [item for (kind, _), item in sorted(self.objects.items()) if kind == words[0]]
+            writer.write(answer(200, json.dumps({"items": items, "more": False, "at": self.revision}).encode()))
+        else:
+            data = json.loads(body)
+            name = data["metadata"]["name"]
+            revision = 0 if method == "POST" else data["metadata"].get("revision")
+            item = await self.put(words[0], name, data["spec"], revision)
+            writer.write(answer(200, json.dumps(item).encode()) if item else answer(409, b"{}"))
+        return True
+
+    async def _watch(self, kind, since, wait, writer):
+        def found():
+            return [event for revision, event_kind, event in self.events if event_kind == kind and revision > since]
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait_for(found), wait)
+            except asyncio.TimeoutError:
+                pass
+        writer.write(answer(200, json.dumps({"events": found(), "at": self.revision}).encode()))
+
+
+class Engine(Server):
+    """Runs requests, remembers what it ran, and takes fenced orders."""
+
+    def __init__(self, identity, service, stage, truth, luck):
+        self.identity, self.service, self.stage, self.truth, self.luck = identity, service, stage, truth, luck
+        self.sequence, self.fence, self.handles, self.running = 0, (0, ""), {}, 0
+        self.failing = 0.0
+
+    def record(self, address, state="ready"):
+        spec = {"service": self.service, "address": address, "zone": "a", "slots": 8, "state": state,
+                "sequence": self.sequence}
+        if self.stage:
+            spec["stage"] = self.stage
+        return spec
+
+    async def handle(self, line, headers, body, writer):
+        method, target, _ = line.split(" ")
+        if headers.get("x-expect-instance", self.identity) != self.identity:
+            writer.write(answer(421, headers={"X-Instance-Id": self.identity}))
+        elif target == "/report":
+            report = {"stage": self.stage, "busy": False, "sequence": self.sequence}
+            writer.write(answer(200, json.dumps(report).encode()))
+        elif target == "/order":
+            writer.write(self._order(json.loads(body)))
+        elif method == "DELETE":
+            self.handles.pop(target.rsplit("/", 1)[1], None)
+            writer.write(answer(200))
+        else:
+            return await self._request(headers, body, writer)
+        return True
+
+    def _order(self, order):
+        token, holder = order["fencing_token"], order["holder"]
+        if token < self.fence[0]:
+            return answer(412)
+        if token == self.fence[0] and self.fence[1] not in ("", holder):
+            self.truth.breaks.append(f"two holders of token {token}: {self.fence[1]}, {holder}")
+        if order["expect_revision"] != self.sequence:
+            return answer(409)
+        self.fence, self.sequence, self.stage = (token, holder), self.sequence + 1, order["stage"]
+        asyncio.get_running_loop().create_task(self.truth.restaged(self))
+        return answer(202)
+
+    async def _request(self, headers, body, writer):
+        request = headers["x-request-id"]
+        common = {"X-Request-Id": request, "X-Instance-Load": f"{self.running},0,8"}
+        if headers.get("x-stage") == "prefill":
+            if self.stage != "prefill":
+                writer.write(answer(421, headers=common))
+                return True
+            handle = f"{self.luck.getrandbits(48):x}"
+            self.handles[handle] = request
+            await asyncio.sleep(0.02)
+            writer.write(answer(200, json.dumps({"kv_handle": handle, "tokens": 1, "version": 1}).encode(), common))
+            return True
+        if self.stage == "prefill" or self.running >= 8:
+            writer.write(answer(503, headers={**common, "X-Not-Executed": "1"}))
+            return True
+        self.truth.ran(request, body)
+        self.running += 1
+        try:
+            return await self._run(request, headers, common, writer)
+        finally:
+            self.running -= 1
+
+    async def _run(self, request, headers, common, writer):
+        signed = {**common, "X-Server-Stamp": f"{self.identity}.{request}"}
+        fails = self.luck.random() < self.failing
+        await asyncio.sleep(self.luck.uniform(0.002, 0.03))
+        if not self.stage:
+            if fails:
+                return False  # It ran; its answer is lost.
+            writer.write(answer(200, f"done {request}".encode(), signed))
+            return True
+        start = int(headers.get("last-event-id", "0"))
+        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + "".join(f"{k}: {v}\r\n" for k, v in signed.items())
+        writer.write(head.encode() + b"\r\n")
+        for number in range(start + 1, 9):
+            event = f"id: {number}\ndata: {request}\n\n".encode()
+            if fails and number == 5:
+                writer.write(f"{len(event):x}\r\n".encode() + event[:7])
+                await writer.drain()
+                return False
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class Proxy:
+    """Passes bytes to a port of ours, and hurts them: delay, reset, one way, silence."""
+
+    def __init__(self, target_port):
+        self.target_port, self.mode, self.writers = target_port, "pass", set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def set(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def _accept(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        await asyncio.gather(self._pump(reader, up_writer, True), self._pump(up_reader, writer, False))
+        self.writers -= {writer, up_writer}
+
+    async def _pump(self, reader, writer, forward):
+        try:
+            while data := await reader.read(65536):
+                while self.mode == "silence" or (self.mode == "one way" and not forward):
+                    await asyncio.sleep(0.05)
+                if self.mode == "delay":
+                    await asyncio.sleep(random.uniform(0.02, 0.2))
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
