--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -20,6 +20,12 @@
   return prompt.parts.size() < 2 ? nullptr : &prompt.parts[prompt.parts.size() - 2];
 }
 
+int TokensBefore(const PromptFacts& prompt, std::size_t part) {
+  int tokens = 0;
+  for (std::size_t i = 0; i < part; ++i) tokens += prompt.parts[i].tokens;
+  return tokens;
+}
+
 }  // namespace
 
 int SharedTokens(const PromptFacts& prompt) {
@@ -89,7 +95,7 @@
   return Cheapest(engines, service, stage, tried, now, [&](const EngineState& engine) {
     if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
     double reread = knobs_.reread_weight + pressure;
-    if (&engine == homes.first) reread = 0;
+    if (&engine == homes.first) reread = 1;
     if (&engine != homes.first && &engine != homes.second) reread *= knobs_.stranger_weight;
     return PrefillCost(engine, prompt, reread, now);
   });
@@ -138,23 +144,46 @@
   const double others_by_load = std::max(0.0, EstimatedLoad(engine, now) - engine.outstanding) * OwnTokens(prompt);
   const double others = peers_known_ ? static_cast<double>(engine.peers_prompt_tokens) : others_by_load;
   const double backlog = (static_cast<double>(engine.outstanding_prompt_tokens) + others) / read_rate();
-  const PromptPart* part = HomePart(prompt);
-  const bool kept = reread_weight == 0 || (part != nullptr && Keeps(engine.record.id, part->id, now));
-  const double reread = kept ? 0.0 : reread_weight * SharedTokens(prompt) / read_rate();
+  const int tokens = TokensToRead(engine.record.id, prompt, now);
+  const double reread = reread_weight * std::max(0, tokens - OwnTokens(prompt)) / read_rate();
   const double remote = engine.record.zone == zone_ ? 0.0 : knobs_.remote_prefill_ms;
   const bool answers_too = engine.record.stage == EngineStage::kUniform;
   const double answering = answers_too ? knobs_.answering_ms * EstimatedLoad(engine, now) : 0.0;
   return backlog + reread + remote + answering;
 }
 
-bool EngineSelector::Keeps(const std::string& engine_id, const std::string& part, Time now) const {
-  const auto entry = parts_.find({engine_id, part});
-  return entry != parts_.end() && now - entry->second < knobs_.part_memory;
+bool EngineSelector::Keeps(const std::string& engine_id, const PromptPart& part, Time now) const {
+  const auto entry = kept_.find(KeptPart{engine_id, HashText(part.id)});
+  return entry != kept_.end() && now - entry->second < knobs_.part_memory;
 }
 
 void EngineSelector::NotePrompt(const std::string& engine_id, const PromptFacts& prompt, Time now) {
-  if (parts_.size() > kMostParts) parts_.clear();
-  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) parts_[{engine_id, prompt.parts[i].id}] = now;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    const KeptPart kept{engine_id, HashText(prompt.parts[i].id)};
+    NoteKept(kept, now);
+    news_.emplace_back(now, kept);
+  }
+}
+
+void EngineSelector::NoteKept(const KeptPart& kept, Time now) {
+  if (kept_.size() > kMostParts) kept_.clear();
+  kept_[kept] = now;
+}
+
+std::vector<KeptPart> EngineSelector::NewsSince(Time since) {
+  while (!news_.empty() && news_.front().first < since) news_.pop_front();
+  std::set<KeptPart> distinct;
+  for (const auto& [at, kept] : news_) distinct.insert(kept);
+  return {distinct.begin(), distinct.end()};
+}
+
+int EngineSelector::TokensToRead(const std::string& engine_id, const PromptFacts& prompt, Time now) const {
+  int tokens = OwnTokens(prompt);
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    // A part is of use only with all parts before it.
+    if (!Keeps(engine_id, prompt.parts[i], now)) return prompt.tokens - TokensBefore(prompt, i);
+  }
+  return tokens;
 }
 
 void EngineSelector::NotePrefillTime(std::int64_t tokens, Duration time) {
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -8,6 +8,7 @@
 // preferably in the zone that holds it.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -36,8 +37,14 @@
   EngineState* ChooseDecode(EngineDirectory& engines, const std::string& service, const std::string& memory_zone,
                             const EngineIds& tried, Time now);
 
-  // Notes that the engine has read the prompt (its shared parts are there now).
+  // Notes that the engine reads the prompt: its shared parts are there then.
   void NotePrompt(const std::string& engine_id, const PromptFacts& prompt, Time now);
+  // A peer's news of the same kind.
+  void NoteKept(const KeptPart& kept, Time now);
+  // What this node noted by itself since `since`, for the peers.
+  std::vector<KeptPart> NewsSince(Time since);
+  // Tokens that the engine would read of the prompt, as far as is known.
+  int TokensToRead(const std::string& engine_id, const PromptFacts& prompt, Time now) const;
   // Learns the reading rate from a finished prefill.
   void NotePrefillTime(std::int64_t tokens, Duration time);
 
@@ -58,9 +65,9 @@
   Homes FindHomes(EngineDirectory& engines, const std::string& service, EngineStage stage, const PromptFacts& prompt,
                   Time now);
   double MeanBacklog(EngineDirectory& engines, const std::string& service, EngineStage stage) const;
-  // `reread_weight`: of the time to read the shared parts again; 0 at home.
+  // `reread_weight`: of the time to read shared parts that the engine does not keep.
   double PrefillCost(const EngineState& engine, const PromptFacts& prompt, double reread_weight, Time now) const;
-  bool Keeps(const std::string& engine_id, const std::string& part, Time now) const;
+  bool Keeps(const std::string& engine_id, const PromptPart& part, Time now) const;
 
   ServingKnobs knobs_;
   std::string zone_;
@@ -68,7 +75,8 @@
   bool peers_known_ = false;
   double read_rate_ = 0;  // Prompt tokens in a millisecond; 0: not measured.
   std::uint64_t turn_ = 0;
-  std::map<std::pair<std::string, std::string>, Time> parts_;  // (engine, part) -> last use.
+  std::map<KeptPart, Time> kept_;  // -> last use known.
+  std::deque<std::pair<Time, KeptPart>> news_;
 };
 
 // Prompt tokens in parts that other requests share, and those of the request itself.
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -80,6 +80,7 @@
   int nodes = 1;  // This one included.
   std::map<std::string, EngineWork> work;
   std::vector<EngineHold> holds;
+  std::vector<KeptPart> kept;  // News.
 };
 struct RequestArrived {
   FlowId flow = 0;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -80,7 +80,11 @@
   attempt.mode = mode;
   attempt.sent_at = now_;
   attempt.alone_at_start = engine.outstanding == 0;
-  if (mode != AttemptMode::kContinue && flow.facts.prompt) attempt.prompt_tokens = OwnTokens(*flow.facts.prompt);
+  if (mode != AttemptMode::kContinue && flow.language) {
+    attempt.prompt_tokens = selector_.TokensToRead(engine.record.id, *flow.facts.prompt, now_);
+    // From now on others may count on it; a reading that is lost costs them one more.
+    selector_.NotePrompt(engine.record.id, *flow.facts.prompt, now_);
+  }
   ++engine.outstanding;
   engine.outstanding_prompt_tokens += attempt.prompt_tokens;
   const double connect_seconds = ToSeconds(flow.route.objective) * knobs_.connect_share;
@@ -125,7 +129,6 @@
     flow.tried.insert(attempt.engine_id);
     return Retry(flow, "prompt not read");
   }
-  selector_.NotePrompt(attempt.engine_id, *flow.facts.prompt, now_);
   if (attempt.alone_at_start) selector_.NotePrefillTime(attempt.prompt_tokens, now_ - attempt.sent_at);
   if (flow.memory) {  // A second prefill also came to its end.
     actions_->push_back(ReleaseMemory{{attempt.engine_id, engine->record.address, handle}});
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -8,6 +8,7 @@
 // forgotten. Nothing here is needed for safety: it only makes choices better.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -37,6 +38,14 @@
   Duration left = 0s;
 };
 
+// A prompt part that an engine has read lately and keeps.
+struct KeptPart {
+  std::string engine_id;
+  std::uint64_t part = 0;  // Hash of its id.
+
+  auto operator<=>(const KeptPart&) const = default;
+};
+
 struct PeerAddress {
   std::string node;
   std::string address;
@@ -51,6 +60,7 @@
   std::vector<EngineWork> work;
   std::vector<ServiceDemand> demand;
   std::vector<EngineHold> holds;
+  std::vector<KeptPart> kept;  // News since some rounds.
   std::vector<PeerAddress> peers;
 };
 
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -66,6 +66,7 @@
     engine.peers_outstanding = work == event.work.end() ? 0 : work->second.outstanding;
     engine.peers_prompt_tokens = work == event.work.end() ? 0 : work->second.prompt_tokens;
   }
+  for (const KeptPart& kept : event.kept) selector_.NoteKept(kept, now_);
   for (const EngineHold& hold : event.holds) {
     if (EngineState* engine = engines_.Find(hold.engine_id)) engine->held_until = now_ + hold.left;
   }
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick{100};
+// News go out in about two rounds, for datagrams may be lost.
+constexpr std::chrono::milliseconds kNewsRepeated{900};
 constexpr std::chrono::milliseconds kEngineCallTimeout{600};
 constexpr std::chrono::milliseconds kEngineConnect{200};
 constexpr std::string_view kLeaseKind = "saltquay-leases";
@@ -95,6 +97,7 @@
   report.work = gateway_.core().OwnWork();
   report.demand = gateway_.core().OwnDemand(gateway_.Now());
   report.holds = roles_.Holds(gateway_.Now());
+  report.kept = gateway_.core().selector().NewsSince(gateway_.Now() - kNewsRepeated);
   report.peers = peers_.Addresses();
 }
 
@@ -105,11 +108,12 @@
     gateway_.Log(EventId::kMemberAlive, "",
                  fmt::format(R"("node":"{}","nodes":{})", EscapeJson(report.node), peers_.Count()));
   }
-  TellCore();
+  TellCore(report.kept);
 }
 
-void Coordination::TellCore() {
+void Coordination::TellCore(const std::vector<serving::KeptPart>& kept) {
   serving::PeersChanged changed;
+  changed.kept = kept;
   changed.nodes = peers_.Count();
   changed.work = peers_.WorkByEngine();
   changed.holds = peers_.Holds();
@@ -122,7 +126,7 @@
   peers_.Expire(gateway_.Now());
   if (peers_.Count() != before) {
     gateway_.Log(EventId::kMemberDead, "", fmt::format(R"("nodes":{})", peers_.Count()));
-    TellCore();
+    TellCore({});
   }
   const std::optional<serving::ServingConfig>& config = gateway_.core().config();
   if (config && settings_.changes_roles) {
@@ -204,7 +208,7 @@
 
 void Coordination::CarryOne(const serving::AnnounceHolds& /*action*/) {
   if (exchange_ != nullptr) exchange_->SendNow();
-  TellCore();
+  TellCore({});
 }
 
 void Coordination::CarryOne(const serving::LogRole& action) { gateway_.Log(action.event, "", action.details); }
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -28,7 +28,8 @@
  private:
   void FillReport(serving::PeerReport& report);
   void OnReport(const serving::PeerReport& report);
-  void TellCore();
+  // `kept`: news of a report.
+  void TellCore(const std::vector<serving::KeptPart>& kept);
   void Tick();
   std::map<std::string, serving::ServiceDemand> TotalDemand(Time now);
   void Carry(const std::vector<serving::RoleAction>& actions);
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -32,6 +32,10 @@
   for (const auto& item : report.holds) {
     holds.push_back(wire::CreateEngineHold(builder, builder.CreateString(item.engine_id), Milliseconds(item.left)));
   }
+  std::vector<flatbuffers::Offset<wire::KeptPart>> kept;
+  for (const auto& item : report.kept) {
+    kept.push_back(wire::CreateKeptPart(builder, builder.CreateSharedString(item.engine_id), item.part));
+  }
   std::vector<flatbuffers::Offset<wire::PeerAddress>> peers;
   for (const auto& item : report.peers) {
     peers.push_back(
@@ -40,7 +44,7 @@
   builder.Finish(wire::CreateReport(builder, builder.CreateString(report.node), builder.CreateString(report.address),
                                     report.boot, report.sequence, report.stopping, builder.CreateVector(work),
                                     builder.CreateVector(demand), builder.CreateVector(holds),
-                                    builder.CreateVector(peers)));
+                                    builder.CreateVector(peers), builder.CreateVector(kept)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -69,6 +73,9 @@
       report.holds.push_back({Text(item->engine()), std::chrono::milliseconds(item->left_ms())});
     }
   }
+  if (source->kept() != nullptr) {
+    for (const auto* item : *source->kept()) report.kept.push_back({Text(item->engine()), item->part()});
+  }
   if (source->peers() != nullptr) {
     for (const auto* item : *source->peers()) report.peers.push_back({Text(item->node()), Text(item->address())});
   }
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -26,6 +26,9 @@
 struct EngineHold;
 struct EngineHoldBuilder;
 
+struct KeptPart;
+struct KeptPartBuilder;
+
 struct PeerAddress;
 struct PeerAddressBuilder;
 
@@ -245,6 +248,69 @@
       left_ms);
 }
 
+struct KeptPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KeptPartBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_PART = 6
+  };
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  uint64_t part() const {
+    return GetField<uint64_t>(VT_PART, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<uint64_t>(verifier, VT_PART, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct KeptPartBuilder {
+  typedef KeptPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(KeptPart::VT_ENGINE, engine);
+  }
+  void add_part(uint64_t part) {
+    fbb_.AddElement<uint64_t>(KeptPart::VT_PART, part, 0);
+  }
+  explicit KeptPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KeptPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KeptPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KeptPart> CreateKeptPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    uint64_t part = 0) {
+  KeptPartBuilder builder_(_fbb);
+  builder_.add_part(part);
+  builder_.add_engine(engine);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<KeptPart> CreateKeptPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    uint64_t part = 0) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  return saltquay::gateway::wire::CreateKeptPart(
+      _fbb,
+      engine__,
+      part);
+}
+
 struct PeerAddress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerAddressBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -321,7 +387,8 @@
     VT_WORK = 14,
     VT_DEMAND = 16,
     VT_HOLDS = 18,
-    VT_PEERS = 20
+    VT_PEERS = 20,
+    VT_KEPT = 22
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -350,6 +417,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>> *peers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>> *>(VT_PEERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>> *kept() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>> *>(VT_KEPT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -371,6 +441,9 @@
            VerifyOffset(verifier, VT_PEERS) &&
            verifier.VerifyVector(peers()) &&
            verifier.VerifyVectorOfTables(peers()) &&
+           VerifyOffset(verifier, VT_KEPT) &&
+           verifier.VerifyVector(kept()) &&
+           verifier.VerifyVectorOfTables(kept()) &&
            verifier.EndTable();
   }
 };
@@ -406,6 +479,9 @@
   void add_peers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>>> peers) {
     fbb_.AddOffset(Report::VT_PEERS, peers);
   }
+  void add_kept(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>>> kept) {
+    fbb_.AddOffset(Report::VT_KEPT, kept);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -427,10 +503,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::EngineWork>>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::ServiceDemand>>> demand = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::EngineHold>>> holds = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>>> peers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>>> peers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>>> kept = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_kept(kept);
   builder_.add_peers(peers);
   builder_.add_holds(holds);
   builder_.add_demand(demand);
@@ -451,13 +529,15 @@
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::EngineWork>> *work = nullptr,
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::ServiceDemand>> *demand = nullptr,
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::EngineHold>> *holds = nullptr,
-    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>> *peers = nullptr) {
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>> *peers = nullptr,
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>> *kept = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::EngineWork>>(*work) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::ServiceDemand>>(*demand) : 0;
   auto holds__ = holds ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::EngineHold>>(*holds) : 0;
   auto peers__ = peers ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>>(*peers) : 0;
+  auto kept__ = kept ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>>(*kept) : 0;
   return saltquay::gateway::wire::CreateReport(
       _fbb,
       node__,
@@ -468,7 +548,8 @@
       work__,
       demand__,
       holds__,
-      peers__);
+      peers__,
+      kept__);
 }
 
 inline const saltquay::gateway::wire::Report *GetReport(const void *buf) {
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -126,12 +126,27 @@
 TEST_F(SelectorTest, ABacklogLargerThanReadingAgainSendsThePromptElsewhere) {
   for (int i = 0; i < 3; ++i) engines_.Update(Record("p" + std::to_string(i), EngineStage::kPrefill));
   EngineState* home = selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s});
+  selector_.NotePrompt(home->record.id, Prompt("x"), Time{1s});
   home->outstanding_prompt_tokens = 10000;
   EXPECT_EQ(selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s}), home);
   home->outstanding_prompt_tokens = 60000;
   EXPECT_NE(selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s}), home);
 }
 
+TEST_F(SelectorTest, PeersNewsSayWhoKeepsAPart) {
+  for (int i = 0; i < 3; ++i) engines_.Update(Record("p" + std::to_string(i), EngineStage::kPrefill));
+  const EngineState* home = selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s});
+  const std::string keeper = home->record.id == "p0" ? "p1" : "p0";
+  other_node_.NotePrompt(keeper, Prompt("x"), Time{1s});
+  const std::vector<KeptPart> news = other_node_.NewsSince(Time{0s});
+  ASSERT_EQ(news.size(), 1U);
+  selector_.NoteKept(news[0], Time{1s});
+  EXPECT_EQ(selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{2s})->record.id, keeper);
+  EXPECT_EQ(selector_.TokensToRead(keeper, Prompt("x"), Time{2s}), 4000);
+  EXPECT_EQ(selector_.TokensToRead(keeper, Prompt("x"), Time{60s}), 17000);  // Long unused: not counted on.
+  EXPECT_TRUE(other_node_.NewsSince(Time{5s}).empty());
+}
+
 TEST_F(SelectorTest, EnginesThatAreOutAreTheLastResort) {
   engines_.Update(Record("d1", EngineStage::kDecode));
   engines_.Update(Record("d2", EngineStage::kDecode));
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -198,11 +198,13 @@
   report.work = {{"e1", 3, 12345}};
   report.demand = {{"s", 1.5, 0.5}};
   report.holds = {{"e2", 1500ms}};
+  report.kept = {{"e1", 77}};
   report.peers = {{"n2", "1.2.3.5:5"}};
   const auto decoded = DecodeReport(EncodeReport(report));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->work[0].prompt_tokens, 12345);
   EXPECT_EQ(decoded->holds[0].left, Duration(1500ms));
+  EXPECT_EQ(decoded->kept, report.kept);
   EXPECT_EQ(decoded->peers[0].address, "1.2.3.5:5");
   EXPECT_FALSE(DecodeReport("garbage"));
 }
