A node's transports end before the queue that they post to; patience counts a prompt once

An old fault: members were destroyed in reverse, the transport after the queue. Ruled out: the new HTTP client, first suspected.

Change: the driver ends its transports explicitly before its members go.

--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -106,7 +106,7 @@
                   flow.route.name, flow.service, version(), engine.record.id, ModeName(mode), flow.tries,
                   selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
                   engine.outstanding_prompt_tokens, start.time_left.count() / 1000));
-  attempt.patience_ends = now_ + PatienceFor(flow, attempt, engine);
+  attempt.patience_ends = now_ + PatienceFor(attempt, engine);
   MeterStart(flow, attempt);
   flow.attempts[attempt.id] = attempt;
   actions_->push_back(std::move(start));
@@ -243,12 +243,11 @@
 
 // A reading may be awaited for some times what it should take; work that may
 // run once, for as long as the request has.
-Duration ServingCore::PatienceFor(const Flow& flow, const Attempt& attempt, const EngineState& engine) const {
+Duration ServingCore::PatienceFor(const Attempt& attempt, const EngineState& engine) const {
   if (attempt.mode != AttemptMode::kPrefill) return knobs_.silence;
   constexpr double kMillisecond = 0.001;
-  // Shared parts may be read along; what was cut short would be read for nothing.
-  const auto tokens =
-      static_cast<double>(flow.facts.prompt->tokens + engine.outstanding_prompt_tokens + engine.peers_prompt_tokens);
+  // This prompt's tokens are among the outstanding ones.
+  const auto tokens = static_cast<double>(engine.outstanding_prompt_tokens + engine.peers_prompt_tokens);
   const Duration expected = FromSeconds(kMillisecond * tokens / selector_.read_rate());
   return knobs_.silence + FromSeconds(knobs_.prefill_patience * ToSeconds(expected));
 }
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -113,7 +113,7 @@
   void TimeOut(Flow& flow);
   void CheckPatience(Flow& flow);
   bool GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent);
-  Duration PatienceFor(const Flow& flow, const Attempt& attempt, const EngineState& engine) const;
+  Duration PatienceFor(const Attempt& attempt, const EngineState& engine) const;
 
   // Ends of a flow.
   void Refuse(Flow& flow, std::string_view cause);
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -57,9 +57,11 @@
   });
 }
 
-HttpClient::~HttpClient() {
+HttpClient::~HttpClient() { Stop(); }
+
+void HttpClient::Stop() {
   loop_.stop();
-  thread_.join();
+  if (thread_.joinable()) thread_.join();
 }
 
 HttpClient::CallId HttpClient::Begin(HttpCall call) {
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -48,6 +48,10 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
+  // Ends the thread; calls under way end without a word. For whoever owns what
+  // the callbacks refer to, before it goes.
+  void Stop();
+
   CallId Begin(HttpCall call);
   // on_done follows with kCancelled unless the call has ended.
   void Cancel(CallId id);
--- a/src/runtime/node_driver.cc
+++ b/src/runtime/node_driver.cc
@@ -66,6 +66,9 @@
   }
   queue_ready_.notify_all();
   if (thread_.joinable()) thread_.join();
+  // Their threads post to the queue: they end before it does.
+  peers_.reset();
+  http_.Stop();
 }
 
 void NodeDriver::Post(Event event) {
