--- a/src/gateway/log_explainer.cc
+++ b/src/gateway/log_explainer.cc
@@ -73,6 +73,7 @@
   }
   for (const auto& [subject, index] : last_belief) chosen.insert(index);
   std::vector<LogLine> life;
+  life.reserve(chosen.size());
   for (const std::size_t index : chosen) life.push_back(lines_[index]);
   return life;
 }
