--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -100,12 +100,7 @@
   start.connect_timeout = std::clamp(FromSeconds(connect_seconds), knobs_.shortest_connect, knobs_.longest_connect);
   start.priority = flow.route.priority;
   start.streams = flow.route.kind == RouteKind::kStreaming;
-  Log(EventId::kRequestRouted, &flow,
-      fmt::format(R"("route":"{}","service":"{}","version":{},"engine":"{}","mode":"{}","try":{},"load":{:.1f},)"
-                  R"("load_age_ms":{},"backlog_tokens":{},"left_ms":{})",
-                  flow.route.name, flow.service, version(), engine.record.id, ModeName(mode), flow.tries,
-                  selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
-                  engine.outstanding_prompt_tokens, start.time_left.count() / 1000));
+  LogRouted(flow, engine, start);
   attempt.patience_ends = now_ + PatienceFor(attempt, engine);
   MeterStart(flow, attempt);
   flow.attempts[attempt.id] = attempt;
@@ -113,6 +108,15 @@
   Arm(flow);
 }
 
+void ServingCore::LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start) {
+  Log(EventId::kRequestRouted, &flow,
+      fmt::format(R"("route":"{}","service":"{}","version":{},"engine":"{}","mode":"{}","try":{},"load":{:.1f},)"
+                  R"("load_age_ms":{},"backlog_tokens":{},"left_ms":{})",
+                  flow.route.name, flow.service, version(), engine.record.id, ModeName(start.mode), flow.tries,
+                  selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
+                  engine.outstanding_prompt_tokens, start.time_left.count() / 1000));
+}
+
 void ServingCore::WaitOrRefuse(Flow& flow) {
   if (!flow.attempts.empty()) return Arm(flow);  // Another attempt is still under way.
   if (flow.relaying) return BreakOffFlow(flow, "no engine to go on with");
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -126,6 +126,7 @@
   Flow* FindFlow(FlowId id);
   void Arm(Flow& flow);
   void Log(EventId event, const Flow* flow, std::string details);
+  void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start);
   void LogStanding(const std::optional<StandingChange>& change);
   std::string ChooseService(const Route& route);
   void MeterStart(const Flow& flow, const Attempt& attempt);
