--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -26,7 +26,7 @@
   std::size_t at = 0;
   while (at < stream.size()) {
     const std::size_t size = *rc::gen::inRange<std::size_t>(1, 12);
-    passed += splitter.Feed(std::string_view(stream).substr(at, size));
+    passed += splitter.Feed(std::string_view{stream}.substr(at, size));
     at += size;
   }
   RC_ASSERT(passed == whole);
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cstdlib>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -66,7 +67,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) std::abort();
     listen(listener_, 64);
     socklen_t length = sizeof(address);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
