--- /dev/null
+++ b/include/saltquay/replica/relay_server.h
@@ -0,0 +1,44 @@
+// Answers followers: GET /records/KIND lists; with since=REVISION and wait_ms
+// it answers changes as they come. 410: forgotten, list again. 503: this node
+// does not read the store, or does not hear it.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "saltquay/replica/relayed_store.h"
+#include "src/http/server.h"
+
+namespace saltquay::replica {
+
+class RelayServer {
+public:
+    RelayServer(boost::asio::io_context&, RelayedStore&);
+
+    // Errors say which address cannot be bound.
+    absl::Status listen(std::string const& address);
+    // Changes of that kind are there.
+    void on_change(std::string const& kind);
+
+private:
+    struct Waiting {
+        std::shared_ptr<http::Exchange> exchange;
+        std::string kind;
+        std::int64_t since = 0;
+        std::chrono::steady_clock::time_point until;
+    };
+
+    void handle(std::shared_ptr<http::Exchange> const&);
+    // Returns whether the question was answered.
+    bool try_answer(Waiting const&, bool time_is_up);
+    void sweep();
+
+    RelayedStore& store_;
+    boost::asio::io_context& loop_;
+    boost::asio::steady_timer timer_;
+    std::vector<Waiting> waiting_;
+    std::unique_ptr<http::Server> server_;
+};
+
+}
--- /dev/null
+++ b/include/saltquay/replica/relayed_store.h
@@ -0,0 +1,112 @@
+// The store as a node of a large fleet sees it: lists and watches go to the
+// store itself or to a peer that reads it (see upstream_selector.h); writes and
+// single reads always go to the store.
+//
+// Protocol. A node that reads the store answers its followers from its replica,
+// as long as the store answered it lately. A follower asks again and again, and
+// each question waits a short while for a change. When the reader does not
+// answer, or some peer's report names a change that has not come, the follower
+// asks the store itself from where it stands. A node that starts while the
+// store is down takes what any peer has.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <utility> // Boost 1.74's Asio needs it first under C++20.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "saltquay/fetch/fetcher.h"
+#include "saltquay/replica/record_replica.h"
+#include "saltquay/replica/upstream_selector.h"
+#include "src/core/serving/peer_table.h"
+#include "src/gateway/object_store.h"
+
+namespace saltquay::replica {
+
+struct RelayedStoreOptions {
+    serving::PeerNode self;
+    UpstreamKnobs upstream;
+    std::chrono::milliseconds reader_wait { 2000 };  // A watch at the store, while others follow this node.
+    std::chrono::milliseconds contact_slack { 600 }; // Beyond that, the store counts as not heard.
+    std::chrono::milliseconds follower_wait { 600 };
+    std::chrono::milliseconds follower_slack { 300 }; // For the reader's answer, beyond its wait.
+    std::chrono::milliseconds peers_wait { 400 };     // After the start, for the first peer's report.
+    std::chrono::milliseconds followed_for { 5000 };  // After a follower's last question.
+};
+
+class RelayedStore final : public gateway::ObjectStore {
+public:
+    RelayedStore(boost::asio::io_context&, gateway::ObjectStore& origin, RelayedStoreOptions);
+
+    void List(std::string const& kind, std::function<void(absl::StatusOr<gateway::ObjectList>)> done) override;
+    void Watch(std::string const& kind, std::int64_t revision, std::chrono::milliseconds wait,
+        std::function<void(absl::StatusOr<gateway::ObjectEvents>)> done) override;
+    void Write(std::string const& kind, gateway::StoredObject const&,
+        std::function<void(absl::StatusOr<gateway::StoredObject>)> done) override;
+    void Read(std::string const& kind, std::string const& name,
+        std::function<void(absl::StatusOr<gateway::StoredObject>)> done) override;
+
+    // Takes over what the peers report; call it some times a second.
+    void update_peers(serving::PeerTable const&);
+    // What this node knows, for its own report.
+    std::vector<serving::RecordMark> marks() const;
+
+    // Answers for followers. Errors: kUnavailable: this node does not read the store, or did not hear it lately;
+    // kOutOfRange: the changes are forgotten here.
+    absl::StatusOr<gateway::ObjectList> list_for_peer(std::string const& kind, bool even_if_stale);
+    absl::StatusOr<gateway::ObjectEvents> changes_for_peer(std::string const& kind, std::int64_t since);
+
+    // Called after changes of that kind were taken over.
+    std::function<void(std::string const& kind)> on_change;
+    // Called when lists and watches of a kind go to another upstream; empty: the store.
+    std::function<void(std::string const& kind, std::string const& node, std::string const& cause)> on_upstream;
+
+private:
+    struct Kind {
+        RecordReplica replica;
+        bool reads_store = false;
+        Time store_answered {};
+        Time behind_since {};
+        std::chrono::milliseconds store_wait { 0 };
+        std::string upstream; // Last told to on_upstream.
+
+        // The watch under way.
+        bool watching = false;
+        std::uint64_t turn = 0; // Answers to earlier watches are ignored.
+        std::int64_t revision = 0;
+        std::chrono::milliseconds wait { 0 };
+        std::function<void(absl::StatusOr<gateway::ObjectEvents>)> watch_done;
+        fetch::FetchId fetch = 0;
+        std::string follows;
+    };
+    using ListHandler = std::function<void(absl::StatusOr<gateway::ObjectList>)>;
+
+    static Time now();
+    void list_at_store(std::string const& kind, ListHandler const&);
+    void list_at_peer(std::string const& kind, serving::PeerNode const&, bool even_if_stale, ListHandler const&);
+    void take_list(std::string const& kind, gateway::ObjectList const&, ListHandler const&);
+    void watch_at_store(std::string const& kind, std::chrono::milliseconds wait, std::string const& cause);
+    void watch_at_peer(std::string const& kind, serving::PeerNode const&);
+    void finish_watch(std::string const& kind, std::uint64_t turn, absl::StatusOr<gateway::ObjectEvents> const&);
+    void check_lag(std::string const& kind, Kind&, std::int64_t last_change);
+    void note_upstream(std::string const& kind, std::string const& node, std::string const& cause);
+    bool hears_store(Kind const&) const;
+    fetch::FetchId ask(serving::PeerNode const&, std::string const& target, fetch::Fetcher::Handler);
+
+    boost::asio::io_context& loop_;
+    gateway::ObjectStore& origin_;
+    RelayedStoreOptions options_;
+    fetch::Fetcher fetcher_;
+    UpstreamSelector selector_;
+    std::vector<serving::PeerNode> peers_;
+    std::map<std::string, Kind> kinds_;
+    Time started_;
+    Time last_followed_ {};
+};
+
+}
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -5,3 +5,4 @@
 cd "$(dirname "$0")/.."
 flatc --cpp --scoped-enums -o src/wire src/wire/peer.fbs
 flatc --cpp --scoped-enums -o src/gateway src/gateway/peer_report.fbs
+flatc --cpp --scoped-enums -o src/replica src/replica/records.fbs
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,7 +8,7 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 46> kCatalogue = {{
+constexpr std::array<EventDescription, 47> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
@@ -64,6 +64,9 @@
     {kStoreRecovered, kInfo, "store_recovered", "The platform's store answers again.", "None."},
     {kStoreContact, kInfo, "store_contact", "The node began or ceased to hear the platform's store.",
      "If it stays lost: check the store; serving goes on with what is known."},
+    {kRecordUpstream, kInfo, "record_upstream",
+     "The node learns the store's objects of a kind from another place: a peer that reads the store, or the store.",
+     "None; if it changes again and again: look at the peers' links."},
     {kPeerDataRefused, kWarning, "peer_data_refused", "Bytes from a peer did not verify and were dropped.",
      "Check that only nodes reach the peer port and that versions agree."},
     {kSettingsRefused, kError, "settings_refused", "The settings are wrong; the process exits 2.",
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -49,6 +49,7 @@
   kStoreUnavailable = 700,
   kStoreRecovered = 701,
   kStoreContact = 702,
+  kRecordUpstream = 703,
   kPeerDataRefused = 800,
   kSettingsRefused = 801,
   kListenFailed = 802,
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -1,9 +1,13 @@
 #include "src/core/serving/peer_table.h"
 
+#include <algorithm>
+
 namespace saltquay::serving {
 namespace {
 
 constexpr Duration kForgetAfter = 3s;
+// A node reports to a bounded number of peers in a round: each more peer delays the next report to one.
+constexpr Duration kForgetAfterPerPeer = 60ms;
 constexpr Duration kNamedFor = 6s;
 
 }  // namespace
@@ -24,7 +28,8 @@
 }
 
 void PeerTable::Expire(Time now) {
-  std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heard > kForgetAfter; });
+  const Duration forget_after = kForgetAfter + kForgetAfterPerPeer * static_cast<int>(peers_.size());
+  std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heard > forget_after; });
   std::erase_if(named_, [&](const auto& entry) { return now - entry.second.second > kNamedFor; });
 }
 
@@ -37,6 +42,26 @@
   return addresses;
 }
 
+std::vector<PeerNode> PeerTable::Nodes() const {
+  std::vector<PeerNode> nodes;
+  nodes.reserve(peers_.size());
+  for (const auto& [node, entry] : peers_) {
+    const PeerReport& report = entry.report;
+    nodes.push_back({node, report.address, report.zone, report.link_mbps, report.stopping});
+  }
+  return nodes;
+}
+
+std::int64_t PeerTable::LastChange(const std::string& kind) const {
+  std::int64_t last = 0;
+  for (const auto& [node, entry] : peers_) {
+    for (const RecordMark& mark : entry.report.records) {
+      if (mark.kind == kind) last = std::max(last, mark.changed_at);
+    }
+  }
+  return last;
+}
+
 std::map<std::string, EngineWork> PeerTable::WorkByEngine() const {
   std::map<std::string, EngineWork> sums;
   for (const auto& [node, entry] : peers_) {
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -4,8 +4,9 @@
 // Protocol. Each node sends its report to its peers several times a second
 // over datagrams; a report replaces the sender's earlier one (higher boot time
 // or sequence). Reports name the peers that the sender knows, so that nodes
-// find each other from a few seeds. A node that is silent for `kForgetAfter` is
-// forgotten. Nothing here is needed for safety: it only makes choices better.
+// find each other from a few seeds. A node that is silent for some rounds is
+// forgotten; in a large fleet a round reaches each peer more seldom. Nothing here is needed for safety: it only makes
+// choices better.
 #pragma once
 
 #include <compare>
@@ -51,9 +52,26 @@
   std::string address;
 };
 
+// How far a node's knowledge of one kind of the store's objects goes.
+struct RecordMark {
+  std::string kind;
+  std::int64_t changed_at = 0;  // Revision of the last change that it knows.
+};
+
+// What a node says of itself.
+struct PeerNode {
+  std::string node;
+  std::string address;
+  std::string zone;
+  int link_mbps = 0;  // 0: not known.
+  bool stopping = false;
+};
+
 struct PeerReport {
   std::string node;
   std::string address;
+  std::string zone;
+  int link_mbps = 0;
   std::uint64_t boot = 0;  // Rises with each start of the process.
   std::uint64_t sequence = 0;
   bool stopping = false;
@@ -62,6 +80,7 @@
   std::vector<EngineHold> holds;
   std::vector<KeptPart> kept;  // News since some rounds.
   std::vector<PeerAddress> peers;
+  std::vector<RecordMark> records;
 };
 
 class PeerTable {
@@ -76,6 +95,10 @@
   int Count() const { return static_cast<int>(peers_.size()) + 1; }
   // Where reports go: nodes heard, and those that others named.
   std::vector<PeerAddress> Addresses() const;
+  // Nodes heard, as they described themselves.
+  std::vector<PeerNode> Nodes() const;
+  // Revision of the last change of that kind that any node heard of knows.
+  std::int64_t LastChange(const std::string& kind) const;
   // Work of all other nodes by engine.
   std::map<std::string, EngineWork> WorkByEngine() const;
   // Engines that other nodes hold back.
--- /dev/null
+++ b/src/fetch/fetcher.cc
@@ -0,0 +1,82 @@
+#include "saltquay/fetch/fetcher.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace saltquay::fetch {
+
+struct Fetcher::Pending {
+    explicit Pending(boost::asio::io_context& loop)
+        : timer(loop)
+    {
+    }
+    std::unique_ptr<http::Call> call;
+    boost::asio::steady_timer timer;
+    Reply reply;
+    Handler done;
+};
+
+FetchId Fetcher::fetch(std::string_view address, http::RequestHead const& head, std::string_view body,
+    Options const& options, Handler done)
+{
+    auto const endpoint = http::ParseEndpoint(std::string(address));
+    auto const id = ++last_id_;
+    auto const pending = std::make_shared<Pending>(loop_);
+    pending->done = std::move(done);
+    pending_[id] = pending;
+    if (!endpoint.ok()) {
+        boost::asio::post(loop_,
+            [this, id, status = endpoint.status()] { finish(id, absl::InvalidArgumentError(status.message())); });
+        return id;
+    }
+    http::CallOptions call_options;
+    call_options.connect_timeout = options.connect_timeout;
+    call_options.keep_alive_probes = options.keep_alive_probes;
+    pending->call = client_.Start(
+        *endpoint, options.pool, http::SerializeRequest(head, body), call_options, make_handlers(id, pending));
+    pending->timer.expires_after(options.timeout);
+    pending->timer.async_wait([this, id](boost::system::error_code error) {
+        if (!error)
+            finish(id, absl::DeadlineExceededError("no answer in time"));
+    });
+    return id;
+}
+
+http::CallHandlers Fetcher::make_handlers(FetchId id, std::shared_ptr<Pending> const& pending)
+{
+    // The call is owned by what is pending, and must not own it in turn.
+    std::weak_ptr<Pending> const weak = pending;
+    http::CallHandlers handlers;
+    handlers.on_head = [weak](http::ResponseHead const& answer) {
+        if (auto const call = weak.lock())
+            call->reply.status = answer.status;
+    };
+    handlers.on_body = [weak](std::string_view bytes) {
+        if (auto const call = weak.lock())
+            call->reply.body += bytes;
+    };
+    handlers.on_complete = [this, id, weak] {
+        if (auto const call = weak.lock())
+            finish(id, std::move(call->reply));
+    };
+    handlers.on_failure = [this, id](http::CallFailure failure) {
+        auto const sent = failure != http::CallFailure::kNotSent;
+        finish(id, sent ? absl::DeadlineExceededError("the answer was lost") : absl::UnavailableError("not reached"));
+    };
+    return handlers;
+}
+
+void Fetcher::finish(FetchId id, absl::StatusOr<Reply> reply)
+{
+    auto const entry = pending_.find(id);
+    if (entry == pending_.end())
+        return;
+    auto const pending = entry->second;
+    pending_.erase(entry);
+    pending->timer.cancel();
+    // The call may be what runs now: it ends after this.
+    boost::asio::post(loop_, [pending] { pending->call.reset(); });
+    pending->done(std::move(reply));
+}
+
+}
--- a/src/gateway/collection_watcher.cc
+++ b/src/gateway/collection_watcher.cc
@@ -37,10 +37,18 @@
                  backoff_ = times_.first_backoff;
                  for (const ObjectEvent& event : events->events) handlers_.on_event(event);
                  SetContact(true, "watched");
-                 Watch();
+                 if (events->events.empty()) return Watch();
+                 WatchAfter(times_.gather);
                });
 }
 
+void CollectionWatcher::WatchAfter(std::chrono::milliseconds pause) {
+  timer_.expires_after(pause);
+  timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](boost::system::error_code error) {
+    if (!error && !alive.expired()) Watch();
+  });
+}
+
 void CollectionWatcher::OnError(const absl::Status& status) {
   SetContact(false, MessageOf(status));
   if (status.code() == absl::StatusCode::kOutOfRange) return List();
--- a/src/gateway/collection_watcher.h
+++ b/src/gateway/collection_watcher.h
@@ -30,6 +30,8 @@
 
 struct WatcherTimes {
   std::chrono::milliseconds watch{4000};
+  std::chrono::milliseconds gather{
+      100};  // After changes, before the next watch: what comes in a row comes in one answer.
   std::chrono::milliseconds first_backoff{50};
   std::chrono::milliseconds longest_backoff{800};
 };
@@ -45,6 +47,7 @@
  private:
   void List();
   void Watch();
+  void WatchAfter(std::chrono::milliseconds pause);
   void OnError(const absl::Status& status);
   void SetContact(bool in_contact, const std::string& cause);
 
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -34,11 +34,12 @@
   return record;
 }
 
-serving::OrderOutcome ToOutcome(int status, bool sent) {
+serving::OrderOutcome ToOutcome(const absl::StatusOr<fetch::Reply>& reply) {
+  if (absl::IsDeadlineExceeded(reply.status())) return serving::OrderOutcome::kUnknown;
+  const int status = reply.ok() ? reply->status : 0;
   if (status == kOk || status == kAccepted) return serving::OrderOutcome::kAccepted;
   if (status == kConflict) return serving::OrderOutcome::kConflict;
   if (status == kPreconditionFailed) return serving::OrderOutcome::kFenced;
-  if (status == 0 && sent) return serving::OrderOutcome::kUnknown;
   return serving::OrderOutcome::kRefused;
 }
 
@@ -51,22 +52,15 @@
 
 }  // namespace
 
-struct Coordination::EngineCall {
-  explicit EngineCall(boost::asio::io_context& loop) : timer(loop) {}
-  std::unique_ptr<http::Call> call;
-  boost::asio::steady_timer timer;
-  EngineReply reply;
-  std::function<void(const EngineReply&)> done;
-};
-
 Coordination::Coordination(boost::asio::io_context& loop, const GatewaySettings& settings,
-                           const EngineProtocol& protocol, Gateway& gateway, ObjectStore& store, std::uint64_t seed)
+                           const EngineProtocol& protocol, Gateway& gateway, replica::RelayedStore& store,
+                           std::uint64_t seed)
     : loop_(loop),
       settings_(settings),
       protocol_(protocol),
       gateway_(gateway),
       store_(store),
-      client_(loop),
+      fetcher_(loop),
       peers_(settings.node_name),
       roles_(RoleKnobs(settings), settings.node_name, seed, gateway.Now()),
       timer_(loop),
@@ -99,6 +93,9 @@
   report.holds = roles_.Holds(gateway_.Now());
   report.kept = gateway_.core().selector().NewsSince(gateway_.Now() - kNewsRepeated);
   report.peers = peers_.Addresses();
+  report.zone = settings_.zone;
+  report.link_mbps = settings_.link_mbps;
+  report.records = store_.marks();
 }
 
 void Coordination::OnReport(const serving::PeerReport& report) {
@@ -107,6 +104,8 @@
   if (peers_.Count() != before) {
     gateway_.Log(EventId::kMemberAlive, "",
                  fmt::format(R"("node":"{}","nodes":{})", EscapeJson(report.node), peers_.Count()));
+    // A node that has just come knows few others: it is answered at once.
+    exchange_->Greet(report.address);
   }
   TellCore(report.kept);
 }
@@ -128,6 +127,7 @@
     gateway_.Log(EventId::kMemberDead, "", fmt::format(R"("nodes":{})", peers_.Count()));
     TellCore({});
   }
+  store_.update_peers(peers_);
   const std::optional<serving::ServingConfig>& config = gateway_.core().config();
   if (config && settings_.changes_roles) {
     const bool candidate = !stopping_ && store_contact_ && gateway_.core().ready() && peers_.OwnNameIsLeast();
@@ -184,24 +184,22 @@
 }
 
 void Coordination::CarryOne(const serving::ReadEngineState& action) {
-  std::string request = http::SerializeRequest(protocol_.MakeStateRead(action), "");
-  CallEngine(action.address, action.engine_id, std::move(request),
-             [this, id = action.engine_id](const EngineReply& reply) {
+  CallEngine(action.address, action.engine_id, protocol_.MakeStateRead(action), "",
+             [this, id = action.engine_id](const absl::StatusOr<fetch::Reply>& reply) {
                std::vector<serving::RoleAction> actions;
-               const auto report = reply.status == kOk ? protocol_.ReadState(reply.body) : std::nullopt;
+               const bool read = reply.ok() && reply->status == kOk;
+               const auto report = read ? protocol_.ReadState(reply->body) : std::nullopt;
                roles_.OnEngineState(gateway_.Now(), id, report, gateway_.core().engines(), actions);
                Carry(actions);
              });
 }
 
 void Coordination::CarryOne(const serving::SendStageOrder& action) {
-  std::string request =
-      http::SerializeRequest(protocol_.MakeOrderHead(action), protocol_.MakeOrderBody(action, settings_.node_name));
-  CallEngine(action.address, action.engine_id, std::move(request),
-             [this, id = action.engine_id](const EngineReply& reply) {
+  CallEngine(action.address, action.engine_id, protocol_.MakeOrderHead(action),
+             protocol_.MakeOrderBody(action, settings_.node_name),
+             [this, id = action.engine_id](const absl::StatusOr<fetch::Reply>& reply) {
                std::vector<serving::RoleAction> actions;
-               roles_.OnOrderAnswered(gateway_.Now(), id, ToOutcome(reply.status, reply.sent),
-                                      gateway_.core().engines(), actions);
+               roles_.OnOrderAnswered(gateway_.Now(), id, ToOutcome(reply), gateway_.core().engines(), actions);
                Carry(actions);
              });
 }
@@ -213,42 +211,13 @@
 
 void Coordination::CarryOne(const serving::LogRole& action) { gateway_.Log(action.event, "", action.details); }
 
-void Coordination::CallEngine(const std::string& address, const std::string& engine_id, std::string request,
-                              std::function<void(const EngineReply&)> done) {
-  const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(address);
-  const auto call = std::make_shared<EngineCall>(loop_);
-  call->done = std::move(done);
-  if (!endpoint.ok()) {
-    call->reply.sent = false;
-    boost::asio::post(loop_, [call] { call->done(call->reply); });
-    return;
-  }
-  const std::uint64_t id = ++last_call_;
-  calls_[id] = call;
-  const auto finish = [this, id, call] {
-    if (calls_.erase(id) == 0) return;
-    call->timer.cancel();
-    boost::asio::post(loop_, [call] { call->call.reset(); });
-    call->done(call->reply);
-  };
-  http::CallHandlers handlers;
-  handlers.on_head = [call](const http::ResponseHead& head) { call->reply.status = head.status; };
-  handlers.on_body = [call](std::string_view bytes) { call->reply.body += bytes; };
-  handlers.on_complete = finish;
-  handlers.on_failure = [call, finish](http::CallFailure failure) {
-    call->reply.status = 0;
-    call->reply.sent = failure != http::CallFailure::kNotSent;
-    finish();
-  };
-  http::CallOptions options;
+void Coordination::CallEngine(const std::string& address, const std::string& engine_id, const http::RequestHead& head,
+                              const std::string& body, fetch::Fetcher::Handler done) {
+  fetch::Options options;
+  options.pool = address + "#" + engine_id;
   options.connect_timeout = kEngineConnect;
-  call->call = client_.Start(*endpoint, address + "#" + engine_id, std::move(request), options, std::move(handlers));
-  call->timer.expires_after(kEngineCallTimeout);
-  call->timer.async_wait([call, finish](boost::system::error_code error) {
-    if (error) return;
-    call->reply.status = 0;
-    finish();
-  });
+  options.timeout = kEngineCallTimeout;
+  fetcher_.fetch(address, head, body, options, std::move(done));
 }
 
 }  // namespace saltquay::gateway
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -8,9 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "saltquay/fetch/fetcher.h"
+#include "saltquay/replica/relayed_store.h"
 #include "src/core/serving/role_controller.h"
 #include "src/gateway/gateway.h"
-#include "src/gateway/object_store.h"
 #include "src/gateway/peer_exchange.h"
 
 namespace saltquay::gateway {
@@ -18,7 +19,7 @@
 class Coordination {
  public:
   Coordination(boost::asio::io_context& loop, const GatewaySettings& settings, const EngineProtocol& protocol,
-               Gateway& gateway, ObjectStore& store, std::uint64_t seed);
+               Gateway& gateway, replica::RelayedStore& store, std::uint64_t seed);
 
   absl::Status Start();
   // This node stops: it plans no more, and tells its peers.
@@ -39,21 +40,15 @@
   void CarryOne(const serving::SendStageOrder& action);
   void CarryOne(const serving::AnnounceHolds& action);
   void CarryOne(const serving::LogRole& action);
-  // Calls an engine and hands over the status (0: none) and the body.
-  struct EngineReply {
-    int status = 0;
-    bool sent = true;
-    std::string body;
-  };
-  void CallEngine(const std::string& address, const std::string& engine_id, std::string request,
-                  std::function<void(const EngineReply&)> done);
+  void CallEngine(const std::string& address, const std::string& engine_id, const http::RequestHead& head,
+                  const std::string& body, fetch::Fetcher::Handler done);
 
   boost::asio::io_context& loop_;
   GatewaySettings settings_;
   EngineProtocol protocol_;
   Gateway& gateway_;
-  ObjectStore& store_;
-  http::Client client_;
+  replica::RelayedStore& store_;
+  fetch::Fetcher fetcher_;
   serving::PeerTable peers_;
   serving::RoleController roles_;
   std::unique_ptr<PeerExchange> exchange_;
@@ -62,9 +57,6 @@
   std::uint64_t sequence_ = 0;
   bool stopping_ = false;
   bool store_contact_ = false;
-  struct EngineCall;
-  std::map<std::uint64_t, std::shared_ptr<EngineCall>> calls_;
-  std::uint64_t last_call_ = 0;
 };
 
 }  // namespace saltquay::gateway
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -29,6 +29,13 @@
   return options;
 }
 
+replica::RelayedStoreOptions RelayOptions(const GatewaySettings& settings) {
+  replica::RelayedStoreOptions options;
+  options.self = {settings.node_name, settings.peer_listen, settings.zone, settings.link_mbps, false};
+  if (settings.peer_listen.empty()) options.peers_wait = std::chrono::milliseconds(0);
+  return options;
+}
+
 void Answer(const std::shared_ptr<http::Exchange>& exchange, int status, std::string_view body) {
   http::ResponseHead head;
   head.status = status;
@@ -55,10 +62,11 @@
       settings_(settings),
       settings_path_(std::move(settings_path)),
       codec_(std::move(codec)),
-      store_(store),
+      store_(loop, store, RelayOptions(settings)),
+      relay_(loop, store_),
       log_(LogOptions(settings)),
       gateway_(loop, settings, protocol, log_, RandomSeed()),
-      coordination_(loop, settings, protocol, gateway_, store, RandomSeed()),
+      coordination_(loop, settings, protocol, gateway_, store_, RandomSeed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP),
       stop_timer_(loop) {}
 
@@ -95,6 +103,7 @@
   status = listen(
       settings_.ready_listen, [this](const std::shared_ptr<http::Exchange>& exchange) { AnswerReady(exchange); },
       ready_server_);
+  if (status.ok() && !settings_.peer_listen.empty()) status = relay_.listen(settings_.peer_listen);
   if (!status.ok() || settings_.metrics_listen.empty()) return status;
   return listen(
       settings_.metrics_listen, [this](const std::shared_ptr<http::Exchange>& exchange) { AnswerMetrics(exchange); },
@@ -102,6 +111,11 @@
 }
 
 void GatewayProcess::WatchStore() {
+  store_.on_change = [this](const std::string& kind) { relay_.on_change(kind); };
+  store_.on_upstream = [this](const std::string& kind, const std::string& node, const std::string& cause) {
+    gateway_.Log(EventId::kRecordUpstream, "",
+                 fmt::format(R"("kind":"{}","node":"{}","cause":"{}")", kind, EscapeJson(node), EscapeJson(cause)));
+  };
   WatcherHandlers config;
   config.on_list = [this](const ObjectList& list) {
     for (const StoredObject& object : list.items) OnConfigObject(object);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -15,6 +15,8 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include "saltquay/replica/relay_server.h"
+#include "saltquay/replica/relayed_store.h"
 #include "src/gateway/collection_watcher.h"
 #include "src/gateway/coordination.h"
 #include "src/gateway/gateway.h"
@@ -62,7 +64,8 @@
   GatewaySettings settings_;
   std::string settings_path_;
   RecordCodec codec_;
-  ObjectStore& store_;
+  replica::RelayedStore store_;
+  replica::RelayServer relay_;
   LogStream log_;
   Gateway gateway_;
   Coordination coordination_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -54,6 +54,7 @@
   absl::StatusOr<ConfigReader> parsed = ConfigReader::Parse(text, source, ErrorKind::kInvalidSetting);
   if (!parsed.ok()) return parsed.status();
   ConfigReader root = *parsed;
+  constexpr double kMostLinkMbps = 10e6;
   GatewaySettings settings;
   settings.node_name = root.String("node_name", std::nullopt);
   settings.zone = root.String("zone", std::nullopt);
@@ -63,6 +64,7 @@
   settings.peer_listen = ReadAddress(root, "peer_listen", "");
   settings.peer_seeds = root.Strings("peer_seeds");
   settings.store_address = ReadAddress(root, "store_address", std::nullopt);
+  settings.link_mbps = static_cast<int>(root.Number("link_mbps", 0, kMostLinkMbps, 0));
   settings.log_lines_per_second = static_cast<int>(root.Integer("log_lines_per_second", 1, 1000000, 2000));
   ConfigReader bounds = root.Table("bounds");
   ReadBounds(bounds, settings);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -18,6 +18,7 @@
   std::string metrics_listen;  // ip:port for GET /metrics; empty: none.
   std::string peer_listen;     // ip:port (UDP) for other nodes; empty: none.
   std::vector<std::string> peer_seeds;
+  int link_mbps = 0;                      // Of this machine; nodes with more pass the store's objects on. 0: not known.
   std::string store_address;              // ip:port.
   std::chrono::milliseconds grace{8000};  // From the stop signal to the end.
   std::chrono::milliseconds lease{3000};
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -41,10 +41,15 @@
     peers.push_back(
         wire::CreatePeerAddress(builder, builder.CreateString(item.node), builder.CreateString(item.address)));
   }
-  builder.Finish(wire::CreateReport(builder, builder.CreateString(report.node), builder.CreateString(report.address),
-                                    report.boot, report.sequence, report.stopping, builder.CreateVector(work),
-                                    builder.CreateVector(demand), builder.CreateVector(holds),
-                                    builder.CreateVector(peers), builder.CreateVector(kept)));
+  std::vector<flatbuffers::Offset<wire::RecordMark>> records;
+  for (const auto& item : report.records) {
+    records.push_back(wire::CreateRecordMark(builder, builder.CreateString(item.kind), item.changed_at));
+  }
+  builder.Finish(
+      wire::CreateReport(builder, builder.CreateString(report.node), builder.CreateString(report.address), report.boot,
+                         report.sequence, report.stopping, builder.CreateVector(work), builder.CreateVector(demand),
+                         builder.CreateVector(holds), builder.CreateVector(peers), builder.CreateVector(kept),
+                         builder.CreateString(report.zone), report.link_mbps, builder.CreateVector(records)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -76,6 +81,11 @@
   if (source->kept() != nullptr) {
     for (const auto* item : *source->kept()) report.kept.push_back({Text(item->engine()), item->part()});
   }
+  report.zone = Text(source->zone());
+  report.link_mbps = source->link_mbps();
+  if (source->records() != nullptr) {
+    for (const auto* item : *source->records()) report.records.push_back({Text(item->kind()), item->changed_at()});
+  }
   if (source->peers() != nullptr) {
     for (const auto* item : *source->peers()) report.peers.push_back({Text(item->node()), Text(item->address())});
   }
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -83,6 +83,13 @@
   }
 }
 
+void PeerExchange::Greet(const std::string& address) {
+  serving::PeerReport report;
+  report.address = options_.address;
+  fill_(report);
+  SendTo(address, EncodeReport(report));
+}
+
 void PeerExchange::SendTo(const std::string& address, const std::string& bytes) {
   const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(address);
   if (!endpoint.ok()) return;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -40,6 +40,8 @@
   absl::Status Start();
   // Sends a report now, besides the rounds.
   void SendNow();
+  // Sends a report with all known peers to one address now.
+  void Greet(const std::string& address);
 
  private:
   void Receive();
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -32,6 +32,9 @@
 struct PeerAddress;
 struct PeerAddressBuilder;
 
+struct RecordMark;
+struct RecordMarkBuilder;
+
 struct Report;
 struct ReportBuilder;
 
@@ -376,6 +379,69 @@
       address__);
 }
 
+struct RecordMark FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RecordMarkBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_CHANGED_AT = 6
+  };
+  const flatbuffers::String *kind() const {
+    return GetPointer<const flatbuffers::String *>(VT_KIND);
+  }
+  int64_t changed_at() const {
+    return GetField<int64_t>(VT_CHANGED_AT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KIND) &&
+           verifier.VerifyString(kind()) &&
+           VerifyField<int64_t>(verifier, VT_CHANGED_AT, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RecordMarkBuilder {
+  typedef RecordMark Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(flatbuffers::Offset<flatbuffers::String> kind) {
+    fbb_.AddOffset(RecordMark::VT_KIND, kind);
+  }
+  void add_changed_at(int64_t changed_at) {
+    fbb_.AddElement<int64_t>(RecordMark::VT_CHANGED_AT, changed_at, 0);
+  }
+  explicit RecordMarkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RecordMark> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RecordMark>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RecordMark> CreateRecordMark(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> kind = 0,
+    int64_t changed_at = 0) {
+  RecordMarkBuilder builder_(_fbb);
+  builder_.add_changed_at(changed_at);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RecordMark> CreateRecordMarkDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *kind = nullptr,
+    int64_t changed_at = 0) {
+  auto kind__ = kind ? _fbb.CreateString(kind) : 0;
+  return saltquay::gateway::wire::CreateRecordMark(
+      _fbb,
+      kind__,
+      changed_at);
+}
+
 struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -388,7 +454,10 @@
     VT_DEMAND = 16,
     VT_HOLDS = 18,
     VT_PEERS = 20,
-    VT_KEPT = 22
+    VT_KEPT = 22,
+    VT_ZONE = 24,
+    VT_LINK_MBPS = 26,
+    VT_RECORDS = 28
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -420,6 +489,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>> *kept() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>> *>(VT_KEPT);
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  int32_t link_mbps() const {
+    return GetField<int32_t>(VT_LINK_MBPS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>> *>(VT_RECORDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -444,6 +522,12 @@
            VerifyOffset(verifier, VT_KEPT) &&
            verifier.VerifyVector(kept()) &&
            verifier.VerifyVectorOfTables(kept()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<int32_t>(verifier, VT_LINK_MBPS, 4) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
            verifier.EndTable();
   }
 };
@@ -482,6 +566,15 @@
   void add_kept(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>>> kept) {
     fbb_.AddOffset(Report::VT_KEPT, kept);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Report::VT_ZONE, zone);
+  }
+  void add_link_mbps(int32_t link_mbps) {
+    fbb_.AddElement<int32_t>(Report::VT_LINK_MBPS, link_mbps, 0);
+  }
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>>> records) {
+    fbb_.AddOffset(Report::VT_RECORDS, records);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -504,10 +597,16 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::ServiceDemand>>> demand = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::EngineHold>>> holds = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>>> peers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>>> kept = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>>> kept = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    int32_t link_mbps = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>>> records = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_records(records);
+  builder_.add_link_mbps(link_mbps);
+  builder_.add_zone(zone);
   builder_.add_kept(kept);
   builder_.add_peers(peers);
   builder_.add_holds(holds);
@@ -530,7 +629,10 @@
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::ServiceDemand>> *demand = nullptr,
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::EngineHold>> *holds = nullptr,
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>> *peers = nullptr,
-    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>> *kept = nullptr) {
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>> *kept = nullptr,
+    const char *zone = nullptr,
+    int32_t link_mbps = 0,
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>> *records = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::EngineWork>>(*work) : 0;
@@ -538,6 +640,8 @@
   auto holds__ = holds ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::EngineHold>>(*holds) : 0;
   auto peers__ = peers ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::PeerAddress>>(*peers) : 0;
   auto kept__ = kept ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::KeptPart>>(*kept) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>>(*records) : 0;
   return saltquay::gateway::wire::CreateReport(
       _fbb,
       node__,
@@ -549,7 +653,10 @@
       demand__,
       holds__,
       peers__,
-      kept__);
+      kept__,
+      zone__,
+      link_mbps,
+      records__);
 }
 
 inline const saltquay::gateway::wire::Report *GetReport(const void *buf) {
--- /dev/null
+++ b/src/replica/record_codec.cc
@@ -0,0 +1,88 @@
+#include "src/replica/record_codec.h"
+
+#include "src/replica/records_generated.h"
+
+namespace saltquay::replica {
+namespace {
+
+    constexpr std::size_t initial_bytes = 4096;
+
+    flatbuffers::Offset<wire::Record> add(
+        flatbuffers::FlatBufferBuilder& builder, gateway::StoredObject const& object, bool gone)
+    {
+        auto const name = builder.CreateString(object.name);
+        auto const content = builder.CreateString(gone ? std::string() : object.content);
+        return wire::CreateRecord(builder, name, object.revision, content, gone);
+    }
+
+    std::string finish(flatbuffers::FlatBufferBuilder& builder, std::int64_t at,
+        std::vector<flatbuffers::Offset<wire::Record>> const& records)
+    {
+        builder.Finish(wire::CreateRecords(builder, at, builder.CreateVector(records)));
+        return { reinterpret_cast<char const*>(builder.GetBufferPointer()), builder.GetSize() };
+    }
+
+    absl::StatusOr<wire::Records const*> verify(std::string_view bytes)
+    {
+        flatbuffers::Verifier verifier(reinterpret_cast<std::uint8_t const*>(bytes.data()), bytes.size());
+        if (!wire::VerifyRecordsBuffer(verifier))
+            return absl::UnavailableError("a peer's records do not decode; check that its version is this node's");
+        return wire::GetRecords(bytes.data());
+    }
+
+    std::string text(flatbuffers::String const* value) { return value == nullptr ? std::string() : value->str(); }
+
+    gateway::StoredObject to_object(wire::Record const& record)
+    {
+        return { text(record.name()), record.revision(), text(record.content()) };
+    }
+
+}
+
+std::string encode(gateway::ObjectList const& list)
+{
+    flatbuffers::FlatBufferBuilder builder(initial_bytes);
+    std::vector<flatbuffers::Offset<wire::Record>> records;
+    for (auto const& object : list.items)
+        records.push_back(add(builder, object, false));
+    return finish(builder, list.at, records);
+}
+
+std::string encode(gateway::ObjectEvents const& changes)
+{
+    flatbuffers::FlatBufferBuilder builder(initial_bytes);
+    std::vector<flatbuffers::Offset<wire::Record>> records;
+    for (auto const& event : changes.events)
+        records.push_back(add(builder, event.object, event.gone));
+    return finish(builder, changes.at, records);
+}
+
+absl::StatusOr<gateway::ObjectList> decode_list(std::string_view bytes)
+{
+    auto const verified = verify(bytes);
+    if (!verified.ok())
+        return verified.status();
+    gateway::ObjectList list;
+    list.at = (*verified)->at();
+    if ((*verified)->records() != nullptr) {
+        for (auto const* record : *(*verified)->records())
+            list.items.push_back(to_object(*record));
+    }
+    return list;
+}
+
+absl::StatusOr<gateway::ObjectEvents> decode_events(std::string_view bytes)
+{
+    auto const verified = verify(bytes);
+    if (!verified.ok())
+        return verified.status();
+    gateway::ObjectEvents changes;
+    changes.at = (*verified)->at();
+    if ((*verified)->records() != nullptr) {
+        for (auto const* record : *(*verified)->records())
+            changes.events.push_back({ record->gone(), to_object(*record) });
+    }
+    return changes;
+}
+
+}
--- /dev/null
+++ b/src/replica/record_replica.cc
@@ -0,0 +1,80 @@
+#include "saltquay/replica/record_replica.h"
+
+#include <algorithm>
+
+namespace saltquay::replica {
+
+void RecordReplica::replace(gateway::ObjectList const& list)
+{
+    known_ = true;
+    objects_.clear();
+    for (auto const& object : list.items) {
+        objects_[object.name] = object;
+        changed_at_ = std::max(changed_at_, object.revision);
+    }
+    at_ = list.at;
+    history_.clear();
+    held_bytes_ = 0;
+    history_from_ = list.at;
+}
+
+void RecordReplica::apply(gateway::ObjectEvents const& changes)
+{
+    if (!changes.events.empty()) {
+        Batch batch;
+        batch.up_to = changes.at;
+        batch.events = changes.events;
+        for (auto const& event : changes.events) {
+            batch.bytes += event.object.content.size();
+            note_change(event);
+        }
+        held_bytes_ += batch.bytes;
+        history_.push_back(std::move(batch));
+        forget_old_changes();
+    }
+    at_ = std::max(at_, changes.at);
+}
+
+void RecordReplica::note_change(gateway::ObjectEvent const& event)
+{
+    if (event.gone) {
+        objects_.erase(event.object.name);
+    } else {
+        objects_[event.object.name] = event.object;
+    }
+    // Not the batch's revision: nodes get other batches, and must agree on what they know.
+    changed_at_ = std::max(changed_at_, event.object.revision);
+}
+
+void RecordReplica::forget_old_changes()
+{
+    while (held_bytes_ > history_bytes && history_.size() > 1) {
+        history_from_ = history_.front().up_to;
+        held_bytes_ -= history_.front().bytes;
+        history_.pop_front();
+    }
+}
+
+gateway::ObjectList RecordReplica::list() const
+{
+    gateway::ObjectList list;
+    list.at = at_;
+    for (auto const& [name, object] : objects_)
+        list.items.push_back(object);
+    return list;
+}
+
+std::optional<gateway::ObjectEvents> RecordReplica::changes_since(std::int64_t revision) const
+{
+    if (!known_ || revision < history_from_ || revision > at_)
+        return std::nullopt;
+    gateway::ObjectEvents changes;
+    changes.at = at_;
+    for (auto const& batch : history_) {
+        if (batch.up_to > revision)
+            changes.events.insert(changes.events.end(), batch.events.begin(), batch.events.end());
+    }
+    return changes;
+}
+
+}
--- /dev/null
+++ b/src/replica/relay_server.cc
@@ -0,0 +1,124 @@
+#include "saltquay/replica/relay_server.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+#include "src/replica/record_codec.h"
+
+namespace saltquay::replica {
+namespace {
+
+    constexpr int ok = 200;
+    constexpr int not_found = 404;
+    constexpr int gone = 410;
+    constexpr int unavailable = 503;
+    constexpr std::string_view prefix = "/records/";
+    constexpr std::chrono::milliseconds sweep_interval { 100 };
+    constexpr std::chrono::milliseconds longest_wait { 2000 };
+
+    void answer(http::Exchange& exchange, int status, std::string_view body)
+    {
+        http::ResponseHead head;
+        head.status = status;
+        exchange.Respond(head, body);
+    }
+
+    // The number given as NAME=NUMBER in the target's query; nothing where there is none.
+    std::optional<std::int64_t> query_number(std::string_view target, std::string_view name)
+    {
+        auto const question = target.find('?');
+        if (question == std::string_view::npos)
+            return std::nullopt;
+        auto query = target.substr(question + 1);
+        while (!query.empty()) {
+            auto const item = query.substr(0, query.find('&'));
+            query.remove_prefix(std::min(query.size(), item.size() + 1));
+            if (!item.starts_with(name) || item.size() <= name.size() || item[name.size()] != '=')
+                continue;
+            std::int64_t value = 0;
+            auto const digits = item.substr(name.size() + 1);
+            auto const parsed = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+            return parsed.ec == std::errc {} ? std::optional(value) : std::nullopt;
+        }
+        return std::nullopt;
+    }
+
+    int to_http_status(absl::Status const& status)
+    {
+        return status.code() == absl::StatusCode::kOutOfRange ? gone : unavailable;
+    }
+
+}
+
+RelayServer::RelayServer(boost::asio::io_context& loop, RelayedStore& store)
+    : store_(store)
+    , loop_(loop)
+    , timer_(loop)
+{
+}
+
+absl::Status RelayServer::listen(std::string const& address)
+{
+    auto server = http::Server::Listen(loop_, address, http::ServerLimits {},
+        [this](std::shared_ptr<http::Exchange> const& exchange) { handle(exchange); });
+    if (!server.ok())
+        return server.status();
+    server_ = std::move(*server);
+    return absl::OkStatus();
+}
+
+void RelayServer::handle(std::shared_ptr<http::Exchange> const& exchange)
+{
+    std::string_view const target = exchange->head.target;
+    auto const path = http::PathOf(target);
+    if (!path.starts_with(prefix))
+        return answer(*exchange, not_found, "see /records/KIND\n");
+    std::string const kind(path.substr(prefix.size()));
+    auto const since = query_number(target, "since");
+    if (!since) {
+        auto const list = store_.list_for_peer(kind, query_number(target, "stale").has_value());
+        return answer(*exchange, list.ok() ? ok : to_http_status(list.status()), list.ok() ? encode(*list) : "");
+    }
+    auto const wait = std::chrono::milliseconds(query_number(target, "wait_ms").value_or(0));
+    auto const until = std::chrono::steady_clock::now() + std::clamp(wait, std::chrono::milliseconds(0), longest_wait);
+    Waiting question { exchange, kind, *since, until };
+    if (try_answer(question, wait.count() <= 0))
+        return;
+    if (waiting_.empty())
+        sweep();
+    waiting_.push_back(std::move(question));
+}
+
+bool RelayServer::try_answer(Waiting const& question, bool time_is_up)
+{
+    auto const changes = store_.changes_for_peer(question.kind, question.since);
+    if (changes.ok() && changes->events.empty() && !time_is_up)
+        return false;
+    answer(
+        *question.exchange, changes.ok() ? ok : to_http_status(changes.status()), changes.ok() ? encode(*changes) : "");
+    return true;
+}
+
+void RelayServer::on_change(std::string const& kind)
+{
+    std::erase_if(
+        waiting_, [&](Waiting const& question) { return question.kind == kind && try_answer(question, false); });
+}
+
+void RelayServer::sweep()
+{
+    timer_.expires_after(sweep_interval);
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        auto const now = std::chrono::steady_clock::now();
+        std::erase_if(waiting_, [&](Waiting const& question) {
+            return question.exchange->client_left() || try_answer(question, now >= question.until);
+        });
+        if (!waiting_.empty())
+            sweep();
+    });
+}
+
+}
--- /dev/null
+++ b/src/replica/relayed_store.cc
@@ -0,0 +1,298 @@
+#include "saltquay/replica/relayed_store.h"
+
+#include <memory>
+
+#include <fmt/format.h>
+
+#include "src/base/status.h"
+#include "src/replica/record_codec.h"
+
+namespace saltquay::replica {
+namespace {
+
+    using gateway::ObjectEvents;
+    using gateway::ObjectList;
+    using gateway::StoredObject;
+
+    constexpr int ok = 200;
+    constexpr int gone = 410;
+    constexpr std::chrono::milliseconds peer_connect { 250 };
+    constexpr std::chrono::milliseconds peer_list_timeout { 900 };
+    constexpr std::chrono::milliseconds start_step { 50 };
+    constexpr std::chrono::milliseconds shortest_wait { 1 };
+    constexpr Duration probe_interval = 1s;
+
+    absl::Status to_status(fetch::Reply const& reply)
+    {
+        if (reply.status == gone)
+            return absl::OutOfRangeError("the peer forgot its history");
+        return absl::UnavailableError(fmt::format("the peer answered {}", reply.status));
+    }
+
+}
+
+RelayedStore::RelayedStore(boost::asio::io_context& loop, gateway::ObjectStore& origin, RelayedStoreOptions options)
+    : loop_(loop)
+    , origin_(origin)
+    , options_(std::move(options))
+    , fetcher_(loop)
+    , selector_(options_.self, options_.upstream)
+    , started_(now())
+{
+}
+
+Time RelayedStore::now()
+{
+    return Time(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+void RelayedStore::List(std::string const& kind, std::function<void(absl::StatusOr<ObjectList>)> done)
+{
+    if (peers_.empty() && now() < started_ + options_.peers_wait) {
+        auto const timer = std::make_shared<boost::asio::steady_timer>(loop_, start_step);
+        timer->async_wait([this, timer, kind, done](boost::system::error_code error) {
+            if (!error)
+                List(kind, done);
+        });
+        return;
+    }
+    auto const upstream = selector_.choose(peers_, now());
+    if (!upstream)
+        return list_at_store(kind, done);
+    list_at_peer(kind, *upstream, false, [this, kind, done, node = upstream->node](auto const& list) {
+        if (list.ok())
+            return done(list);
+        selector_.avoid(node, now());
+        list_at_store(kind, done);
+    });
+}
+
+void RelayedStore::list_at_store(std::string const& kind, ListHandler const& done)
+{
+    note_upstream(kind, "", "list");
+    origin_.List(kind, [this, kind, done](absl::StatusOr<ObjectList> const& list) {
+        if (list.ok()) {
+            kinds_[kind].store_answered = now();
+            kinds_[kind].reads_store = true;
+            return take_list(kind, *list, done);
+        }
+        // A node that knows nothing yet is better served by a peer's knowledge than by none.
+        if (kinds_[kind].replica.known() || peers_.empty())
+            return done(list);
+        list_at_peer(
+            kind, peers_[static_cast<std::size_t>(now().time_since_epoch().count()) % peers_.size()], true, done);
+    });
+}
+
+void RelayedStore::list_at_peer(
+    std::string const& kind, serving::PeerNode const& peer, bool even_if_stale, ListHandler const& done)
+{
+    auto const target = fmt::format("/records/{}{}", kind, even_if_stale ? "?stale=1" : "");
+    ask(peer, target, [this, kind, done, node = peer.node](absl::StatusOr<fetch::Reply> const& reply) {
+        if (!reply.ok())
+            return done(reply.status());
+        if (reply->status != ok)
+            return done(to_status(*reply));
+        auto const list = decode_list(reply->body);
+        if (!list.ok())
+            return done(list.status());
+        if (list->at < kinds_[kind].replica.at())
+            return done(absl::UnavailableError("the peer knows less than this node"));
+        note_upstream(kind, node, "list");
+        kinds_[kind].reads_store = false;
+        take_list(kind, *list, done);
+    });
+}
+
+void RelayedStore::take_list(std::string const& kind, ObjectList const& list, ListHandler const& done)
+{
+    kinds_[kind].replica.replace(list);
+    done(list);
+    if (on_change)
+        on_change(kind);
+}
+
+void RelayedStore::Watch(std::string const& kind, std::int64_t revision, std::chrono::milliseconds wait,
+    std::function<void(absl::StatusOr<ObjectEvents>)> done)
+{
+    auto& state = kinds_[kind];
+    state.watching = true;
+    ++state.turn;
+    state.revision = revision;
+    state.wait = wait;
+    state.watch_done = std::move(done);
+    auto const upstream = selector_.choose(peers_, now());
+    if (upstream)
+        return watch_at_peer(kind, *upstream);
+    auto const followed = now() - last_followed_ < options_.followed_for;
+    watch_at_store(kind, followed ? std::min(wait, options_.reader_wait) : wait, "reader");
+}
+
+void RelayedStore::watch_at_store(std::string const& kind, std::chrono::milliseconds wait, std::string const& cause)
+{
+    auto& state = kinds_[kind];
+    fetcher_.cancel(state.fetch);
+    note_upstream(kind, "", cause);
+    // From a peer's list to the first answer of the store itself, this node must not answer others.
+    if (!state.reads_store)
+        state.store_answered = Time {};
+    state.reads_store = true;
+    state.store_wait = wait;
+    origin_.Watch(
+        kind, state.revision, wait, [this, kind, turn = state.turn](absl::StatusOr<ObjectEvents> const& events) {
+            if (events.ok())
+                kinds_[kind].store_answered = now();
+            finish_watch(kind, turn, events);
+        });
+}
+
+void RelayedStore::watch_at_peer(std::string const& kind, serving::PeerNode const& peer)
+{
+    auto& state = kinds_[kind];
+    state.reads_store = false;
+    state.follows = peer.node;
+    auto const target =
+        fmt::format("/records/{}?since={}&wait_ms={}", kind, state.revision, options_.follower_wait.count());
+    state.fetch =
+        ask(peer, target, [this, kind, turn = state.turn, node = peer.node](absl::StatusOr<fetch::Reply> const& reply) {
+            auto& asked = kinds_[kind];
+            if (!asked.watching || asked.turn != turn)
+                return;
+            if (reply.ok() && reply->status == gone)
+                return finish_watch(kind, turn, to_status(*reply));
+            absl::StatusOr<ObjectEvents> events = reply.ok() ? to_status(*reply) : reply.status();
+            if (reply.ok() && reply->status == ok)
+                events = decode_events(reply->body);
+            if (events.ok() && events->at >= asked.revision) {
+                note_upstream(kind, node, "follows");
+                return finish_watch(kind, turn, events);
+            }
+            selector_.avoid(node, now());
+            watch_at_store(kind, asked.wait, events.ok() ? "the reader knows less" : MessageOf(events.status()));
+        });
+}
+
+void RelayedStore::finish_watch(std::string const& kind, std::uint64_t turn, absl::StatusOr<ObjectEvents> const& events)
+{
+    auto& state = kinds_[kind];
+    if (!state.watching || state.turn != turn)
+        return;
+    state.watching = false;
+    auto const changed = events.ok() && !events->events.empty();
+    if (events.ok())
+        state.replica.apply(*events);
+    auto const done = std::move(state.watch_done);
+    done(events);
+    if (changed && on_change)
+        on_change(kind);
+}
+
+void RelayedStore::Write(
+    std::string const& kind, StoredObject const& object, std::function<void(absl::StatusOr<StoredObject>)> done)
+{
+    origin_.Write(kind, object, std::move(done));
+}
+
+void RelayedStore::Read(
+    std::string const& kind, std::string const& name, std::function<void(absl::StatusOr<StoredObject>)> done)
+{
+    origin_.Read(kind, name, std::move(done));
+}
+
+void RelayedStore::update_peers(serving::PeerTable const& table)
+{
+    peers_ = table.Nodes();
+    for (auto& [kind, state] : kinds_) {
+        if (state.watching)
+            check_lag(kind, state, table.LastChange(kind));
+    }
+}
+
+// A change that some peer knows and that has not come here: the watch may hang on a dead connection.
+void RelayedStore::check_lag(std::string const& kind, Kind& state, std::int64_t last_change)
+{
+    if (last_change <= state.replica.at()) {
+        state.behind_since = Time {};
+        return;
+    }
+    if (state.behind_since == Time {})
+        state.behind_since = now();
+    if (now() - state.behind_since < options_.upstream.lag_grace)
+        return;
+    state.behind_since = now() + probe_interval;
+    if (!state.reads_store) {
+        selector_.avoid(state.follows, now());
+        return watch_at_store(kind, state.wait, "the reader lags");
+    }
+    // The first answer counts; the other is ignored.
+    watch_at_store(kind, shortest_wait, "the store's watch lags");
+}
+
+std::vector<serving::RecordMark> RelayedStore::marks() const
+{
+    std::vector<serving::RecordMark> marks;
+    for (auto const& [kind, state] : kinds_)
+        marks.push_back({ kind, state.replica.changed_at() });
+    return marks;
+}
+
+bool RelayedStore::hears_store(Kind const& state) const
+{
+    return state.reads_store && now() - state.store_answered < state.store_wait + options_.contact_slack;
+}
+
+absl::StatusOr<ObjectList> RelayedStore::list_for_peer(std::string const& kind, bool even_if_stale)
+{
+    auto const entry = kinds_.find(kind);
+    if (entry == kinds_.end() || !entry->second.replica.known())
+        return absl::UnavailableError("nothing known yet");
+    if (!even_if_stale && !hears_store(entry->second))
+        return absl::UnavailableError("this node does not hear the store");
+    last_followed_ = now();
+    return entry->second.replica.list();
+}
+
+absl::StatusOr<ObjectEvents> RelayedStore::changes_for_peer(std::string const& kind, std::int64_t since)
+{
+    auto const entry = kinds_.find(kind);
+    if (entry == kinds_.end() || !hears_store(entry->second))
+        return absl::UnavailableError("this node does not hear the store");
+    last_followed_ = now();
+    auto const& replica = entry->second.replica;
+    if (since > replica.at()) {
+        // The asker learnt of a change elsewhere: it waits like any other.
+        return ObjectEvents { {}, since };
+    }
+    auto changes = replica.changes_since(since);
+    if (!changes)
+        return absl::OutOfRangeError("these changes are forgotten");
+    return *changes;
+}
+
+void RelayedStore::note_upstream(std::string const& kind, std::string const& node, std::string const& cause)
+{
+    auto& told = kinds_[kind].upstream;
+    auto const& name = node.empty() ? std::string("store") : node;
+    if (told == name)
+        return;
+    told = name;
+    if (on_upstream)
+        on_upstream(kind, node, cause);
+}
+
+fetch::FetchId RelayedStore::ask(serving::PeerNode const& peer, std::string const& target, fetch::Fetcher::Handler done)
+{
+    http::RequestHead head;
+    head.method = "GET";
+    head.target = target;
+    head.fields.Add("Host", peer.address);
+    fetch::Options options;
+    // A watch holds its connection: kinds must not wait for each other.
+    options.pool = peer.address + target.substr(0, target.find('?'));
+    options.connect_timeout = peer_connect;
+    auto const waits = target.find("wait_ms") != std::string::npos;
+    options.timeout = waits ? options_.follower_wait + options_.follower_slack : peer_list_timeout;
+    return fetcher_.fetch(peer.address, head, "", options, std::move(done));
+}
+
+}
