Engines copy shared parts of prompts from each other instead of reading them again

Change: when the chosen engine lacks what the prompt shares with others, the call names the engine that is known to keep most of it (any stage), else the part's home, and the engine copies it. News of kept parts go out for as many rounds as it takes to reach all peers. `policy.copy_parts` turns it off.

--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -101,6 +101,32 @@
   });
 }
 
+const EngineState* EngineSelector::FindKeeper(EngineDirectory& engines, const std::string& service,
+                                              const PromptFacts& prompt, Time now) {
+  const EngineState* best = nullptr;
+  int least = prompt.tokens;
+  engines.ForEachServing(service, [&](EngineState& engine) {
+    if (now < engine.ejected_until) return;
+    const int tokens = TokensToRead(engine.record.id, prompt, now);
+    const bool nearer = best != nullptr && tokens == least && best->record.zone != zone_ && engine.record.zone == zone_;
+    if (tokens >= least && !nearer) return;
+    best = &engine;
+    least = tokens;
+  });
+  return best;
+}
+
+const EngineState* EngineSelector::FindCopySource(EngineDirectory& engines, const EngineState& reader,
+                                                  const PromptFacts& prompt, Time now) {
+  const int missing = TokensToRead(reader.record.id, prompt, now) - OwnTokens(prompt);
+  if (missing < knobs_.least_copied_tokens) return nullptr;
+  const EngineState* keeper = FindKeeper(engines, reader.record.service, prompt, now);
+  if (keeper != nullptr) return keeper == &reader ? nullptr : keeper;
+  // Nobody is known to keep it, but news are late: the home may.
+  const EngineState* home = FindHomes(engines, reader.record.service, reader.record.stage, prompt, now).first;
+  return home == &reader ? nullptr : home;
+}
+
 // The first two engines in the part's rendezvous order, of those that may get work.
 EngineSelector::Homes EngineSelector::FindHomes(EngineDirectory& engines, const std::string& service, EngineStage stage,
                                                 const PromptFacts& prompt, Time now) {
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -34,6 +34,11 @@
   // the service's engines read and answer alike.
   EngineState* ChooseReader(EngineDirectory& engines, const std::string& service, EngineStage stage,
                             const PromptFacts& prompt, const EngineIds& tried, Time now);
+  // The engine from which `reader` should copy what it lacks of the prompt's
+  // shared parts: the one that is known to keep most, else the first home;
+  // nullptr where copying saves nothing.
+  const EngineState* FindCopySource(EngineDirectory& engines, const EngineState& reader, const PromptFacts& prompt,
+                                    Time now);
   EngineState* ChooseDecode(EngineDirectory& engines, const std::string& service, const std::string& memory_zone,
                             const EngineIds& tried, Time now);
 
@@ -62,6 +67,9 @@
     const EngineState* first = nullptr;
     const EngineState* second = nullptr;
   };
+  // The engine that is known to keep most of the prompt's shared parts; nullptr: none keeps any.
+  const EngineState* FindKeeper(EngineDirectory& engines, const std::string& service, const PromptFacts& prompt,
+                                Time now);
   Homes FindHomes(EngineDirectory& engines, const std::string& service, EngineStage stage, const PromptFacts& prompt,
                   Time now);
   double MeanBacklog(EngineDirectory& engines, const std::string& service, EngineStage stage) const;
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -129,6 +129,7 @@
   std::string address;
   AttemptMode mode = AttemptMode::kWhole;
   std::optional<MemorySource> memory;
+  std::string copy_from;  // Address of an engine that may keep what the prompt shares with others; empty: none.
   std::string last_event_id;
   Duration time_left = 0s;
   Duration connect_timeout = 0s;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -80,15 +80,11 @@
   attempt.mode = mode;
   attempt.sent_at = now_;
   attempt.alone_at_start = engine.outstanding == 0;
-  if (mode != AttemptMode::kContinue && flow.language) {
-    attempt.prompt_tokens = selector_.TokensToRead(engine.record.id, *flow.facts.prompt, now_);
-    // From now on others may count on it; a reading that is lost costs them one more.
-    selector_.NotePrompt(engine.record.id, *flow.facts.prompt, now_);
-  }
+  StartAttempt start;
+  if (mode != AttemptMode::kContinue && flow.language) PlanReading(flow, engine, attempt, start);
   ++engine.outstanding;
   engine.outstanding_prompt_tokens += attempt.prompt_tokens;
   const double connect_seconds = ToSeconds(flow.route.objective) * knobs_.connect_share;
-  StartAttempt start;
   start.flow = flow.id;
   start.attempt = attempt.id;
   start.engine_id = engine.record.id;
@@ -108,13 +104,34 @@
   Arm(flow);
 }
 
+// Engines of the service can copy memory from each other.
+bool ServingCore::CopiesParts(const Flow& flow) const {
+  const Service* service = config_ ? config_->FindService(flow.service) : nullptr;
+  return knobs_.copies_parts && service != nullptr && service->language && service->language->link_mbps > 0;
+}
+
+void ServingCore::PlanReading(const Flow& flow, EngineState& engine, Attempt& attempt, StartAttempt& start) {
+  const PromptFacts& prompt = *flow.facts.prompt;
+  attempt.prompt_tokens = selector_.TokensToRead(engine.record.id, prompt, now_);
+  if (CopiesParts(flow)) {
+    const EngineState* source = selector_.FindCopySource(engines_, engine, prompt, now_);
+    if (source != nullptr) {
+      start.copy_from = source->record.address;
+      attempt.prompt_tokens =
+          std::min<std::int64_t>(attempt.prompt_tokens, selector_.TokensToRead(source->record.id, prompt, now_));
+    }
+  }
+  // From now on others may count on it; a reading that is lost costs them one more.
+  selector_.NotePrompt(engine.record.id, prompt, now_);
+}
+
 void ServingCore::LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start) {
   Log(EventId::kRequestRouted, &flow,
       fmt::format(R"("route":"{}","service":"{}","version":{},"engine":"{}","mode":"{}","try":{},"load":{:.1f},)"
-                  R"("load_age_ms":{},"backlog_tokens":{},"left_ms":{})",
+                  R"("load_age_ms":{},"backlog_tokens":{},"copy_from":"{}","left_ms":{})",
                   flow.route.name, flow.service, version(), engine.record.id, ModeName(start.mode), flow.tries,
                   selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
-                  engine.outstanding_prompt_tokens, start.time_left.count() / 1000));
+                  engine.outstanding_prompt_tokens, start.copy_from, start.time_left.count() / 1000));
 }
 
 void ServingCore::WaitOrRefuse(Flow& flow) {
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -40,6 +40,11 @@
   // A part is spread to engines beyond its first two homes only for this much more.
   double stranger_weight = 2;
 
+  // Whether engines are told to copy shared parts of a prompt from one that keeps them.
+  bool copies_parts = true;
+  // Fewer tokens are not worth a copy.
+  int least_copied_tokens = 256;
+
   // Over this time demand is averaged for role changes.
   Duration demand_memory = 3s;
   // Slots and memory of an engine that answers well are filled to this share.
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -126,6 +126,9 @@
   Flow* FindFlow(FlowId id);
   void Arm(Flow& flow);
   void Log(EventId event, const Flow* flow, std::string details);
+  bool CopiesParts(const Flow& flow) const;
+  // Tells the attempt what it reads and from where it copies.
+  void PlanReading(const Flow& flow, EngineState& engine, Attempt& attempt, StartAttempt& start);
   void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start);
   void LogStanding(const std::optional<StandingChange>& change);
   std::string ChooseService(const Route& route);
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick{100};
-// News go out in about two rounds, for datagrams may be lost.
+// News go out in about two rounds, for datagrams may be lost; a round reaches a bounded number of peers.
 constexpr std::chrono::milliseconds kNewsRepeated{900};
+constexpr std::chrono::milliseconds kNewsRepeatedPerPeer{50};
 constexpr std::chrono::milliseconds kEngineCallTimeout{600};
 constexpr std::chrono::milliseconds kEngineConnect{200};
 constexpr std::string_view kLeaseKind = "saltquay-leases";
@@ -91,7 +92,8 @@
   report.work = gateway_.core().OwnWork();
   report.demand = gateway_.core().OwnDemand(gateway_.Now());
   report.holds = roles_.Holds(gateway_.Now());
-  report.kept = gateway_.core().selector().NewsSince(gateway_.Now() - kNewsRepeated);
+  report.kept =
+      gateway_.core().selector().NewsSince(gateway_.Now() - kNewsRepeated - kNewsRepeatedPerPeer * peers_.Count());
   report.peers = peers_.Addresses();
   report.zone = settings_.zone;
   report.link_mbps = settings_.link_mbps;
--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -85,6 +85,7 @@
   head.fields.Add(names_.priority, std::to_string(std::clamp(attempt.priority, 0, 9)));
   if (!attempt.last_event_id.empty()) head.fields.Add(names_.last_event_id, attempt.last_event_id);
   if (attempt.mode == serving::AttemptMode::kPrefill) head.fields.Add(names_.stage, names_.stage_prefill);
+  if (!attempt.copy_from.empty()) head.fields.Add(names_.copy_source, attempt.copy_from);
   if (attempt.memory) head.fields.Add(names_.memory_source, attempt.memory->address + "/" + attempt.memory->handle);
   return head;
 }
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -27,6 +27,7 @@
   std::string stage_prefill = "prefill";
   std::string stage_decode = "decode";
   std::string memory_source = "Saltquay-Memory-Source";
+  std::string copy_source = "Saltquay-Copy-Source";  // Engine that keeps shared parts of the prompt.
   std::string signature = "Saltquay-Signature";
   std::string not_executed = "Saltquay-Not-Executed";
   std::string load = "Saltquay-Load";      // Running, waiting, slots.
@@ -44,7 +45,7 @@
   std::string busy_member = "busy";
   // Fields that only this system may set: never passed on from a client.
   std::vector<std::string> system_fields = {"Saltquay-Expect-Engine", "Saltquay-Priority", "Saltquay-Stage",
-                                            "Saltquay-Memory-Source"};
+                                            "Saltquay-Memory-Source", "Saltquay-Copy-Source"};
 };
 
 class EngineProtocol {
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -72,6 +72,7 @@
   ConfigReader policy = root.Table("policy");
   settings.knobs.policy = ReadPolicy(policy);
   settings.changes_roles = policy.Boolean("change_roles", true);
+  settings.knobs.copies_parts = policy.Boolean("copy_parts", true);
   settings.initial_prefill_share = policy.Number("initial_prefill_share", 0, 1, settings.initial_prefill_share);
   settings.knobs.whole_prompt_tokens =
       static_cast<int>(policy.Integer("whole_prompt_tokens", 0, 1000000, settings.knobs.whole_prompt_tokens));
--- a/src/replica/record_codec.cc
+++ b/src/replica/record_codec.cc
@@ -5,37 +5,37 @@
 namespace saltquay::replica {
 namespace {
 
-    constexpr std::size_t initial_bytes = 4096;
+constexpr std::size_t initial_bytes = 4096;
 
-    flatbuffers::Offset<wire::Record> add(
-        flatbuffers::FlatBufferBuilder& builder, gateway::StoredObject const& object, bool gone)
-    {
-        auto const name = builder.CreateString(object.name);
-        auto const content = builder.CreateString(gone ? std::string() : object.content);
-        return wire::CreateRecord(builder, name, object.revision, content, gone);
-    }
+flatbuffers::Offset<wire::Record> add(
+    flatbuffers::FlatBufferBuilder& builder, gateway::StoredObject const& object, bool gone)
+{
+    auto const name = builder.CreateString(object.name);
+    auto const content = builder.CreateString(gone ? std::string() : object.content);
+    return wire::CreateRecord(builder, name, object.revision, content, gone);
+}
 
-    std::string finish(flatbuffers::FlatBufferBuilder& builder, std::int64_t at,
-        std::vector<flatbuffers::Offset<wire::Record>> const& records)
-    {
-        builder.Finish(wire::CreateRecords(builder, at, builder.CreateVector(records)));
-        return { reinterpret_cast<char const*>(builder.GetBufferPointer()), builder.GetSize() };
-    }
+std::string finish(flatbuffers::FlatBufferBuilder& builder, std::int64_t at,
+    std::vector<flatbuffers::Offset<wire::Record>> const& records)
+{
+    builder.Finish(wire::CreateRecords(builder, at, builder.CreateVector(records)));
+    return { reinterpret_cast<char const*>(builder.GetBufferPointer()), builder.GetSize() };
+}
 
-    absl::StatusOr<wire::Records const*> verify(std::string_view bytes)
-    {
-        flatbuffers::Verifier verifier(reinterpret_cast<std::uint8_t const*>(bytes.data()), bytes.size());
-        if (!wire::VerifyRecordsBuffer(verifier))
-            return absl::UnavailableError("a peer's records do not decode; check that its version is this node's");
-        return wire::GetRecords(bytes.data());
-    }
+absl::StatusOr<wire::Records const*> verify(std::string_view bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<std::uint8_t const*>(bytes.data()), bytes.size());
+    if (!wire::VerifyRecordsBuffer(verifier))
+        return absl::UnavailableError("a peer's records do not decode; check that its version is this node's");
+    return wire::GetRecords(bytes.data());
+}
 
-    std::string text(flatbuffers::String const* value) { return value == nullptr ? std::string() : value->str(); }
+std::string text(flatbuffers::String const* value) { return value == nullptr ? std::string() : value->str(); }
 
-    gateway::StoredObject to_object(wire::Record const& record)
-    {
-        return { text(record.name()), record.revision(), text(record.content()) };
-    }
+gateway::StoredObject to_object(wire::Record const& record)
+{
+    return { text(record.name()), record.revision(), text(record.content()) };
+}
 
 }
 
--- a/src/replica/relay_server.cc
+++ b/src/replica/relay_server.cc
@@ -9,45 +9,45 @@
 namespace saltquay::replica {
 namespace {
 
-    constexpr int ok = 200;
-    constexpr int not_found = 404;
-    constexpr int gone = 410;
-    constexpr int unavailable = 503;
-    constexpr std::string_view prefix = "/records/";
-    constexpr std::chrono::milliseconds sweep_interval { 100 };
-    constexpr std::chrono::milliseconds longest_wait { 2000 };
+constexpr int ok = 200;
+constexpr int not_found = 404;
+constexpr int gone = 410;
+constexpr int unavailable = 503;
+constexpr std::string_view prefix = "/records/";
+constexpr std::chrono::milliseconds sweep_interval { 100 };
+constexpr std::chrono::milliseconds longest_wait { 2000 };
 
-    void answer(http::Exchange& exchange, int status, std::string_view body)
-    {
-        http::ResponseHead head;
-        head.status = status;
-        exchange.Respond(head, body);
-    }
+void answer(http::Exchange& exchange, int status, std::string_view body)
+{
+    http::ResponseHead head;
+    head.status = status;
+    exchange.Respond(head, body);
+}
 
-    // The number given as NAME=NUMBER in the target's query; nothing where there is none.
-    std::optional<std::int64_t> query_number(std::string_view target, std::string_view name)
-    {
-        auto const question = target.find('?');
-        if (question == std::string_view::npos)
-            return std::nullopt;
-        auto query = target.substr(question + 1);
-        while (!query.empty()) {
-            auto const item = query.substr(0, query.find('&'));
-            query.remove_prefix(std::min(query.size(), item.size() + 1));
-            if (!item.starts_with(name) || item.size() <= name.size() || item[name.size()] != '=')
-                continue;
-            std::int64_t value = 0;
-            auto const digits = item.substr(name.size() + 1);
-            auto const parsed = std::from_chars(digits.data(), digits.data() + digits.size(), value);
-            return parsed.ec == std::errc {} ? std::optional(value) : std::nullopt;
-        }
+// The number given as NAME=NUMBER in the target's query; nothing where there is none.
+std::optional<std::int64_t> query_number(std::string_view target, std::string_view name)
+{
+    auto const question = target.find('?');
+    if (question == std::string_view::npos)
         return std::nullopt;
+    auto query = target.substr(question + 1);
+    while (!query.empty()) {
+        auto const item = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(query.size(), item.size() + 1));
+        if (!item.starts_with(name) || item.size() <= name.size() || item[name.size()] != '=')
+            continue;
+        std::int64_t value = 0;
+        auto const digits = item.substr(name.size() + 1);
+        auto const parsed = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+        return parsed.ec == std::errc {} ? std::optional(value) : std::nullopt;
     }
+    return std::nullopt;
+}
 
-    int to_http_status(absl::Status const& status)
-    {
-        return status.code() == absl::StatusCode::kOutOfRange ? gone : unavailable;
-    }
+int to_http_status(absl::Status const& status)
+{
+    return status.code() == absl::StatusCode::kOutOfRange ? gone : unavailable;
+}
 
 }
 
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -10,24 +10,24 @@
 namespace saltquay::replica {
 namespace {
 
-    using gateway::ObjectEvents;
-    using gateway::ObjectList;
-    using gateway::StoredObject;
+using gateway::ObjectEvents;
+using gateway::ObjectList;
+using gateway::StoredObject;
 
-    constexpr int ok = 200;
-    constexpr int gone = 410;
-    constexpr std::chrono::milliseconds peer_connect { 250 };
-    constexpr std::chrono::milliseconds peer_list_timeout { 900 };
-    constexpr std::chrono::milliseconds start_step { 50 };
-    constexpr std::chrono::milliseconds shortest_wait { 1 };
-    constexpr Duration probe_interval = 1s;
+constexpr int ok = 200;
+constexpr int gone = 410;
+constexpr std::chrono::milliseconds peer_connect { 250 };
+constexpr std::chrono::milliseconds peer_list_timeout { 900 };
+constexpr std::chrono::milliseconds start_step { 50 };
+constexpr std::chrono::milliseconds shortest_wait { 1 };
+constexpr Duration probe_interval = 1s;
 
-    absl::Status to_status(fetch::Reply const& reply)
-    {
-        if (reply.status == gone)
-            return absl::OutOfRangeError("the peer forgot its history");
-        return absl::UnavailableError(fmt::format("the peer answered {}", reply.status));
-    }
+absl::Status to_status(fetch::Reply const& reply)
+{
+    if (reply.status == gone)
+        return absl::OutOfRangeError("the peer forgot its history");
+    return absl::UnavailableError(fmt::format("the peer answered {}", reply.status));
+}
 
 }
 
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -147,6 +147,30 @@
   EXPECT_TRUE(other_node_.NewsSince(Time{5s}).empty());
 }
 
+TEST_F(SelectorTest, AReaderCopiesFromTheEngineThatKeepsMostElseFromTheHome) {
+  // fcl-norte-grown: engines beyond the homes read 13,300 shared tokens again.
+  for (int i = 0; i < 3; ++i) engines_.Update(Record("p" + std::to_string(i), EngineStage::kPrefill));
+  EngineState* home = selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s});
+  EXPECT_EQ(selector_.FindCopySource(engines_, *home, Prompt("x"), Time{1s}), nullptr);
+  home->outstanding_prompt_tokens = 60000;
+  EngineState* other = selector_.ChooseReader(engines_, "s", EngineStage::kPrefill, Prompt("x"), {}, Time{1s});
+  ASSERT_NE(other, home);
+  EXPECT_EQ(selector_.FindCopySource(engines_, *other, Prompt("x"), Time{1s}), home);
+  engines_.Update(Record("d", EngineStage::kDecode));
+  selector_.NotePrompt("d", Prompt("x"), Time{1s});
+  EXPECT_EQ(selector_.FindCopySource(engines_, *other, Prompt("x"), Time{1s}), engines_.Find("d"));
+  selector_.NotePrompt(other->record.id, Prompt("x"), Time{1s});
+  EXPECT_EQ(selector_.FindCopySource(engines_, *other, Prompt("x"), Time{1s}), nullptr);
+}
+
+TEST_F(SelectorTest, AnEngineThatIsOutIsNoSourceOfCopies) {
+  for (int i = 0; i < 2; ++i) engines_.Update(Record("p" + std::to_string(i), EngineStage::kPrefill));
+  selector_.NotePrompt("p0", Prompt("x"), Time{1s});
+  EXPECT_EQ(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{1s}), engines_.Find("p0"));
+  engines_.Find("p0")->ejected_until = Time{9s};
+  EXPECT_EQ(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{1s}), nullptr);
+}
+
 TEST_F(SelectorTest, EnginesThatAreOutAreTheLastResort) {
   engines_.Update(Record("d1", EngineStage::kDecode));
   engines_.Update(Record("d2", EngineStage::kDecode));
--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -287,5 +287,24 @@
   static_cast<void>(flow);
 }
 
+TEST_F(FlowTest, AnEngineThatLacksAKeptPartIsToldWhereToCopyIt) {
+  Arrive("chat", LongPrompt());
+  const auto first = One<StartAttempt>();
+  EXPECT_TRUE(first.copy_from.empty());  // The home itself.
+  core_.engines().Find(first.engine_id)->ejected_until = now_ + 1s;
+  Arrive("chat", LongPrompt());
+  EXPECT_TRUE(One<StartAttempt>().copy_from.empty());  // What is out is no source.
+  core_.engines().Find(first.engine_id)->ejected_until = Time{};
+  core_.engines().Find(first.engine_id)->outstanding_prompt_tokens = 500000;
+  Arrive("chat", LongPrompt("s2"));
+  Arrive("chat", LongPrompt("s3"));
+  bool copied = false;
+  for (int i = 4; i < 12 && !copied; ++i) {
+    Arrive("chat", LongPrompt("s" + std::to_string(i)));
+    copied = !One<StartAttempt>().copy_from.empty();
+  }
+  EXPECT_TRUE(copied);  // From a home that is too busy to read.
+}
+
 }  // namespace
 }  // namespace saltquay::serving
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -46,6 +46,7 @@
   head.fields.Add("Saltquay-Stage", "prefill");
   head.fields.Add("Saltquay-Memory-Source", "1.1.1.1:1/forged");
   head.fields.Add("Saltquay-Expect-Engine", "forged");
+  head.fields.Add("Saltquay-Copy-Source", "1.1.1.1:1");
   head.fields.Add("Saltquay-Priority", "0");
   head.fields.Add("Connection", "X-Hop");
   head.fields.Add("X-Hop", "1");
@@ -75,6 +76,7 @@
   EXPECT_EQ(head.target, "/a/b?c=1");
   EXPECT_FALSE(head.fields.Has("Saltquay-Stage"));
   EXPECT_FALSE(head.fields.Has("Saltquay-Memory-Source"));
+  EXPECT_FALSE(head.fields.Has("Saltquay-Copy-Source"));
   EXPECT_FALSE(head.fields.Has("X-Hop"));
   EXPECT_EQ(head.fields.Find("Saltquay-Expect-Engine").value_or(""), "e7");
   EXPECT_EQ(head.fields.Find("Saltquay-Priority").value_or(""), "2");
--- a/tests/replica/record_replica_test.cc
+++ b/tests/replica/record_replica_test.cc
@@ -8,92 +8,92 @@
 namespace saltquay::replica {
 namespace {
 
-    gateway::ObjectEvent event(std::string const& name, std::int64_t revision, bool gone = false)
-    {
-        return { gone, { name, revision, gone ? "" : "r" + std::to_string(revision) } };
-    }
+gateway::ObjectEvent event(std::string const& name, std::int64_t revision, bool gone = false)
+{
+    return { gone, { name, revision, gone ? "" : "r" + std::to_string(revision) } };
+}
 
-    std::map<std::string, std::string> contents(RecordReplica const& replica)
-    {
-        std::map<std::string, std::string> contents;
-        for (auto const& object : replica.list().items)
-            contents[object.name] = object.content;
-        return contents;
-    }
+std::map<std::string, std::string> contents(RecordReplica const& replica)
+{
+    std::map<std::string, std::string> contents;
+    for (auto const& object : replica.list().items)
+        contents[object.name] = object.content;
+    return contents;
+}
 
-    TEST(RecordReplicaTest, AnAskerFromBeforeTheListOrFromTheFutureIsSentBack)
-    {
-        RecordReplica replica;
-        EXPECT_FALSE(replica.changes_since(0));
-        replica.replace({ { { "a", 7, "x" } }, 10 });
-        EXPECT_FALSE(replica.changes_since(9));
-        EXPECT_FALSE(replica.changes_since(11));
-        ASSERT_TRUE(replica.changes_since(10));
-        EXPECT_TRUE(replica.changes_since(10)->events.empty());
-        EXPECT_EQ(replica.changed_at(), 7);
-    }
+TEST(RecordReplicaTest, AnAskerFromBeforeTheListOrFromTheFutureIsSentBack)
+{
+    RecordReplica replica;
+    EXPECT_FALSE(replica.changes_since(0));
+    replica.replace({ { { "a", 7, "x" } }, 10 });
+    EXPECT_FALSE(replica.changes_since(9));
+    EXPECT_FALSE(replica.changes_since(11));
+    ASSERT_TRUE(replica.changes_since(10));
+    EXPECT_TRUE(replica.changes_since(10)->events.empty());
+    EXPECT_EQ(replica.changed_at(), 7);
+}
 
-    TEST(RecordReplicaTest, TheHistoryIsBoundedInBytes)
-    {
-        RecordReplica replica;
-        replica.replace({ {}, 1 });
-        std::string const large(RecordReplica::history_bytes / 4, 'x');
-        for (std::int64_t revision = 2; revision < 12; ++revision)
-            replica.apply({ { { false, { "a", revision, large } } }, revision });
-        EXPECT_FALSE(replica.changes_since(1));
-        EXPECT_TRUE(replica.changes_since(10));
-        EXPECT_EQ(replica.list().items.size(), 1U);
-    }
+TEST(RecordReplicaTest, TheHistoryIsBoundedInBytes)
+{
+    RecordReplica replica;
+    replica.replace({ {}, 1 });
+    std::string const large(RecordReplica::history_bytes / 4, 'x');
+    for (std::int64_t revision = 2; revision < 12; ++revision)
+        replica.apply({ { { false, { "a", revision, large } } }, revision });
+    EXPECT_FALSE(replica.changes_since(1));
+    EXPECT_TRUE(replica.changes_since(10));
+    EXPECT_EQ(replica.list().items.size(), 1U);
+}
 
-    RC_GTEST_PROP(RecordReplicaProperty, FollowersEndWithTheReadersObjects, ())
-    {
-        RecordReplica reader;
-        reader.replace({ {}, 0 });
-        RecordReplica follower;
-        follower.replace({ {}, 0 });
-        std::int64_t revision = 0;
-        auto const batches = *rc::gen::inRange(1, 20);
-        for (int batch = 0; batch < batches; ++batch) {
-            gateway::ObjectEvents changes;
-            auto const count = *rc::gen::inRange(0, 4);
-            for (int i = 0; i < count; ++i) {
-                auto const name = std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 3)));
-                changes.events.push_back(event(name, ++revision, *rc::gen::inRange(0, 3) == 0));
-            }
-            changes.at = revision + *rc::gen::inRange(0, 3);
-            revision = changes.at;
-            reader.apply(changes);
-            if (*rc::gen::inRange(0, 3) == 0)
-                follower.apply(*reader.changes_since(follower.at()));
+RC_GTEST_PROP(RecordReplicaProperty, FollowersEndWithTheReadersObjects, ())
+{
+    RecordReplica reader;
+    reader.replace({ {}, 0 });
+    RecordReplica follower;
+    follower.replace({ {}, 0 });
+    std::int64_t revision = 0;
+    auto const batches = *rc::gen::inRange(1, 20);
+    for (int batch = 0; batch < batches; ++batch) {
+        gateway::ObjectEvents changes;
+        auto const count = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < count; ++i) {
+            auto const name = std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 3)));
+            changes.events.push_back(event(name, ++revision, *rc::gen::inRange(0, 3) == 0));
         }
-        follower.apply(*reader.changes_since(follower.at()));
-        RC_ASSERT(contents(follower) == contents(reader));
-        RC_ASSERT(follower.at() == reader.at());
-        RC_ASSERT(follower.changed_at() == reader.changed_at());
+        changes.at = revision + *rc::gen::inRange(0, 3);
+        revision = changes.at;
+        reader.apply(changes);
+        if (*rc::gen::inRange(0, 3) == 0)
+            follower.apply(*reader.changes_since(follower.at()));
     }
+    follower.apply(*reader.changes_since(follower.at()));
+    RC_ASSERT(contents(follower) == contents(reader));
+    RC_ASSERT(follower.at() == reader.at());
+    RC_ASSERT(follower.changed_at() == reader.changed_at());
+}
 
-    TEST(RecordCodecTest, RecordsComeBackAsTheyWere)
-    {
-        auto const list = decode_list(encode(gateway::ObjectList { { { "a", 3, "{\"x\":1}" }, { "b", 9, "" } }, 12 }));
-        ASSERT_TRUE(list.ok());
-        EXPECT_EQ(list->at, 12);
-        ASSERT_EQ(list->items.size(), 2U);
-        EXPECT_EQ(list->items[0].content, "{\"x\":1}");
-        EXPECT_EQ(list->items[1].revision, 9);
-        auto const changes = decode_events(encode(gateway::ObjectEvents { { event("a", 4, true), event("c", 5) }, 6 }));
-        ASSERT_TRUE(changes.ok());
-        EXPECT_TRUE(changes->events[0].gone);
-        EXPECT_EQ(changes->events[1].object.content, "r5");
-    }
+TEST(RecordCodecTest, RecordsComeBackAsTheyWere)
+{
+    auto const list = decode_list(encode(gateway::ObjectList { { { "a", 3, "{\"x\":1}" }, { "b", 9, "" } }, 12 }));
+    ASSERT_TRUE(list.ok());
+    EXPECT_EQ(list->at, 12);
+    ASSERT_EQ(list->items.size(), 2U);
+    EXPECT_EQ(list->items[0].content, "{\"x\":1}");
+    EXPECT_EQ(list->items[1].revision, 9);
+    auto const changes = decode_events(encode(gateway::ObjectEvents { { event("a", 4, true), event("c", 5) }, 6 }));
+    ASSERT_TRUE(changes.ok());
+    EXPECT_TRUE(changes->events[0].gone);
+    EXPECT_EQ(changes->events[1].object.content, "r5");
+}
 
-    RC_GTEST_PROP(RecordCodecProperty, AnyBytesAreDecodedOrRefused, (std::string const& bytes))
-    {
-        static_cast<void>(decode_list(bytes));
-        auto whole = encode(gateway::ObjectEvents { { event("a", 4) }, 6 });
-        auto& changed = whole[static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(whole.size())))];
-        changed = static_cast<char>(changed ^ *rc::gen::inRange(1, 255));
-        static_cast<void>(decode_events(whole));
-    }
+RC_GTEST_PROP(RecordCodecProperty, AnyBytesAreDecodedOrRefused, (std::string const& bytes))
+{
+    static_cast<void>(decode_list(bytes));
+    auto whole = encode(gateway::ObjectEvents { { event("a", 4) }, 6 });
+    auto& changed = whole[static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(whole.size())))];
+    changed = static_cast<char>(changed ^ *rc::gen::inRange(1, 255));
+    static_cast<void>(decode_events(whole));
+}
 
 }
 }
--- a/tests/replica/relayed_store_test.cc
+++ b/tests/replica/relayed_store_test.cc
@@ -12,232 +12,228 @@
 namespace saltquay::replica {
 namespace {
 
-    using gateway::ObjectEvents;
-    using gateway::ObjectList;
-    using gateway::StoredObject;
-
-    // A store that answers at once, or not at all.
-    class TableStore final : public gateway::ObjectStore {
-    public:
-        explicit TableStore(boost::asio::io_context& loop)
-            : loop_(loop)
-        {
-        }
-
-        void List(std::string const&, std::function<void(absl::StatusOr<ObjectList>)> done) override
-        {
-            ++calls;
-            if (!up)
-                return boost::asio::post(loop_, [done] { done(absl::UnavailableError("down")); });
-            boost::asio::post(loop_, [done, answer = list()] { done(answer); });
-        }
-        void Watch(std::string const&, std::int64_t revision, std::chrono::milliseconds wait,
-            std::function<void(absl::StatusOr<ObjectEvents>)> done) override
-        {
-            ++calls;
-            auto const timer = std::make_shared<boost::asio::steady_timer>(loop_, std::chrono::milliseconds(0));
-            poll(timer, revision, std::chrono::steady_clock::now() + wait, done);
-        }
-        void Write(std::string const&, StoredObject const&, std::function<void(absl::StatusOr<StoredObject>)>) override
-        {
-        }
-        void Read(std::string const&, std::string const&, std::function<void(absl::StatusOr<StoredObject>)>) override {
-        }
-
-        void put(std::string const& name) { objects[name] = { name, ++revision, "r" + std::to_string(revision) }; }
-
-        bool up = true;
-        bool silent = false; // Watches are never answered.
-        int calls = 0;
-        std::int64_t revision = 100;
-        std::map<std::string, StoredObject> objects;
-
-    private:
-        using EventsHandler = std::function<void(absl::StatusOr<ObjectEvents>)>;
-
-        ObjectList list() const
-        {
-            ObjectList answer;
-            for (auto const& [name, object] : objects)
-                answer.items.push_back(object);
-            answer.at = revision;
-            return answer;
-        }
-        void poll(std::shared_ptr<boost::asio::steady_timer> const& timer, std::int64_t since,
-            std::chrono::steady_clock::time_point until, EventsHandler const& done)
-        {
-            timer->expires_after(std::chrono::milliseconds(5));
-            timer->async_wait([this, timer, since, until, done](boost::system::error_code error) {
-                if (error)
-                    return;
-                if (!up)
-                    return done(absl::UnavailableError("down"));
-                ObjectEvents changes;
-                changes.at = revision;
-                for (auto const& [name, object] : objects) {
-                    if (object.revision > since)
-                        changes.events.push_back({ false, object });
-                }
-                auto const ready = !changes.events.empty() || std::chrono::steady_clock::now() >= until;
-                if (ready && !silent)
-                    return done(changes);
-                poll(timer, since, until, done);
-            });
-        }
-
-        boost::asio::io_context& loop_;
-    };
-
-    // A node as far as the store's objects go.
-    struct Node {
-        Node(boost::asio::io_context& loop, std::string const& name, int link_mbps)
-            : origin(loop)
-            , store(loop, origin, make_options(name, link_mbps))
-            , relay(std::make_unique<RelayServer>(loop, store))
-            , table(name)
-        {
-            store.on_change = [this](std::string const& kind) {
-                if (relay != nullptr)
-                    relay->on_change(kind);
-            };
-            gateway::WatcherHandlers handlers;
-            handlers.on_list = [this](ObjectList const& list) {
-                seen.clear();
-                for (auto const& object : list.items)
-                    seen[object.name] = object.content;
-            };
-            handlers.on_event = [this](gateway::ObjectEvent const& event) {
-                seen[event.object.name] = event.object.content;
-            };
-            handlers.on_contact = [this](bool in_contact, std::string const&) { contact = in_contact; };
-            watcher = std::make_unique<gateway::CollectionWatcher>(
-                loop, store, "engines", gateway::WatcherTimes {}, 1, std::move(handlers));
-        }
-        static RelayedStoreOptions make_options(std::string const& name, int link_mbps)
-        {
-            RelayedStoreOptions options;
-            options.self = { name, "", "a", link_mbps, false };
-            options.upstream.readers_per_zone = 1;
-            return options;
-        }
-        // Hears a peer, which is at that address and has the wider link or not.
-        void hear(std::string const& name, std::string const& address, int link_mbps, std::int64_t changed_at, Time now)
-        {
-            serving::PeerReport report;
-            report.node = name;
-            report.address = address;
-            report.zone = "a";
-            report.link_mbps = link_mbps;
-            report.sequence = ++sequence;
-            report.records = { { "engines", changed_at } };
-            table.Note(report, now);
-            store.update_peers(table);
-        }
-
-        TableStore origin;
-        RelayedStore store;
-        std::unique_ptr<RelayServer> relay;
-        serving::PeerTable table;
-        std::unique_ptr<gateway::CollectionWatcher> watcher;
-        std::map<std::string, std::string> seen;
-        bool contact = false;
-        std::uint64_t sequence = 0;
-    };
-
-    class RelayedStoreTest : public ::testing::Test {
-    protected:
-        static constexpr char const* address = "127.0.0.1:38471";
-
-        RelayedStoreTest()
-        {
-            reader_->origin.put("e1");
-            reader_->hear("follower", "", 10, 0, Time { 1s });
-            follower_->hear("reader", address, 1000, 0, Time { 1s });
-            EXPECT_TRUE(reader_->relay->listen(address).ok());
-        }
-        void start_both()
-        {
-            reader_->watcher->Start();
-            run_until([&] { return reader_->contact; }, 2s);
-            follower_->watcher->Start();
-        }
-        bool run_until(std::function<bool()> const& holds, Duration limit)
-        {
-            auto const end = std::chrono::steady_clock::now() + limit;
-            while (!holds() && std::chrono::steady_clock::now() < end)
-                loop_.run_one_for(std::chrono::milliseconds(5));
-            return holds();
-        }
-        bool follower_sees(std::string const& name, Duration limit)
-        {
-            return run_until([&] { return follower_->seen.contains(name); }, limit);
-        }
-
-        boost::asio::io_context loop_;
-        std::unique_ptr<Node> reader_ = std::make_unique<Node>(loop_, "reader", 1000);
-        std::unique_ptr<Node> follower_ = std::make_unique<Node>(loop_, "follower", 10);
-    };
-
-    TEST_F(RelayedStoreTest, AFollowerLearnsEverythingWithoutACallToTheStore)
+using gateway::ObjectEvents;
+using gateway::ObjectList;
+using gateway::StoredObject;
+
+// A store that answers at once, or not at all.
+class TableStore final : public gateway::ObjectStore {
+public:
+    explicit TableStore(boost::asio::io_context& loop)
+        : loop_(loop)
     {
-        start_both();
-        EXPECT_TRUE(follower_sees("e1", 1s));
-        run_until([] { return false; }, 150ms);
-        reader_->origin.put("e2");
-        EXPECT_TRUE(follower_sees("e2", 500ms));
-        EXPECT_EQ(follower_->origin.calls, 0);
-        EXPECT_TRUE(follower_->contact);
     }
 
-    TEST_F(RelayedStoreTest, WhenTheReaderIsGoneTheStoreIsAskedItself)
+    void List(std::string const&, std::function<void(absl::StatusOr<ObjectList>)> done) override
+    {
+        ++calls;
+        if (!up)
+            return boost::asio::post(loop_, [done] { done(absl::UnavailableError("down")); });
+        boost::asio::post(loop_, [done, answer = list()] { done(answer); });
+    }
+    void Watch(std::string const&, std::int64_t revision, std::chrono::milliseconds wait,
+        std::function<void(absl::StatusOr<ObjectEvents>)> done) override
     {
-        start_both();
-        ASSERT_TRUE(follower_sees("e1", 1s));
-        follower_->origin.objects = reader_->origin.objects;
-        follower_->origin.revision = reader_->origin.revision;
-        reader_->relay.reset();
-        follower_->origin.put("e3");
-        EXPECT_TRUE(follower_sees("e3", 1200ms));
-        EXPECT_GT(follower_->origin.calls, 0);
+        ++calls;
+        auto const timer = std::make_shared<boost::asio::steady_timer>(loop_, std::chrono::milliseconds(0));
+        poll(timer, revision, std::chrono::steady_clock::now() + wait, done);
     }
+    void Write(std::string const&, StoredObject const&, std::function<void(absl::StatusOr<StoredObject>)>) override { }
+    void Read(std::string const&, std::string const&, std::function<void(absl::StatusOr<StoredObject>)>) override { }
+
+    void put(std::string const& name) { objects[name] = { name, ++revision, "r" + std::to_string(revision) }; }
 
-    TEST_F(RelayedStoreTest, NewsThatOnlyAThirdNodeHasLeadsToTheStore)
+    bool up = true;
+    bool silent = false; // Watches are never answered.
+    int calls = 0;
+    std::int64_t revision = 100;
+    std::map<std::string, StoredObject> objects;
+
+private:
+    using EventsHandler = std::function<void(absl::StatusOr<ObjectEvents>)>;
+
+    ObjectList list() const
     {
-        start_both();
-        ASSERT_TRUE(follower_sees("e1", 1s));
-        reader_->origin.silent = true; // Its watch hangs on a dead connection.
-        follower_->origin.objects = reader_->origin.objects;
-        follower_->origin.revision = reader_->origin.revision;
-        follower_->origin.put("e4");
-        auto const heard = run_until(
-            [&] {
-                follower_->hear("third", "", 0, follower_->origin.revision, Time { 2s });
-                return follower_->seen.contains("e4");
-            },
-            1s);
-        EXPECT_TRUE(heard);
+        ObjectList answer;
+        for (auto const& [name, object] : objects)
+            answer.items.push_back(object);
+        answer.at = revision;
+        return answer;
     }
+    void poll(std::shared_ptr<boost::asio::steady_timer> const& timer, std::int64_t since,
+        std::chrono::steady_clock::time_point until, EventsHandler const& done)
+    {
+        timer->expires_after(std::chrono::milliseconds(5));
+        timer->async_wait([this, timer, since, until, done](boost::system::error_code error) {
+            if (error)
+                return;
+            if (!up)
+                return done(absl::UnavailableError("down"));
+            ObjectEvents changes;
+            changes.at = revision;
+            for (auto const& [name, object] : objects) {
+                if (object.revision > since)
+                    changes.events.push_back({ false, object });
+            }
+            auto const ready = !changes.events.empty() || std::chrono::steady_clock::now() >= until;
+            if (ready && !silent)
+                return done(changes);
+            poll(timer, since, until, done);
+        });
+    }
+
+    boost::asio::io_context& loop_;
+};
 
-    TEST_F(RelayedStoreTest, AReaderThatDoesNotHearTheStoreDoesNotAnswerForIt)
+// A node as far as the store's objects go.
+struct Node {
+    Node(boost::asio::io_context& loop, std::string const& name, int link_mbps)
+        : origin(loop)
+        , store(loop, origin, make_options(name, link_mbps))
+        , relay(std::make_unique<RelayServer>(loop, store))
+        , table(name)
+    {
+        store.on_change = [this](std::string const& kind) {
+            if (relay != nullptr)
+                relay->on_change(kind);
+        };
+        gateway::WatcherHandlers handlers;
+        handlers.on_list = [this](ObjectList const& list) {
+            seen.clear();
+            for (auto const& object : list.items)
+                seen[object.name] = object.content;
+        };
+        handlers.on_event = [this](
+                                gateway::ObjectEvent const& event) { seen[event.object.name] = event.object.content; };
+        handlers.on_contact = [this](bool in_contact, std::string const&) { contact = in_contact; };
+        watcher = std::make_unique<gateway::CollectionWatcher>(
+            loop, store, "engines", gateway::WatcherTimes {}, 1, std::move(handlers));
+    }
+    static RelayedStoreOptions make_options(std::string const& name, int link_mbps)
     {
-        start_both();
-        ASSERT_TRUE(follower_sees("e1", 1s));
-        reader_->origin.silent = true;
-        EXPECT_TRUE(run_until([&] { return follower_->origin.calls > 0; }, 5200ms));
-        EXPECT_EQ(reader_->store.changes_for_peer("engines", 0).status().code(), absl::StatusCode::kUnavailable);
-        EXPECT_TRUE(reader_->store.list_for_peer("engines", true).ok());
+        RelayedStoreOptions options;
+        options.self = { name, "", "a", link_mbps, false };
+        options.upstream.readers_per_zone = 1;
+        return options;
+    }
+    // Hears a peer, which is at that address and has the wider link or not.
+    void hear(std::string const& name, std::string const& address, int link_mbps, std::int64_t changed_at, Time now)
+    {
+        serving::PeerReport report;
+        report.node = name;
+        report.address = address;
+        report.zone = "a";
+        report.link_mbps = link_mbps;
+        report.sequence = ++sequence;
+        report.records = { { "engines", changed_at } };
+        table.Note(report, now);
+        store.update_peers(table);
     }
 
-    TEST_F(RelayedStoreTest, ANodeThatStartsWhileTheStoreIsDownTakesWhatAPeerHas)
+    TableStore origin;
+    RelayedStore store;
+    std::unique_ptr<RelayServer> relay;
+    serving::PeerTable table;
+    std::unique_ptr<gateway::CollectionWatcher> watcher;
+    std::map<std::string, std::string> seen;
+    bool contact = false;
+    std::uint64_t sequence = 0;
+};
+
+class RelayedStoreTest : public ::testing::Test {
+protected:
+    static constexpr char const* address = "127.0.0.1:38471";
+
+    RelayedStoreTest()
+    {
+        reader_->origin.put("e1");
+        reader_->hear("follower", "", 10, 0, Time { 1s });
+        follower_->hear("reader", address, 1000, 0, Time { 1s });
+        EXPECT_TRUE(reader_->relay->listen(address).ok());
+    }
+    void start_both()
     {
         reader_->watcher->Start();
-        ASSERT_TRUE(run_until([&] { return reader_->contact; }, 2s));
-        reader_->origin.up = false;
-        follower_->origin.up = false;
-        ASSERT_TRUE(run_until([&] { return !reader_->contact; }, 6s));
+        run_until([&] { return reader_->contact; }, 2s);
         follower_->watcher->Start();
-        EXPECT_TRUE(follower_sees("e1", 2s));
     }
+    bool run_until(std::function<bool()> const& holds, Duration limit)
+    {
+        auto const end = std::chrono::steady_clock::now() + limit;
+        while (!holds() && std::chrono::steady_clock::now() < end)
+            loop_.run_one_for(std::chrono::milliseconds(5));
+        return holds();
+    }
+    bool follower_sees(std::string const& name, Duration limit)
+    {
+        return run_until([&] { return follower_->seen.contains(name); }, limit);
+    }
+
+    boost::asio::io_context loop_;
+    std::unique_ptr<Node> reader_ = std::make_unique<Node>(loop_, "reader", 1000);
+    std::unique_ptr<Node> follower_ = std::make_unique<Node>(loop_, "follower", 10);
+};
+
+TEST_F(RelayedStoreTest, AFollowerLearnsEverythingWithoutACallToTheStore)
+{
+    start_both();
+    EXPECT_TRUE(follower_sees("e1", 1s));
+    run_until([] { return false; }, 150ms);
+    reader_->origin.put("e2");
+    EXPECT_TRUE(follower_sees("e2", 500ms));
+    EXPECT_EQ(follower_->origin.calls, 0);
+    EXPECT_TRUE(follower_->contact);
+}
+
+TEST_F(RelayedStoreTest, WhenTheReaderIsGoneTheStoreIsAskedItself)
+{
+    start_both();
+    ASSERT_TRUE(follower_sees("e1", 1s));
+    follower_->origin.objects = reader_->origin.objects;
+    follower_->origin.revision = reader_->origin.revision;
+    reader_->relay.reset();
+    follower_->origin.put("e3");
+    EXPECT_TRUE(follower_sees("e3", 1200ms));
+    EXPECT_GT(follower_->origin.calls, 0);
+}
+
+TEST_F(RelayedStoreTest, NewsThatOnlyAThirdNodeHasLeadsToTheStore)
+{
+    start_both();
+    ASSERT_TRUE(follower_sees("e1", 1s));
+    reader_->origin.silent = true; // Its watch hangs on a dead connection.
+    follower_->origin.objects = reader_->origin.objects;
+    follower_->origin.revision = reader_->origin.revision;
+    follower_->origin.put("e4");
+    auto const heard = run_until(
+        [&] {
+            follower_->hear("third", "", 0, follower_->origin.revision, Time { 2s });
+            return follower_->seen.contains("e4");
+        },
+        1s);
+    EXPECT_TRUE(heard);
+}
+
+TEST_F(RelayedStoreTest, AReaderThatDoesNotHearTheStoreDoesNotAnswerForIt)
+{
+    start_both();
+    ASSERT_TRUE(follower_sees("e1", 1s));
+    reader_->origin.silent = true;
+    EXPECT_TRUE(run_until([&] { return follower_->origin.calls > 0; }, 5200ms));
+    EXPECT_EQ(reader_->store.changes_for_peer("engines", 0).status().code(), absl::StatusCode::kUnavailable);
+    EXPECT_TRUE(reader_->store.list_for_peer("engines", true).ok());
+}
+
+TEST_F(RelayedStoreTest, ANodeThatStartsWhileTheStoreIsDownTakesWhatAPeerHas)
+{
+    reader_->watcher->Start();
+    ASSERT_TRUE(run_until([&] { return reader_->contact; }, 2s));
+    reader_->origin.up = false;
+    follower_->origin.up = false;
+    ASSERT_TRUE(run_until([&] { return !reader_->contact; }, 6s));
+    follower_->watcher->Start();
+    EXPECT_TRUE(follower_sees("e1", 2s));
+}
 
 }
 }
