--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -183,7 +183,7 @@
 }
 
 TEST(PeerTableTest, AReportNamesABoundedNumberOfPeersAndAllOfThemByTurns) {
-  // At 300 nodes, reports that named all were 13 kB each, over links of 10 Mbit/s.
+  // At 300 nodes, reports that named all would be 20 kB each, over links of 10 Mbit/s.
   PeerTable peers("me");
   for (int i = 0; i < 100; ++i) {
     PeerReport report;
