--- /dev/null
+++ b/src/admission/reading_model.cc
@@ -0,0 +1,56 @@
+#include "saltquay/admission/reading_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace saltquay::admission {
+
+namespace {
+
+constexpr double microseconds_in_millisecond = 1000;
+constexpr double least_fixed_ms = 0.1;
+constexpr double halving_readings = 4; // After so many the first step is half as large.
+
+}
+
+double ReadingModel::step(int readings) const
+{
+    return std::max(knobs_.last_step, knobs_.first_step / (1 + readings / halving_readings));
+}
+
+void ReadingModel::note(std::int64_t tokens, Duration time)
+{
+    if (tokens <= 0 || time <= 0s)
+        return;
+    auto const milliseconds = static_cast<double>(time.count()) / microseconds_in_millisecond;
+    constexpr double error_step = 0.05;
+    relative_error_ += error_step * (std::abs(predict_ms(tokens) - milliseconds) / milliseconds - relative_error_);
+    auto const typical = static_cast<double>(tokens) / milliseconds;
+    typical_rate_ *= typical > typical_rate_ ? 1 + knobs_.typical_step : 1 / (1 + knobs_.typical_step);
+    if (tokens <= knobs_.short_tokens)
+        note_fixed(milliseconds);
+    if (tokens >= knobs_.long_tokens && milliseconds > fixed_ms_)
+        note_rate(static_cast<double>(tokens) / (milliseconds - fixed_ms_));
+}
+
+// Steps up and down in proportions that balance at the quantile.
+void ReadingModel::note_fixed(double milliseconds)
+{
+    if (fixed_readings_ == 0)
+        fixed_ms_ = milliseconds;
+    auto const up = knobs_.fixed_quantile;
+    auto const change = step(fixed_readings_++);
+    fixed_ms_ *= milliseconds > fixed_ms_ ? 1 + change * up : 1 - change * (1 - up);
+    fixed_ms_ = std::max(fixed_ms_, least_fixed_ms);
+}
+
+void ReadingModel::note_rate(double rate)
+{
+    if (rate_readings_ == 0)
+        rate_ = rate;
+    auto const up = knobs_.rate_quantile;
+    auto const change = step(rate_readings_++);
+    rate_ *= rate > rate_ ? 1 + change * up : 1 - change * (1 - up);
+}
+
+}
--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -61,42 +61,78 @@
   if (engine == nullptr) return std::nullopt;
   engine->last_heard = now;
   engine->consecutive_failures = 0;
+  engine->backoff = 0s;
+  if (!failed) Trust(*engine);
   ++engine->answers;
   engine->error_share += policy_.smoothing * ((failed ? 1.0 : 0.0) - engine->error_share);
   const bool judged = engine->answers >= policy_.min_answers;
   const bool bad = judged && engine->error_share > OthersErrorShare(*engine) + policy_.error_share;
   if (bad) {
     engine->answers = 0;
-    return Eject(*engine, "errors above the other engines'", now);
+    return Eject(*engine, "errors above the other engines'", policy_.panic_share, now);
   }
   if (!failed && engine->error_share < policy_.error_share / 2) engine->ejection = 0s;
   return std::nullopt;
 }
 
+void EngineDirectory::NoteFull(const std::string& id, Time now) {
+  EngineState* engine = Find(id);
+  if (engine == nullptr) return;
+  engine->last_heard = now;
+  engine->consecutive_failures = 0;
+  if (now < engine->backed_off_until) return;  // Sent before the first refusal was known.
+  engine->backoff =
+      engine->backoff == 0s ? policy_.first_backoff : std::min(engine->backoff * 2, policy_.longest_backoff);
+  engine->backed_off_until = now + engine->backoff;
+}
+
 std::optional<StandingChange> EngineDirectory::NoteFailure(const std::string& id, const std::string& cause, Time now) {
   EngineState* engine = Find(id);
   if (engine == nullptr) return std::nullopt;
   ++engine->consecutive_failures;
   const bool on_probation = engine->ejection > 0s && now < engine->ejected_until + engine->ejection;
   if (engine->consecutive_failures < policy_.failures && !on_probation) return std::nullopt;
-  return Eject(*engine, cause, now);
+  return Eject(*engine, cause, policy_.lost_share, now);
 }
 
 std::optional<StandingChange> EngineDirectory::NoteMisdirected(const std::string& id, Time now) {
   EngineState* engine = Find(id);
   if (engine == nullptr) return std::nullopt;
   engine->ejection = policy_.longest;
-  return Eject(*engine, "another engine has its address", now);
+  return TakeOut(*engine, "another engine has its address", now);
 }
 
-std::optional<StandingChange> EngineDirectory::Eject(EngineState& engine, const std::string& cause, Time now) {
+std::optional<StandingChange> EngineDirectory::Eject(EngineState& engine, const std::string& cause, double most_out,
+                                                     Time now) {
+  if (!MayEjectMore(engine.record.service, most_out, now)) return std::nullopt;
+  return TakeOut(engine, cause, now);
+}
+
+std::optional<StandingChange> EngineDirectory::TakeOut(EngineState& engine, const std::string& cause, Time now) {
   if (now < engine.ejected_until) return std::nullopt;
   engine.ejection = engine.ejection == 0s ? policy_.first : std::min(engine.ejection * 2, policy_.longest);
   engine.ejected_until = now + engine.ejection;
+  engine.trial_limit = 1;
   engine.consecutive_failures = 0;
   return StandingChange{engine.record.id, true, cause, engine.ejection};
 }
 
+void EngineDirectory::Trust(EngineState& engine) const {
+  engine.trial_limit *= 2;
+  if (engine.trial_limit >= policy_.trial_limit_end) engine.trial_limit = 0;
+}
+
+bool EngineDirectory::MayEjectMore(const std::string& service, double most_out, Time now) const {
+  int serving = 0;
+  int out = 0;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.record.service != service || engine.gone || engine.record.leaving) continue;
+    ++serving;
+    if (now < engine.ejected_until) ++out;
+  }
+  return out < std::max(1, static_cast<int>(most_out * serving));
+}
+
 double EngineDirectory::OthersErrorShare(const EngineState& engine) const {
   double sum = 0;
   int count = 0;
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -4,10 +4,14 @@
 //
 // Protocol. Records come from a watched collection; a record that is gone or
 // leaving gets no new work. An engine that fails is taken out for a while
-// (ejected) and comes back by itself, on probation: one more failure takes it
-// out again. Beliefs are this node's own and are lost with its process.
+// (ejected) and comes back by itself, on trial: it gets a little work, then twice
+// as much with each good answer, and one more failure takes it out again. Only a
+// share of a service may be out at once. A refusal for lack of room says nothing
+// of health: the engine is left alone for some milliseconds (backed off). Beliefs
+// are this node's own and are lost with its process.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -64,9 +68,18 @@
   int consecutive_failures = 0;
   Time ejected_until{};
   Duration ejection = 0s;  // Length of the last one.
-  Time last_heard{};       // Any answer.
-  Time changing_until{};   // A stage change is under way.
-  Time held_until{};       // A stage change is announced.
+  Duration backoff = 0s;   // Length of the last one; grows with each refusal in a row.
+  Time backed_off_until{};
+  int trial_limit = 0;    // Most of this node's requests there after an ejection; 0: no limit.
+  Time last_heard{};      // Any answer.
+  Time changing_until{};  // A stage change is under way.
+  Time held_until{};      // A stage change is announced.
+
+  // Whether it should get no new work now, for whatever cause.
+  bool IsOut(Time now) const {
+    const bool trial_full = trial_limit > 0 && outstanding >= trial_limit;
+    return trial_full || now < std::max({ejected_until, backed_off_until, changing_until, held_until});
+  }
 };
 
 struct EjectionPolicy {
@@ -76,6 +89,15 @@
   double error_share = 0.3;  // Above the other engines' mean.
   int min_answers = 6;
   double smoothing = 0.15;
+  // Most of a service's engines that may be out at once for their errors (one always
+  // may): beyond it the errors are more likely the service's or its load's.
+  double panic_share = 0.34;
+  // The same for engines that are silent or not reached; work sent there is lost.
+  double lost_share = 0.8;
+  int trial_limit_end = 16;  // An engine on trial is trusted again from this limit on.
+  // After a refusal for lack of room; doubles up to the longest with each one in a row.
+  Duration first_backoff = 20ms;
+  Duration longest_backoff = 320ms;
 };
 
 // Why an engine's standing changed; goes into the log line.
@@ -108,14 +130,24 @@
   void NoteLoad(const std::string& id, const EngineLoad& load, Time now);
   // An answer of the engine's own; `failed`: an error of its own making.
   std::optional<StandingChange> NoteAnswer(const std::string& id, bool failed, Time now);
+  // The engine did not run a request because it had no room, or because the
+  // request's time ran out in its queue.
+  void NoteFull(const std::string& id, Time now);
   // Another engine answers at its address: nothing goes there for long.
   std::optional<StandingChange> NoteMisdirected(const std::string& id, Time now);
   // It refused the connection, fell silent, or broke an answer off.
   std::optional<StandingChange> NoteFailure(const std::string& id, const std::string& cause, Time now);
 
  private:
-  std::optional<StandingChange> Eject(EngineState& engine, const std::string& cause, Time now);
+  // Ejects unless `most_out` of the service's engines are out already.
+  std::optional<StandingChange> Eject(EngineState& engine, const std::string& cause, double most_out, Time now);
+  // Ejects whatever else is out.
+  std::optional<StandingChange> TakeOut(EngineState& engine, const std::string& cause, Time now);
+  // A good answer of an engine on trial.
+  void Trust(EngineState& engine) const;
   double OthersErrorShare(const EngineState& engine) const;
+  // Whether one more engine of the service may be taken out.
+  bool MayEjectMore(const std::string& service, double most_out, Time now) const;
 
   EjectionPolicy policy_;
   std::map<std::string, EngineState> engines_;
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -9,11 +9,7 @@
 namespace saltquay::serving {
 namespace {
 
-// Single readings look too slow (shared parts were read along) or too fast (the
-// whole prompt was kept): the estimate follows their median by small steps.
-constexpr double kRateStep = 1.03;
 constexpr std::size_t kMostParts = 20000;
-constexpr double kMillisecond = 1000.0;  // In microseconds.
 
 // The part that decides a prompt's home: the last one that is shared.
 const PromptPart* HomePart(const PromptFacts& prompt) {
@@ -57,8 +53,7 @@
   std::vector<Candidate> candidates;
   engines.ForEachServing(service, [&](EngineState& engine) {
     if (engine.record.stage != stage || tried.contains(engine.record.id)) return;
-    const bool out = now < std::max({engine.ejected_until, engine.changing_until, engine.held_until});
-    candidates.push_back({&engine, out, cost(engine)});
+    candidates.push_back({&engine, engine.IsOut(now), cost(engine)});
   });
   if (candidates.empty()) return nullptr;
   if (knobs_.policy == SelectionPolicy::kRoundRobin) return candidates[turn_++ % candidates.size()].engine;
@@ -101,6 +96,35 @@
   });
 }
 
+bool EngineSelector::HasReader(EngineDirectory& engines, const std::string& service, const EngineIds& tried) {
+  bool found = false;
+  engines.ForEachServing(service, [&](EngineState& engine) {
+    found |= engine.record.stage == EngineStage::kPrefill && !tried.contains(engine.record.id);
+  });
+  return found;
+}
+
+EngineCount EngineSelector::CountEngines(EngineDirectory& engines, const std::string& service, EngineStage stage,
+                                         Time now) {
+  EngineCount count;
+  engines.ForEachServing(service, [&](EngineState& engine) {
+    if (engine.record.stage != stage || engine.IsOut(now)) return;
+    ++count.engines;
+    count.peers_outstanding += engine.peers_outstanding;
+  });
+  return count;
+}
+
+double EngineSelector::LeastReadingMs(EngineDirectory& engines, const std::string& service, const PromptFacts& prompt,
+                                      Time now) {
+  int least = prompt.tokens;
+  engines.ForEachServing(service, [&](EngineState& engine) {
+    if (engine.record.stage != EngineStage::kPrefill || engine.IsOut(now)) return;
+    least = std::min(least, TokensToRead(engine.record.id, prompt, now));
+  });
+  return least / read_rate();
+}
+
 const EngineState* EngineSelector::FindKeeper(EngineDirectory& engines, const std::string& service,
                                               const PromptFacts& prompt, Time now) {
   const EngineState* best = nullptr;
@@ -136,6 +160,7 @@
   std::uint64_t first_rank = 0;
   std::uint64_t second_rank = 0;
   engines.ForEachServing(service, [&](EngineState& engine) {
+    // A home that is only full stays the home: its parts are there.
     const bool out = now < std::max({engine.ejected_until, engine.held_until, engine.changing_until});
     if (engine.record.stage != stage || out) return;
     const std::uint64_t rank = HashPair(HashText(part->id), HashText(engine.record.id));
@@ -212,10 +237,4 @@
   return tokens;
 }
 
-void EngineSelector::NotePrefillTime(std::int64_t tokens, Duration time) {
-  if (tokens <= 0 || time <= 0s) return;
-  const double rate = static_cast<double>(tokens) * kMillisecond / static_cast<double>(time.count());
-  read_rate_ = rate > read_rate() ? read_rate() * kRateStep : read_rate() / kRateStep;
-}
-
 }  // namespace saltquay::serving
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 
+#include "saltquay/admission/reading_model.h"
 #include "src/base/random.h"
 #include "src/core/serving/events.h"
 #include "src/core/serving/knobs.h"
@@ -22,10 +23,16 @@
 
 using EngineIds = std::set<std::string>;
 
+// Engines, and what the peers have under way there.
+struct EngineCount {
+  int engines = 0;
+  int peers_outstanding = 0;
+};
+
 class EngineSelector {
  public:
   EngineSelector(const ServingKnobs& knobs, std::string zone, std::uint64_t seed)
-      : knobs_(knobs), zone_(std::move(zone)), random_(seed) {}
+      : knobs_(knobs), zone_(std::move(zone)), random_(seed), reading_(knobs.reading) {}
 
   // Each returns nullptr where no engine can take the attempt. Engines in
   // `tried` are taken only when `tried` says nothing else is left, never twice.
@@ -34,6 +41,12 @@
   // the service's engines read and answer alike.
   EngineState* ChooseReader(EngineDirectory& engines, const std::string& service, EngineStage stage,
                             const PromptFacts& prompt, const EngineIds& tried, Time now);
+  // Whether any engine of the service reads prompts apart, those in `tried` aside.
+  static bool HasReader(EngineDirectory& engines, const std::string& service, const EngineIds& tried);
+  // Engines of the service and stage that may get work.
+  static EngineCount CountEngines(EngineDirectory& engines, const std::string& service, EngineStage stage, Time now);
+  // Milliseconds to read the prompt where most of it is kept.
+  double LeastReadingMs(EngineDirectory& engines, const std::string& service, const PromptFacts& prompt, Time now);
   // The engine from which `reader` should copy what it lacks of the prompt's
   // shared parts: the one that is known to keep most, else the first home;
   // nullptr where copying saves nothing.
@@ -50,14 +63,16 @@
   std::vector<KeptPart> NewsSince(Time since);
   // Tokens that the engine would read of the prompt, as far as is known.
   int TokensToRead(const std::string& engine_id, const PromptFacts& prompt, Time now) const;
-  // Learns the reading rate from a finished prefill.
-  void NotePrefillTime(std::int64_t tokens, Duration time);
+  // A prefill that was alone at its engine, as far as is known, took that long.
+  void NotePrefillTime(std::int64_t tokens, Duration time) { reading_.note(tokens, time); }
 
   // Work under way at the engine, of all nodes, as far as is known.
   double EstimatedLoad(const EngineState& engine, Time now) const;
   // Whether other nodes report their work; else it is guessed from told loads.
   void set_peers_known(bool known) { peers_known_ = known; }
-  double read_rate() const { return read_rate_ > 0 ? read_rate_ : knobs_.first_read_rate; }
+  // Prompt tokens that an engine reads in a millisecond.
+  double read_rate() const { return reading_.typical_rate(); }
+  const admission::ReadingModel& reading() const { return reading_; }
 
  private:
   template <typename Cost>
@@ -81,7 +96,7 @@
   std::string zone_;
   Random random_;
   bool peers_known_ = false;
-  double read_rate_ = 0;  // Prompt tokens in a millisecond; 0: not measured.
+  admission::ReadingModel reading_;
   std::uint64_t turn_ = 0;
   std::map<KeptPart, Time> kept_;  // -> last use known.
   std::deque<std::pair<Time, KeptPart>> news_;
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -80,7 +80,8 @@
   int nodes = 1;  // This one included.
   std::map<std::string, EngineWork> work;
   std::vector<EngineHold> holds;
-  std::vector<KeptPart> kept;  // News.
+  std::vector<KeptPart> kept;         // News.
+  std::vector<ServiceDemand> demand;  // Of the peers together.
 };
 struct RequestArrived {
   FlowId flow = 0;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -31,28 +31,18 @@
 // Starts the next attempt that the flow needs, or waits for an engine.
 void ServingCore::Advance(Flow& flow) {
   const bool wants_prefill = SplitsPrompt(flow, knobs_) && !flow.memory;
-  if (wants_prefill && StartPrefill(flow)) return;
+  if (wants_prefill && QueueReading(flow)) return;
   if (StartRun(flow)) return;
   WaitOrRefuse(flow);
 }
 
-bool ServingCore::StartPrefill(Flow& flow) {
-  const bool extra = flow.prefills > 0;
-  if (extra && allowance_.Left(flow.service, now_) < 1) return false;
-  EngineState* engine =
-      selector_.ChooseReader(engines_, flow.service, EngineStage::kPrefill, *flow.facts.prompt, flow.tried, now_);
-  if (engine == nullptr) return false;
-  if (extra) allowance_.NoteExtra(flow.service, now_);
-  ++flow.prefills;
-  Start(flow, *engine, AttemptMode::kPrefill);
-  return true;
-}
-
 bool ServingCore::StartRun(Flow& flow) {
   const AttemptMode mode = flow.memory ? AttemptMode::kContinue : AttemptMode::kWhole;
   EngineState* engine = ChooseRunEngine(flow, mode);
   if (engine == nullptr) return false;
-  if (flow.arrivals > 0 && !allowance_.TryTake(flow.service, now_)) return false;
+  // What first readings may still cost is not spent twice.
+  const int at_risk = flow.language ? LineOf(flow.service).at_risk : 0;
+  if (flow.arrivals > 0 && !allowance_.TryTake(flow.service, now_, at_risk)) return false;
   ++flow.arrivals;
   Start(flow, *engine, mode);
   flow.memory.reset();  // A handle serves once.
@@ -96,9 +86,11 @@
   start.connect_timeout = std::clamp(FromSeconds(connect_seconds), knobs_.shortest_connect, knobs_.longest_connect);
   start.priority = flow.route.priority;
   start.streams = flow.route.kind == RouteKind::kStreaming;
-  LogRouted(flow, engine, start);
+  LogRouted(flow, engine, start, attempt.prompt_tokens);
   attempt.patience_ends = now_ + PatienceFor(attempt, engine);
-  MeterStart(flow, attempt);
+  // A prompt that overflows to an engine that answers still asks for one that reads.
+  const bool apart = mode == AttemptMode::kPrefill || SplitsPrompt(flow, knobs_);
+  if (mode != AttemptMode::kContinue) MeterReading(flow, attempt.prompt_tokens, apart);
   flow.attempts[attempt.id] = attempt;
   actions_->push_back(std::move(start));
   Arm(flow);
@@ -125,13 +117,20 @@
   selector_.NotePrompt(engine.record.id, prompt, now_);
 }
 
-void ServingCore::LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start) {
+void ServingCore::LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start,
+                            std::int64_t tokens_to_read) {
   Log(EventId::kRequestRouted, &flow,
       fmt::format(R"("route":"{}","service":"{}","version":{},"engine":"{}","mode":"{}","try":{},"load":{:.1f},)"
-                  R"("load_age_ms":{},"backlog_tokens":{},"copy_from":"{}","left_ms":{})",
+                  R"("load_age_ms":{},"backlog_tokens":{},"peers_tokens":{},"tokens_to_read":{},"read_rate":{:.0f},)"
+                  R"("window":{:.1f},"under_way":{},"waiting":{},)"
+                  R"("copy_from":"{}","left_ms":{})",
                   flow.route.name, flow.service, version(), engine.record.id, ModeName(start.mode), flow.tries,
                   selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
-                  engine.outstanding_prompt_tokens, start.copy_from, start.time_left.count() / 1000));
+                  engine.outstanding_prompt_tokens, engine.peers_prompt_tokens, tokens_to_read, selector_.read_rate(),
+                  lines_.contains(flow.service) ? lines_.at(flow.service).readers.limit() : 0,
+                  lines_.contains(flow.service) ? lines_.at(flow.service).readers.under_way() : 0,
+                  lines_.contains(flow.service) ? lines_.at(flow.service).order->size() : 0, start.copy_from,
+                  start.time_left.count() / 1000));
 }
 
 void ServingCore::WaitOrRefuse(Flow& flow) {
@@ -150,6 +149,8 @@
     flow.tried.insert(attempt.engine_id);
     return Retry(flow, "prompt not read");
   }
+  NoteRead(attempt);
+  if (flow.prefills == 1) allowance_.NoteRisked(flow.service, false);
   if (attempt.alone_at_start) selector_.NotePrefillTime(attempt.prompt_tokens, now_ - attempt.sent_at);
   if (flow.memory) {  // A second prefill also came to its end.
     actions_->push_back(ReleaseMemory{{attempt.engine_id, engine->record.address, handle}});
@@ -157,6 +158,7 @@
   }
   flow.memory = MemorySource{attempt.engine_id, engine->record.address, handle};
   flow.memory_zone = engine->record.zone;
+  flow.read_at = now_;
   Advance(flow);
 }
 
@@ -204,11 +206,14 @@
     LogStanding(engines_.NoteMisdirected(attempt.engine_id, now_));
   } else if (attempt.mode != AttemptMode::kContinue) {
     // A refused hand-over may be the fault of the engine that keeps the memory.
-    LogStanding(engines_.NoteAnswer(attempt.engine_id, true, now_));
+    NoteRefusal(attempt, full);
   }
   if (attempt.mode == AttemptMode::kPrefill) {
     // A refused prefill counts as an extra arrival whether it was the first or not.
-    if (flow.prefills == 1) allowance_.NoteExtra(flow.service, now_);
+    if (flow.prefills == 1) {
+      allowance_.NoteExtra(flow.service, now_);
+      allowance_.NoteRisked(flow.service, true);
+    }
   } else {
     --flow.runs;
   }
@@ -217,6 +222,18 @@
   Retry(flow, "refused by the engine");
 }
 
+// An engine that refuses although it says that it has room is not well; any
+// other refusal is a matter of load.
+void ServingCore::NoteRefusal(const Attempt& attempt, bool full) {
+  if (attempt.window != nullptr) attempt.window->note_refused(now_, attempt.target);
+  const bool has_room = attempt.answer.load && !full;
+  if (has_room) {
+    LogStanding(engines_.NoteAnswer(attempt.engine_id, true, now_));
+  } else {
+    engines_.NoteFull(attempt.engine_id, now_);
+  }
+}
+
 void ServingCore::OnLost(Flow& flow, const Attempt& attempt, AttemptFailure failure) {
   flow.tried.insert(attempt.engine_id);
   const bool arrived = failure != AttemptFailure::kNotSent;
@@ -269,7 +286,7 @@
   constexpr double kMillisecond = 0.001;
   // This prompt's tokens are among the outstanding ones.
   const auto tokens = static_cast<double>(engine.outstanding_prompt_tokens + engine.peers_prompt_tokens);
-  const Duration expected = FromSeconds(kMillisecond * tokens / selector_.read_rate());
+  const Duration expected = FromSeconds(kMillisecond * tokens / selector_.reading().rate());
   return knobs_.silence + FromSeconds(knobs_.prefill_patience * ToSeconds(expected));
 }
 
@@ -307,13 +324,14 @@
   Refuse(flow, "time is up; not run");
 }
 
-void ServingCore::Refuse(Flow& flow, std::string_view cause) {
+void ServingCore::Refuse(Flow& flow, std::string_view cause) { Refuse(flow, cause, knobs_.retry_after); }
+
+void ServingCore::Refuse(Flow& flow, std::string_view cause, Duration retry_after) {
   CancelAttempts(flow, 0);
   Log(EventId::kRequestRefused, &flow,
       fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{},"retry_after_ms":{})", kUnavailable,
-                  cause, (now_ - flow.arrived).count() / 1000, flow.tries, version(),
-                  knobs_.retry_after.count() / 1000));
-  actions_->push_back(AnswerOwn{flow.id, kUnavailable, knobs_.retry_after});
+                  cause, (now_ - flow.arrived).count() / 1000, flow.tries, version(), retry_after.count() / 1000));
+  actions_->push_back(AnswerOwn{flow.id, kUnavailable, retry_after});
   Erase(flow.id);
 }
 
@@ -350,6 +368,11 @@
   const auto entry = flow.attempts.find(id);
   if (entry == flow.attempts.end()) return;
   MeterEnd(flow, entry->second);
+  if (entry->second.at_risk != nullptr) --*entry->second.at_risk;
+  if (entry->second.window != nullptr) {
+    entry->second.window->note_over();
+    dispatch_wanted_ = true;
+  }
   if (EngineState* engine = engines_.Find(entry->second.engine_id)) {
     --engine->outstanding;
     engine->outstanding_prompt_tokens -= entry->second.prompt_tokens;
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -1,6 +1,9 @@
 // Every tunable number of the serving core, in one place.
 #pragma once
 
+#include "saltquay/admission/adaptive_window.h"
+#include "saltquay/admission/reading_model.h"
+#include "saltquay/admission/reading_order.h"
 #include "src/base/time.h"
 #include "src/core/serving/engine_directory.h"
 #include "src/core/serving/retry_allowance.h"
@@ -17,8 +20,8 @@
 
   // Prompts up to this size are read by the engine that answers them.
   int whole_prompt_tokens = 1024;
-  // Before any answer was timed: prompt tokens that a prefill engine reads in a millisecond.
-  double first_read_rate = 30;
+  // How the time of a reading is learned.
+  admission::ReadingModelKnobs reading;
   // A load that an engine told counts for less and less, until this age.
   Duration load_memory = 2s;
   // A prompt part stays in an engine's memory about this long after its last use.
@@ -45,10 +48,37 @@
   // Fewer tokens are not worth a copy.
   int least_copied_tokens = 256;
 
+  // The order in which prompts wait for an engine to read them.
+  admission::OrderPolicy reading_order = admission::OrderPolicy::Worth;
+  // How many prompts this node has under way at a service's engines.
+  admission::AdaptiveWindowKnobs window;
+  // A reading should take at most this share of the request's objective, or so many times what
+  // it takes at an idle engine, whichever is longer.
+  double reading_share = 1.0;
+  double reading_stretch = 2.5;
+  // What misses its objective anyway gets this share of the window.
+  double late_share = 0.5;
+  // First guess of the time from a prompt's reading to its first event, as a share of the objective.
+  double first_tail_share = 0.1;
+  // Prompts of a lane that are tried before the others wait for the next change.
+  std::size_t order_depth = 8;
+  // A prompt that still waits at this share of its objective is refused, with a time to come
+  // back: within a quarter of the objective a caller still has time for another try.
+  double judge_share = 0.17;
+  bool refuses_excess = true;
+  // Prompts that no prefill engine has room for may be read by engines that answer.
+  bool overflows = true;
+  admission::AdaptiveWindowKnobs overflow_window{.first_depth = 1, .most_depth = 1.5};
+  // Not where reading there would take more than this share of the objective.
+  double overflow_reading_share = 0.25;
+  double overflow_fill = 0.35;  // Only those with less than this share of their slots taken.
+  // The waiting prompts are looked at again after this time, if nothing else happens.
+  Duration order_interval = 10ms;
+
   // Over this time demand is averaged for role changes.
   Duration demand_memory = 3s;
   // Slots and memory of an engine that answers well are filled to this share.
-  double comfortable_fill = 0.5;
+  double comfortable_fill = 0.8;
 
   // The share of the objective that a request may wait for any engine.
   double wait_share = 0.2;
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -96,13 +96,18 @@
 ServiceDemand PeerTable::Demand(const std::string& service) const {
   ServiceDemand sum;
   sum.service = service;
+  int depths = 0;
   for (const auto& [node, entry] : peers_) {
     for (const ServiceDemand& demand : entry.report.demand) {
       if (demand.service != service) continue;
       sum.prefill_engines += demand.prefill_engines;
       sum.decode_engines += demand.decode_engines;
+      if (demand.reading_depth <= 0) continue;
+      sum.reading_depth += demand.reading_depth;
+      ++depths;
     }
   }
+  if (depths > 0) sum.reading_depth /= depths;
   return sum;
 }
 
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -31,6 +31,7 @@
   std::string service;
   double prefill_engines = 0;
   double decode_engines = 0;
+  double reading_depth = 0;  // Prompts that this node would have under way at each engine that reads; 0: not told.
 };
 
 // An engine that gets no new work because its stage is about to change.
@@ -105,7 +106,7 @@
   std::map<std::string, EngineWork> WorkByEngine() const;
   // Engines that other nodes hold back.
   std::vector<EngineHold> Holds() const;
-  // Demand of all other nodes.
+  // Demand of all other nodes, and the mean of the reading depths that they told.
   ServiceDemand Demand(const std::string& service) const;
   // Returns whether this node has the least name of those that do not stop.
   bool OwnNameIsLeast() const;
--- a/src/core/serving/retry_allowance.h
+++ b/src/core/serving/retry_allowance.h
@@ -33,13 +33,30 @@
   // An extra arrival that was not asked for beforehand.
   void NoteExtra(const std::string& service, Time now) { Trimmed(service, now).extras.push_back(now); }
 
-  // Takes one extra arrival; returns false when the window's share is spent.
-  bool TryTake(const std::string& service, Time now) {
-    if (Left(service, now) < 1) return false;
+  // Takes one extra arrival beside what `at_risk` calls may cost; returns false
+  // when the window's share is spent.
+  bool TryTake(const std::string& service, Time now, int at_risk = 0) {
+    if (Left(service, now) < 1 + usage_[service].refused_share * at_risk) return false;
     NoteExtra(service, now);
     return true;
   }
 
+  // Whether one more call may be sent that costs an extra arrival only if it is
+  // refused, with `at_risk` such calls under way: as long as what they will
+  // cost by the share of late that was refused is left.
+  bool MayRisk(const std::string& service, Time now, int at_risk) {
+    const double expected = usage_[service].refused_share * (at_risk + 1);
+    return Left(service, now) >= expected;
+  }
+  // The outcome of a call at risk. The share follows refusals at once and
+  // forgets them slowly.
+  void NoteRisked(const std::string& service, bool refused) {
+    constexpr double kUp = 0.4;
+    constexpr double kDown = 0.03;
+    double& share = usage_[service].refused_share;
+    share += refused ? kUp * (1 - share) : -kDown * share;
+  }
+
   // Extra arrivals that are left now.
   double Left(const std::string& service, Time now) {
     const Usage& usage = Trimmed(service, now);
@@ -55,6 +72,7 @@
   struct Usage {
     std::deque<Time> requests;
     std::deque<Time> extras;
+    double refused_share = 0;  // Of the calls at risk, lately.
   };
 
   Usage& Trimmed(const std::string& service, Time now) {
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -183,7 +183,7 @@
                                      EngineDirectory& engines, std::vector<RoleAction>& actions) {
   const Change* change = FindChange(engine_id, Phase::kOrdering);
   if (change == nullptr) return;
-  constexpr Duration kDrainTime = 3s;  // For what runs there; the record tells when it is over.
+  constexpr Duration kDrainTime = 15s;  // For what runs there; the record tells when it is over.
   if (outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kUnknown) {
     const Time until = now + change->away + kDrainTime;
     away_[engine_id] = Away{until, change->stage};
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -17,12 +17,14 @@
   now_ = now;
   actions_ = &actions;
   std::visit([this](const auto& typed) { On(typed); }, event);
+  if (dispatch_wanted_ || (next_dispatch_ && now_ >= *next_dispatch_)) DispatchAll();
   actions_ = nullptr;
 }
 
 std::optional<Time> ServingCore::next_deadline() const {
-  if (deadlines_.empty()) return std::nullopt;
-  return deadlines_.begin()->first;
+  if (deadlines_.empty()) return next_dispatch_;
+  const Time first = deadlines_.begin()->first;
+  return next_dispatch_ ? std::min(first, *next_dispatch_) : first;
 }
 
 void ServingCore::On(const ConfigurationChanged& event) {
@@ -59,6 +61,7 @@
 
 void ServingCore::On(const PeersChanged& event) {
   allowance_.set_nodes(event.nodes);
+  nodes_ = std::max(1, event.nodes);
   selector_.set_peers_known(event.nodes > 1);
   for (const auto& [id, known] : engines_.all()) {
     EngineState& engine = *engines_.Find(id);
@@ -70,6 +73,12 @@
   for (const EngineHold& hold : event.holds) {
     if (EngineState* engine = engines_.Find(hold.engine_id)) engine->held_until = now_ + hold.left;
   }
+  for (const ServiceDemand& demand : event.demand) {
+    ReadingLine& line = LineOf(demand.service);
+    line.peers_demand = demand.prefill_engines;
+    if (demand.reading_depth > 0) line.readers.agree(demand.reading_depth);
+  }
+  dispatch_wanted_ = true;
 }
 
 std::vector<EngineWork> ServingCore::OwnWork() const {
@@ -82,22 +91,27 @@
 
 std::vector<ServiceDemand> ServingCore::OwnDemand(Time now) {
   std::vector<ServiceDemand> demand;
-  for (auto& [service, meter] : demand_) demand.push_back({service, meter.prefill.Get(now), meter.decode.Get(now)});
+  for (auto& [service, meter] : demand_) {
+    const auto line = lines_.find(service);
+    const double depth = line == lines_.end() ? 0 : line->second.readers.depth();
+    demand.push_back({service, meter.prefill.Get(now), meter.decode.Get(now), depth});
+  }
   return demand;
 }
 
-// Reading is asked for when it begins.
-void ServingCore::MeterStart(const Flow& flow, const Attempt& attempt) {
-  if (!flow.language || attempt.mode == AttemptMode::kContinue) return;
-  const double milliseconds = static_cast<double>(attempt.prompt_tokens) / selector_.read_rate();
-  DemandMeter& meter = demand_.try_emplace(flow.service, knobs_.demand_memory).first->second;
+// Reading is asked for once by each request, whether an engine had room or not;
+// reading once more is the engines' failure, not the callers' demand.
+void ServingCore::MeterReading(Flow& flow, std::int64_t tokens, bool apart) {
   constexpr double kSecond = 1000;
   constexpr double kDecodeReadsSlower = 2;
-  if (attempt.mode == AttemptMode::kPrefill) {
-    // Reading once more is the engines' failure, not the callers' demand.
-    if (flow.prefills <= 1) meter.prefill.Add(milliseconds / kSecond, now_);
+  if (!flow.language || flow.reading_metered) return;
+  flow.reading_metered = true;
+  const double seconds = static_cast<double>(tokens) / selector_.read_rate() / kSecond;
+  DemandMeter& meter = demand_.try_emplace(flow.service, knobs_.demand_memory).first->second;
+  if (apart) {
+    meter.prefill.Add(seconds, now_);
   } else {
-    meter.decode.Add(kDecodeReadsSlower * milliseconds / kSecond, now_);
+    meter.decode.Add(kDecodeReadsSlower * seconds, now_);
   }
 }
 
@@ -166,6 +180,8 @@
 void ServingCore::On(const AttemptHead& event) {
   constexpr int kFirstError = 500;
   constexpr int kFirstRedirect = 300;
+  constexpr int kGatewayTimeout = 504;
+  constexpr Duration kEndTolerance = 50ms;
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
   Attempt& attempt = flow->attempts[event.attempt];
@@ -173,11 +189,16 @@
   attempt.answer = event.answer;
   if (event.answer.load) engines_.NoteLoad(attempt.engine_id, *event.answer.load, now_);
   if (!event.answer.not_executed) {
-    LogStanding(engines_.NoteAnswer(attempt.engine_id, event.answer.status >= kFirstError, now_));
+    // An engine that stops at the request's end was late, not sick.
+    const bool time_ran_out = event.answer.status == kGatewayTimeout && now_ + kEndTolerance >= flow->ends;
+    const bool failed = event.answer.status >= kFirstError && !time_ran_out;
+    LogStanding(engines_.NoteAnswer(attempt.engine_id, failed, now_));
   }
   const bool begins = flow->route.kind == RouteKind::kStreaming && attempt.mode != AttemptMode::kPrefill &&
                       event.answer.status < kFirstRedirect && event.answer.signed_by_engine;
   if (!begins) return;
+  NoteTail(*flow);
+  if (attempt.window != nullptr) NoteRead(attempt);
   flow->relaying = true;
   flow->relayed_attempt = attempt.id;
   CancelAttempts(*flow, attempt.id);
@@ -206,8 +227,15 @@
   if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
   const Attempt attempt = flow->attempts[event.attempt];
   EndAttempt(*flow, event.attempt);
-  LogStanding(engines_.NoteFailure(
-      attempt.engine_id, event.failure == AttemptFailure::kNotSent ? "no connection" : "answer broken", now_));
+  const EngineState* engine = engines_.Find(attempt.engine_id);
+  const bool unreached = event.failure == AttemptFailure::kNotSent;
+  // One that has answered others since only turns connections away.
+  const bool alive = unreached && engine != nullptr && engine->last_heard > attempt.sent_at;
+  if (alive) {
+    engines_.NoteFull(attempt.engine_id, now_);
+  } else {
+    LogStanding(engines_.NoteFailure(attempt.engine_id, unreached ? "no connection" : "answer broken", now_));
+  }
   OnLost(*flow, attempt, event.failure);
 }
 
@@ -258,6 +286,7 @@
   armed_.erase(id);
   Flow* flow = FindFlow(id);
   if (flow == nullptr) return;
+  Unqueue(*flow);
   while (!flow->attempts.empty()) EndAttempt(*flow, flow->attempts.begin()->first);
   if (flow->memory) actions_->push_back(ReleaseMemory{*flow->memory});
   flows_.erase(id);
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -10,12 +10,15 @@
 // route's time or the caller's is up, the final answer is sent at once.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "saltquay/admission/adaptive_window.h"
+#include "saltquay/admission/reading_order.h"
 #include "src/core/serving/demand_meter.h"
 #include "src/core/serving/engine_selector.h"
 #include "src/core/serving/events.h"
@@ -34,8 +37,11 @@
   AnswerFacts answer;
   Time patience_ends{};  // Without an answer by then, it is looked into once.
   bool silence_noted = false;
-  std::optional<MemorySource> memory;  // That it was to take.
-  bool alone_at_start = false;         // Nothing else of ours was under way there.
+  std::optional<MemorySource> memory;           // That it was to take.
+  bool alone_at_start = false;                  // Nothing else was under way there, as far as is known.
+  admission::AdaptiveWindow* window = nullptr;  // That it takes a place of.
+  int* at_risk = nullptr;                       // Count of its line that it is part of until its end.
+  Duration target = 0s;                         // What its reading should take at most.
 };
 
 struct Flow {
@@ -59,6 +65,31 @@
   std::optional<Time> waiting_until;  // For any engine to come.
   std::optional<Time> hedge_at;
   AttemptId relayed_attempt = 0;
+  bool queued = false;           // Its prompt waits in the service's reading order.
+  double worth = 0;              // Against the mean of its route; 0: not known yet.
+  bool reading_metered = false;  // Its reading is in the measured demand.
+  std::optional<Time> read_at;   // When its prompt had been read apart.
+};
+
+// What a service's prompts wait for, and what was learned of them.
+struct ReadingLine {
+  explicit ReadingLine(const ServingKnobs& knobs)
+      : order(admission::make_reading_order(knobs.reading_order)),
+        readers(knobs.window),
+        overflow(knobs.overflow_window) {}
+
+  std::unique_ptr<admission::ReadingOrder> order;
+  admission::AdaptiveWindow readers;   // Of prompts at engines that read.
+  admission::AdaptiveWindow overflow;  // Of those at engines that answer.
+  int at_risk = 0;                     // First readings under way: each costs an extra arrival if it is refused.
+  double peers_demand = 0;             // Engines that the prompts of other nodes' callers would keep reading.
+  double tail_ms = 0;                  // From a prompt's reading to its first event; moving average; 0: not measured.
+  std::deque<std::pair<Time, FlowId>> judged_at;  // Waiting prompts, by when they are judged.
+};
+
+// Learned of a route's prompts.
+struct RouteSizes {
+  double mean_size = 0;
 };
 
 class ServingCore {
@@ -99,6 +130,24 @@
   // Flow steps (flow_steps.cc).
   void Advance(Flow& flow);
   bool StartPrefill(Flow& flow);
+  // Reading orders (reading_steps.cc).
+  bool QueueReading(Flow& flow);
+  void DispatchReadings(ReadingLine& line);
+  void DispatchAll();
+  bool DispatchReading(Flow& flow, admission::Lane lane);
+  bool StartOverflow(Flow& flow);
+  Duration ReadingTarget(const Flow& flow, const Attempt& attempt) const;
+  void TakePlace(Flow& flow, admission::AdaptiveWindow& window);
+  void NoteRead(const Attempt& attempt);
+  void JudgeWaiting(ReadingLine& line);
+  Duration ComeBackIn(const Flow& flow);
+  void SizeWindows(const std::string& service, ReadingLine& line);
+  void MeterReading(Flow& flow, std::int64_t tokens, bool apart);
+  void Unqueue(Flow& flow);
+  ReadingLine& LineOf(const std::string& service);
+  admission::WaitingPrompt DescribePrompt(const Flow& flow, const ReadingLine& line);
+  double WorthOf(const Flow& flow);
+  void NoteTail(const Flow& flow);
   bool StartRun(Flow& flow);
   EngineState* ChooseRunEngine(Flow& flow, AttemptMode mode);
   void Start(Flow& flow, EngineState& engine, AttemptMode mode);
@@ -106,6 +155,7 @@
   void FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle);
   void FinishRun(Flow& flow, const Attempt& attempt);
   void OnRefusal(Flow& flow, const Attempt& attempt);
+  void NoteRefusal(const Attempt& attempt, bool full);
   void OnLost(Flow& flow, const Attempt& attempt, AttemptFailure failure);
   void Retry(Flow& flow, std::string_view cause);
   bool MayRunAgain(const Flow& flow) const;
@@ -117,6 +167,7 @@
 
   // Ends of a flow.
   void Refuse(Flow& flow, std::string_view cause);
+  void Refuse(Flow& flow, std::string_view cause, Duration retry_after);
   void Fail(Flow& flow, int status, std::string_view cause);
   void BreakOffFlow(Flow& flow, std::string_view cause);
   void Erase(FlowId id);
@@ -129,10 +180,9 @@
   bool CopiesParts(const Flow& flow) const;
   // Tells the attempt what it reads and from where it copies.
   void PlanReading(const Flow& flow, EngineState& engine, Attempt& attempt, StartAttempt& start);
-  void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start);
+  void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start, std::int64_t tokens_to_read);
   void LogStanding(const std::optional<StandingChange>& change);
   std::string ChooseService(const Route& route);
-  void MeterStart(const Flow& flow, const Attempt& attempt);
   void MeterEnd(const Flow& flow, const Attempt& attempt);
 
   ServingKnobs knobs_;
@@ -148,6 +198,11 @@
   std::set<std::pair<Time, FlowId>> deadlines_;
   std::map<FlowId, Time> armed_;
   AttemptId last_attempt_ = 0;
+  std::map<std::string, ReadingLine> lines_;  // By service.
+  std::map<std::string, RouteSizes> sizes_;   // By route.
+  std::optional<Time> next_dispatch_;
+  bool dispatch_wanted_ = false;
+  int nodes_ = 1;
   Time now_{};
   std::vector<Action>* actions_ = nullptr;
 };
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -121,6 +121,9 @@
   changed.nodes = peers_.Count();
   changed.work = peers_.WorkByEngine();
   changed.holds = peers_.Holds();
+  for (const serving::ServiceDemand& own : gateway_.core().OwnDemand(gateway_.Now())) {
+    changed.demand.push_back(peers_.Demand(own.service));
+  }
   for (const serving::EngineHold& hold : roles_.Holds(gateway_.Now())) changed.holds.push_back(hold);
   gateway_.Dispatch(changed);
 }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -36,6 +36,16 @@
   return serving::SelectionPolicy::kCost;
 }
 
+admission::OrderPolicy ReadOrder(ConfigReader& table) {
+  const std::string text = table.String("reading_order", "worth");
+  if (text == "none") return admission::OrderPolicy::None;
+  if (text == "first_come") return admission::OrderPolicy::FirstCome;
+  if (text != "worth") {
+    table.Fail("reading_order", "is '" + text + "'", R"(write "worth", "first_come" or "none")");
+  }
+  return admission::OrderPolicy::Worth;
+}
+
 void ReadBounds(ConfigReader& bounds, GatewaySettings& settings) {
   constexpr double kMillisecondsPerSecond = 1000;
   constexpr double kMostSlack = 1e6;
@@ -73,6 +83,9 @@
   ConfigReader policy = root.Table("policy");
   settings.knobs.policy = ReadPolicy(policy);
   settings.changes_roles = policy.Boolean("change_roles", true);
+  settings.knobs.reading_order = ReadOrder(policy);
+  settings.knobs.refuses_excess = policy.Boolean("refuse_excess", true);
+  settings.knobs.overflows = policy.Boolean("overflow", true);
   settings.knobs.copies_parts = policy.Boolean("copy_parts", true);
   settings.initial_prefill_share = policy.Number("initial_prefill_share", 0, 1, settings.initial_prefill_share);
   settings.knobs.whole_prompt_tokens =
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -24,9 +24,9 @@
   }
   std::vector<flatbuffers::Offset<wire::ServiceDemand>> demand;
   for (const auto& item : report.demand) {
-    demand.push_back(wire::CreateServiceDemand(builder, builder.CreateString(item.service),
-                                               static_cast<float>(item.prefill_engines),
-                                               static_cast<float>(item.decode_engines)));
+    demand.push_back(
+        wire::CreateServiceDemand(builder, builder.CreateString(item.service), static_cast<float>(item.prefill_engines),
+                                  static_cast<float>(item.decode_engines), static_cast<float>(item.reading_depth)));
   }
   std::vector<flatbuffers::Offset<wire::EngineHold>> holds;
   for (const auto& item : report.holds) {
@@ -70,7 +70,8 @@
   }
   if (source->demand() != nullptr) {
     for (const auto* item : *source->demand()) {
-      report.demand.push_back({Text(item->service()), item->prefill_engines(), item->decode_engines()});
+      report.demand.push_back(
+          {Text(item->service()), item->prefill_engines(), item->decode_engines(), item->reading_depth()});
     }
   }
   if (source->holds() != nullptr) {
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -118,7 +118,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_PREFILL_ENGINES = 6,
-    VT_DECODE_ENGINES = 8
+    VT_DECODE_ENGINES = 8,
+    VT_READING_DEPTH = 10
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -129,12 +130,16 @@
   float decode_engines() const {
     return GetField<float>(VT_DECODE_ENGINES, 0.0f);
   }
+  float reading_depth() const {
+    return GetField<float>(VT_READING_DEPTH, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<float>(verifier, VT_PREFILL_ENGINES, 4) &&
            VerifyField<float>(verifier, VT_DECODE_ENGINES, 4) &&
+           VerifyField<float>(verifier, VT_READING_DEPTH, 4) &&
            verifier.EndTable();
   }
 };
@@ -152,6 +157,9 @@
   void add_decode_engines(float decode_engines) {
     fbb_.AddElement<float>(ServiceDemand::VT_DECODE_ENGINES, decode_engines, 0.0f);
   }
+  void add_reading_depth(float reading_depth) {
+    fbb_.AddElement<float>(ServiceDemand::VT_READING_DEPTH, reading_depth, 0.0f);
+  }
   explicit ServiceDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -167,8 +175,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     float prefill_engines = 0.0f,
-    float decode_engines = 0.0f) {
+    float decode_engines = 0.0f,
+    float reading_depth = 0.0f) {
   ServiceDemandBuilder builder_(_fbb);
+  builder_.add_reading_depth(reading_depth);
   builder_.add_decode_engines(decode_engines);
   builder_.add_prefill_engines(prefill_engines);
   builder_.add_service(service);
@@ -179,13 +189,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
     float prefill_engines = 0.0f,
-    float decode_engines = 0.0f) {
+    float decode_engines = 0.0f,
+    float reading_depth = 0.0f) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return saltquay::gateway::wire::CreateServiceDemand(
       _fbb,
       service__,
       prefill_engines,
-      decode_engines);
+      decode_engines,
+      reading_depth);
 }
 
 struct EngineHold FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/tests/admission/reading_model_test.cc
@@ -0,0 +1,45 @@
+// What the model learns of engines that read at a known pace.
+#include "saltquay/admission/reading_model.h"
+
+#include <gtest/gtest.h>
+
+#include "src/base/random.h"
+
+namespace saltquay::admission {
+
+namespace {
+
+TEST(ReadingModelTest, AnswersWithTheFirstRateUntilItHasLearned)
+{
+    ReadingModel const model { ReadingModelKnobs {} };
+    EXPECT_FALSE(model.learned());
+    EXPECT_DOUBLE_EQ(model.predict_ms(3000), 100);
+}
+
+// Half of the readings were slowed by parts that had given way.
+TEST(ReadingModelTest, LearnsFixedPartAndRateAmongReadingsThatWereSlowed)
+{
+    ReadingModel model { ReadingModelKnobs {} };
+    Random random(1);
+    for (auto i = 0; i < 400; ++i) {
+        auto const tokens = random.Unit() < 0.3 ? 500 : 4000 + static_cast<std::int64_t>(random.Below(8000));
+        auto const slowed = random.Unit() < 0.5 ? 1.0 : 1.5;
+        auto const milliseconds = 6 + slowed * static_cast<double>(tokens) / 200;
+        model.note(tokens, FromSeconds(milliseconds / 1000));
+    }
+    EXPECT_NEAR(model.rate(), 200, 40);
+    EXPECT_NEAR(model.fixed_ms(), 8.5, 4);
+    EXPECT_LT(model.typical_rate(), model.rate());
+}
+
+TEST(ReadingModelTest, ReadingsWithoutSizeOrTimeTellNothing)
+{
+    ReadingModel model { ReadingModelKnobs {} };
+    model.note(0, 5ms);
+    model.note(100, 0ms);
+    EXPECT_FALSE(model.learned());
+}
+
+}
+
+}
--- /dev/null
+++ b/tests/core/serving/overload_test.cc
@@ -0,0 +1,104 @@
+// Overload before the engines: it is no sickness, it spends no retry budget,
+// and it is over when the callers' surge is over.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "tests/support/serving_fixture.h"
+#include "tests/support/serving_fleet.h"
+
+namespace saltquay::serving {
+namespace {
+
+constexpr double kRatio = 0.2;
+constexpr double kSlack = 56;
+constexpr Duration kWindow = 10s;
+
+class OverloadTest : public ServingFixture {
+ protected:
+  static ServingKnobs Knobs() {
+    ServingKnobs knobs;
+    knobs.retry_budget = RetryBudgetBounds{kRatio, kWindow, kSlack, 0.8};
+    return knobs;
+  }
+  static ServingConfig Config() {
+    ServingConfig config = MakeConfig();
+    for (Route& route : config.routes) route.timeout = 2s;
+    return config;
+  }
+  // Six engines that read and three that answer; together they read about 800 prompts a second.
+  static void AddEngines(ServingFleet& fleet, int queue) {
+    for (int i = 0; i < 9; ++i) {
+      FleetEngine engine;
+      const bool reads = i < 6;
+      engine.record = MakeEngine((reads ? "p" : "d") + std::to_string(i), "model",
+                                 reads ? EngineStage::kPrefill : EngineStage::kDecode);
+      engine.slots = reads ? 4 : 40;
+      engine.queue = queue;
+      fleet.AddEngine(engine);
+    }
+  }
+  static PromptFacts Prompt(int count) { return LongPrompt("s" + std::to_string(count % 97)); }
+};
+
+// Four nodes; three times what the engines read, for 8 s, then a third of it.
+struct Surge {
+  explicit Surge(ServingFleet& fleet) : fleet(fleet) {}
+
+  void Play() {
+    constexpr double kCapacity = 800;
+    fleet.Begin();
+    fleet.Offer("chat", kCapacity / 3, fleet.now() + 2s, prompt);
+    fleet.RunUntil(fleet.now() + 2s);
+    fleet.Offer("chat", kCapacity * 3, fleet.now() + 8s, prompt);
+    fleet.RunUntil(fleet.now() + 8s);
+    fleet.Offer("chat", kCapacity / 3, fleet.now() + 3s, prompt);
+    fleet.RunUntil(fleet.now() + 1s);
+    fleet.ForgetCounts();
+    fleet.RunUntil(fleet.now() + 2s);
+  }
+
+  ServingFleet& fleet;
+  std::function<PromptFacts(int)> prompt;
+};
+
+TEST_F(OverloadTest, ThreeTimesTheCapacityEjectsNoEngineAndIsOverWithinASecond) {
+  ServingFleet fleet(4, Config(), Knobs(), 3);
+  AddEngines(fleet, 8);
+  Surge surge(fleet);
+  surge.prompt = Prompt;
+  surge.Play();
+  EXPECT_TRUE(fleet.ejected().empty());
+  EXPECT_GT(fleet.answered_in_time(), 480);  // Of 533 in the last two seconds.
+}
+
+TEST_F(OverloadTest, ASurgeHidesNoSickEngineAndBlamesNoOther) {
+  ServingFleet fleet(4, Config(), Knobs(), 5);
+  AddEngines(fleet, 8);
+  fleet.SetHealth("p0", EngineHealth::kGrey);
+  fleet.SetHealth("p2", EngineHealth::kDark);
+  Surge surge(fleet);
+  surge.prompt = Prompt;
+  surge.Play();
+  EXPECT_TRUE(fleet.ejected().contains("p0"));
+  EXPECT_TRUE(fleet.ejected().contains("p2"));
+  for (const std::string& id : fleet.ejected()) EXPECT_TRUE(id == "p0" || id == "p2") << id;
+}
+
+// The property that BUDGET was broken by: refusals of first prefills.
+RC_GTEST_FIXTURE_PROP(OverloadTest, ArrivalsBeyondTheFirstStayWithinTheBudget, ()) {
+  const int nodes = *rc::gen::inRange(1, 9);
+  const int queue = *rc::gen::inRange(0, 30);
+  const double overload = *rc::gen::inRange(1, 5);
+  const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1000);
+  ServingFleet fleet(nodes, Config(), Knobs(), seed);
+  AddEngines(fleet, queue);
+  fleet.SetHealth(
+      "p1", *rc::gen::element(EngineHealth::kWell, EngineHealth::kGrey, EngineHealth::kSlow, EngineHealth::kDark));
+  fleet.Begin();
+  fleet.Offer("chat", 400 * overload, fleet.now() + 4s, Prompt);
+  fleet.RunUntil(fleet.now() + 7s);
+  RC_ASSERT(fleet.WorstBudget(kRatio, kSlack, kWindow) <= 0);
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- /dev/null
+++ b/tests/support/serving_fleet.cc
@@ -0,0 +1,217 @@
+#include "tests/support/serving_fleet.h"
+
+#include <algorithm>
+
+namespace saltquay::serving {
+namespace {
+
+constexpr Duration kLinkDelay = 1ms;
+constexpr Duration kReportInterval = 400ms;
+constexpr double kGreyErrors = 0.6;
+constexpr int kSlowFactor = 6;
+
+}  // namespace
+
+ServingFleet::ServingFleet(int nodes, const ServingConfig& config, const ServingKnobs& knobs, std::uint64_t seed)
+    : config_(config), random_(seed) {
+  for (int i = 0; i < nodes; ++i) nodes_.push_back(std::make_unique<ServingCore>(knobs, "a", seed + i));
+}
+
+void ServingFleet::Begin() {
+  std::vector<EngineRecord> records;
+  for (const auto& [id, world] : engines_) records.push_back(world.engine.record);
+  for (int node = 0; node < static_cast<int>(nodes_.size()); ++node) {
+    Send(node, ConfigurationChanged{config_});
+    Send(node, EnginesReplaced{records});
+    Send(node, StoreContactChanged{true});
+  }
+  Report();
+}
+
+void ServingFleet::Offer(const std::string& route, double per_second, Time end,
+                         const std::function<PromptFacts(int)>& prompt) {
+  const Duration gap = FromSeconds(1 / per_second);
+  int count = 0;
+  for (Time at = now_; at < end; at += gap, ++count) {
+    const PromptFacts facts = prompt(count);
+    At(at, [this, route, facts] {
+      const int node = static_cast<int>(random_.Below(nodes_.size()));
+      RequestArrived arrived;
+      arrived.flow = ++last_flow_;
+      arrived.facts.request_id = "r" + std::to_string(last_flow_);
+      arrived.facts.host = "h.example";
+      arrived.facts.path = "/" + route + "/x";
+      arrived.facts.prompt = facts;
+      requests_.push_back(now_);
+      began_[{node, arrived.flow}] = now_;
+      Send(node, arrived);
+    });
+  }
+}
+
+void ServingFleet::RunUntil(Time end) {
+  while (!agenda_.empty() && agenda_.begin()->first <= end) {
+    now_ = std::max(now_, agenda_.begin()->first);
+    const std::function<void()> step = std::move(agenda_.begin()->second);
+    agenda_.erase(agenda_.begin());
+    step();
+  }
+  now_ = end;
+}
+
+void ServingFleet::Send(int node, const Event& event) {
+  std::vector<Action> actions;
+  nodes_[node]->OnEvent(now_, event, actions);
+  Carry(node, actions);
+  Wake(node);
+}
+
+void ServingFleet::Wake(int node) {
+  const std::optional<Time> deadline = nodes_[node]->next_deadline();
+  if (!deadline) return;
+  At(std::max(now_ + 1us, *deadline), [this, node] {
+    const std::optional<Time> due = nodes_[node]->next_deadline();
+    if (due && *due <= now_) Send(node, TimePassed{});
+  });
+}
+
+void ServingFleet::End(int node, FlowId flow, int* count) {
+  ++*count;
+  began_.erase({node, flow});
+}
+
+void ServingFleet::Carry(int node, const std::vector<Action>& actions) {
+  for (const Action& action : actions) {
+    if (const auto* start = std::get_if<StartAttempt>(&action)) {
+      At(now_ + kLinkDelay, [this, node, start = *start] { Arrive(node, start); });
+    } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+      cancelled_.insert({node, cancel->attempt});
+    } else if (const auto* own = std::get_if<AnswerOwn>(&action)) {
+      End(node, own->flow, own->status == 503 ? &refused_ : &failed_);
+    } else if (const auto* relay = std::get_if<BeginRelay>(&action)) {
+      const Duration took = now_ - began_[{node, relay->flow}];
+      if (took <= config_.FindRoute("h.example", "/chat/x")->objective) ++in_time_;
+    } else if (const auto* ended = std::get_if<EndRelay>(&action)) {
+      End(node, ended->flow, &answered_);
+    } else if (const auto* whole = std::get_if<RelayAnswer>(&action)) {
+      End(node, whole->flow, &answered_);
+    } else if (const auto* broken = std::get_if<BreakOff>(&action)) {
+      End(node, broken->flow, &failed_);
+    } else if (const auto* log = std::get_if<LogDecision>(&action)) {
+      if (log->event == EventId::kEngineEjected) {
+        const std::size_t from = log->details.find(":\"") + 2;
+        ejected_.insert(log->details.substr(from, log->details.find('"', from) - from));
+      }
+    }
+  }
+}
+
+void ServingFleet::Arrive(int node, const StartAttempt& start) {
+  EngineWorld& world = engines_.at(start.engine_id);
+  const Call call{node, start, now_ + start.time_left};
+  ++world.calls;
+  if (world.engine.health == EngineHealth::kDark) return Count(call, true);
+  if (world.running < world.engine.slots) return Begin(world, call);
+  if (static_cast<int>(world.waiting.size()) < world.engine.queue) {
+    world.waiting.push_back(call);
+    return;
+  }
+  Refuse(world, call);
+}
+
+void ServingFleet::Begin(EngineWorld& world, const Call& call) {
+  Count(call, true);
+  ++world.running;
+  const int factor = world.engine.health == EngineHealth::kSlow ? kSlowFactor : 1;
+  At(now_ + world.engine.work * factor, [this, &world, call] { Finish(world, call); });
+}
+
+EngineLoad ServingFleet::LoadOf(const EngineWorld& world) const {
+  return {world.running, static_cast<int>(world.waiting.size()), world.engine.slots};
+}
+
+void ServingFleet::Refuse(EngineWorld& world, const Call& call) {
+  Count(call, false);
+  if (cancelled_.contains({call.node, call.start.attempt})) return;
+  Send(call.node, AttemptHead{call.start.flow, call.start.attempt, AnswerFacts{503, true, false, LoadOf(world)}});
+  Send(call.node, AttemptCompleted{call.start.flow, call.start.attempt, ""});
+}
+
+void ServingFleet::Finish(EngineWorld& world, const Call& call) {
+  --world.running;
+  while (!world.waiting.empty() && world.running < world.engine.slots) {
+    const Call next = world.waiting.front();
+    world.waiting.pop_front();
+    if (cancelled_.contains({next.node, next.start.attempt})) continue;
+    if (now_ >= next.ends) {
+      Refuse(world, next);
+    } else {
+      Begin(world, next);
+    }
+  }
+  if (cancelled_.contains({call.node, call.start.attempt})) return;
+  const bool fails = world.engine.health == EngineHealth::kGrey && random_.Unit() < kGreyErrors;
+  Send(call.node,
+       AttemptHead{call.start.flow, call.start.attempt, AnswerFacts{fails ? 500 : 200, false, true, LoadOf(world)}});
+  const bool reads = call.start.mode == AttemptMode::kPrefill && !fails;
+  Send(call.node, AttemptCompleted{call.start.flow, call.start.attempt, reads ? "h" : ""});
+}
+
+// The platform's count: the first run and the first prefill that was taken up
+// are free; every further arrival counts, and every prefill that was refused.
+void ServingFleet::Count(const Call& call, bool taken) {
+  RequestSeen& seen = seen_[{call.node, call.start.flow}];
+  if (call.start.mode == AttemptMode::kPrefill) {
+    if (!taken) {
+      counted_.push_back({now_, "prefill refused"});
+    } else if (++seen.prefills > 1) {
+      counted_.push_back({now_, "prefill again"});
+    }
+  } else if (++seen.runs > 1) {
+    counted_.push_back({now_, "run again"});
+  }
+}
+
+void ServingFleet::Report() {
+  for (int to = 0; to < static_cast<int>(nodes_.size()); ++to) {
+    PeersChanged changed;
+    changed.nodes = static_cast<int>(nodes_.size());
+    ServiceDemand demand;
+    for (int from = 0; from < static_cast<int>(nodes_.size()); ++from) {
+      if (from == to) continue;
+      for (const ServiceDemand& told : nodes_[from]->OwnDemand(now_)) {
+        demand.service = told.service;
+        demand.prefill_engines += told.prefill_engines;
+        demand.reading_depth += told.reading_depth / static_cast<double>(nodes_.size() - 1);
+      }
+      for (const EngineWork& work : nodes_[from]->OwnWork()) {
+        EngineWork& sum = changed.work[work.engine_id];
+        sum.engine_id = work.engine_id;
+        sum.outstanding += work.outstanding;
+        sum.prompt_tokens += work.prompt_tokens;
+      }
+    }
+    if (!demand.service.empty()) changed.demand.push_back(demand);
+    Send(to, changed);
+  }
+  At(now_ + kReportInterval, [this] { Report(); });
+}
+
+double ServingFleet::WorstBudget(double ratio, double slack, Duration window) const {
+  const auto asked = [&](Time from) {
+    return std::count_if(requests_.begin(), requests_.end(), [&](Time at) { return at >= from && at < from + window; });
+  };
+  double worst = -slack;
+  for (const CountedArrival& first : counted_) {
+    const auto extras = std::count_if(counted_.begin(), counted_.end(), [&](const CountedArrival& other) {
+      return other.at >= first.at && other.at < first.at + window;
+    });
+    const auto requests = std::max({asked(first.at), asked(first.at - window), asked(first.at - window / 2)});
+    worst = std::max(worst, static_cast<double>(extras) - ratio * static_cast<double>(requests) - slack);
+  }
+  return worst;
+}
+
+void ServingFleet::ForgetCounts() { answered_ = in_time_ = refused_ = failed_ = 0; }
+
+}  // namespace saltquay::serving
--- /dev/null
+++ b/tests/support/serving_fleet.h
@@ -0,0 +1,109 @@
+// Several serving cores before scripted engines, in virtual time: arrivals,
+// reports between the nodes, engines with slots and a queue that refuse when
+// full, and engines that are grey, slow or dark. Counts what the engines see.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/base/random.h"
+#include "src/core/serving/serving_core.h"
+
+namespace saltquay::serving {
+
+enum class EngineHealth { kWell, kGrey, kSlow, kDark };
+
+struct FleetEngine {
+  EngineRecord record;
+  int slots = 4;
+  int queue = 8;
+  Duration work = 30ms;  // Of one call that has a slot.
+  EngineHealth health = EngineHealth::kWell;
+};
+
+// An arrival that the retry budget counts.
+struct CountedArrival {
+  Time at{};
+  std::string cause;
+};
+
+class ServingFleet {
+ public:
+  ServingFleet(int nodes, const ServingConfig& config, const ServingKnobs& knobs, std::uint64_t seed);
+
+  void AddEngine(const FleetEngine& engine) { engines_[engine.record.id].engine = engine; }
+  void SetHealth(const std::string& id, EngineHealth health) { engines_.at(id).engine.health = health; }
+  // Tells all nodes of the engines and of each other.
+  void Begin();
+  // Sends `per_second` requests of the route, spread over the nodes, until `end`.
+  void Offer(const std::string& route, double per_second, Time end, const std::function<PromptFacts(int)>& prompt);
+  void RunUntil(Time end);
+
+  Time now() const { return now_; }
+  int answered() const { return answered_; }
+  int answered_in_time() const { return in_time_; }
+  int refused() const { return refused_; }
+  int failed() const { return failed_; }
+  const std::vector<Time>& requests() const { return requests_; }
+  const std::vector<CountedArrival>& counted() const { return counted_; }
+  const std::multiset<std::string>& ejected() const { return ejected_; }
+  int calls_at(const std::string& engine) const { return engines_.at(engine).calls; }
+  // Most extra arrivals beyond ratio x requests + slack in any window; negative: always below.
+  double WorstBudget(double ratio, double slack, Duration window) const;
+  void ForgetCounts();
+
+ private:
+  struct Call {
+    int node = 0;
+    StartAttempt start;
+    Time ends{};
+  };
+  struct EngineWorld {
+    FleetEngine engine;
+    std::deque<Call> waiting;
+    int running = 0;
+    int calls = 0;
+  };
+  struct RequestSeen {
+    int runs = 0;
+    int prefills = 0;
+  };
+
+  void At(Time at, std::function<void()> step) { agenda_.emplace(at, std::move(step)); }
+  void Send(int node, const Event& event);
+  void Carry(int node, const std::vector<Action>& actions);
+  void Wake(int node);
+  void Arrive(int node, const StartAttempt& start);
+  void Begin(EngineWorld& world, const Call& call);
+  void Finish(EngineWorld& world, const Call& call);
+  void Refuse(EngineWorld& world, const Call& call);
+  void Count(const Call& call, bool taken);
+  void Report();
+  EngineLoad LoadOf(const EngineWorld& world) const;
+  void End(int node, FlowId flow, int* count);
+
+  ServingConfig config_;
+  std::vector<std::unique_ptr<ServingCore>> nodes_;
+  std::map<std::string, EngineWorld> engines_;
+  std::multimap<Time, std::function<void()>> agenda_;
+  std::map<std::pair<int, FlowId>, Time> began_;
+  std::map<std::pair<int, FlowId>, RequestSeen> seen_;
+  std::set<std::pair<int, AttemptId>> cancelled_;
+  std::vector<Time> requests_;
+  std::vector<CountedArrival> counted_;
+  std::multiset<std::string> ejected_;
+  Random random_;
+  Time now_{1s};
+  FlowId last_flow_ = 0;
+  int answered_ = 0;
+  int in_time_ = 0;
+  int refused_ = 0;
+  int failed_ = 0;
+};
+
+}  // namespace saltquay::serving
