Prompts are judged in the order of their objectives; a window that lags refuses nothing

A full window of engines that had not answered yet committed everything.

Change: judgements are sorted by time; nothing is committed before a reading was measured; while readings take less than 0.7 of their targets a node may go to twice its window instead of refusing; first depth 8, widening 1 (from 4 and 0.25).

--- a/include/saltquay/admission/adaptive_window.h
+++ b/include/saltquay/admission/adaptive_window.h
@@ -16,10 +16,10 @@
 namespace saltquay::admission {
 
 struct AdaptiveWindowKnobs {
-    double first_depth = 4; // Prompts under way at an engine, before anything was observed.
+    double first_depth = 8; // Prompts under way at an engine, before anything was observed.
     double least_depth = 1;
     double most_depth = 32;
-    double widening = 0.25;          // Added to the depth by each full window of prompts within their targets.
+    double widening = 1;             // Added to the depth by each full window of prompts within their targets.
     double sharpest_narrowing = 0.8; // Least factor of one narrowing.
     double smoothing = 0.15;         // Of the average of time over target.
     double borrowed_share = 0.6;     // Up to this fill of all engines a node may go beyond its share.
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -62,10 +62,15 @@
   double first_tail_share = 0.1;
   // Prompts of a lane that are tried before the others wait for the next change.
   std::size_t order_depth = 8;
-  // A prompt that still waits at this share of its objective is refused, with a time to come
-  // back: within a quarter of the objective a caller still has time for another try.
+  // A prompt that still waits at this share of its objective is judged: it is committed where
+  // it will still be read in time, else refused with a time to come back. Within a quarter of
+  // the objective a caller still has time for another try.
   double judge_share = 0.17;
   bool refuses_excess = true;
+  // Nothing is refused while readings take less than this share of their targets on average,
+  double refusing_ratio = 0.7;
+  // as long as this node has no more than so many times its window under way.
+  double beyond_share = 2;
   // Prompts that no prefill engine has room for may be read by engines that answer.
   bool overflows = true;
   admission::AdaptiveWindowKnobs overflow_window{.first_depth = 1, .most_depth = 1.5};
--- a/src/core/serving/reading_steps.cc
+++ b/src/core/serving/reading_steps.cc
@@ -56,7 +56,7 @@
   ReadingLine& line = LineOf(flow.service);
   if (flow.worth == 0) flow.worth = WorthOf(flow);
   line.order->add(DescribePrompt(flow, line));
-  line.judged_at.emplace_back(now_ + FromSeconds(ToSeconds(flow.route.objective) * knobs_.judge_share), flow.id);
+  line.judged_at.emplace(now_ + FromSeconds(ToSeconds(flow.route.objective) * knobs_.judge_share), flow.id);
   flow.queued = true;
   flow.waiting_until.reset();
   dispatch_wanted_ = true;
@@ -78,7 +78,7 @@
     DispatchReadings(line);
     if (line.order->size() == 0) continue;
     Time next = now_ + knobs_.order_interval;
-    if (!line.judged_at.empty()) next = std::min(next, line.judged_at.front().first);
+    if (!line.judged_at.empty()) next = std::min(next, line.judged_at.begin()->first);
     next_dispatch_ = next_dispatch_ ? std::min(*next_dispatch_, next) : next;
   }
   dispatch_wanted_ = false;
@@ -187,21 +187,34 @@
 // time after all that were committed before it; else it is refused while its
 // caller can still come back in time.
 void ServingCore::JudgeWaiting(ReadingLine& line) {
-  while (!line.judged_at.empty() && line.judged_at.front().first <= now_) {
-    Flow* flow = FindFlow(line.judged_at.front().second);
-    line.judged_at.pop_front();
+  while (!line.judged_at.empty() && line.judged_at.begin()->first <= now_) {
+    Flow* flow = FindFlow(line.judged_at.begin()->second);
+    line.judged_at.erase(line.judged_at.begin());
     if (flow == nullptr || !flow->queued || !knobs_.refuses_excess) continue;
     if (flow->runs > 0 || flow->relaying) continue;  // A refusal would be a false promise.
     const Duration wait = line.readers.mean_gap() * static_cast<int>(line.order->committed() + 1);
-    if (now_ + wait <= DescribePrompt(*flow, line).full_worth_until) {
+    // Engines that have not answered yet promise nothing.
+    const bool measured = line.readers.mean_time() > 0s;
+    if (measured && now_ + wait <= DescribePrompt(*flow, line).full_worth_until) {
       line.order->commit(flow->id);
       continue;
     }
+    if (measured && DispatchBeyond(*flow, line)) continue;
     MeterReading(*flow, OwnTokens(*flow->facts.prompt), true);
     Refuse(*flow, "no engine had room to read it", ComeBackIn(*flow));
   }
 }
 
+// While readings come back well within their targets, a full window only lags
+// behind a swing: it is no reason to refuse.
+bool ServingCore::DispatchBeyond(Flow& flow, ReadingLine& line) {
+  if (line.readers.ratio() >= knobs_.refusing_ratio) return false;
+  if (!line.readers.has_room(knobs_.beyond_share) || !StartPrefill(flow)) return false;
+  TakePlace(flow, line.readers);
+  Unqueue(flow);
+  return true;
+}
+
 // As late as callers follow, spread so that they do not come back together:
 // what comes back into the same surge is refused once more.
 Duration ServingCore::ComeBackIn(const Flow& flow) {
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -10,7 +10,6 @@
 // route's time or the caller's is up, the final answer is sent at once.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -84,7 +83,7 @@
   int at_risk = 0;                     // First readings under way: each costs an extra arrival if it is refused.
   double peers_demand = 0;             // Engines that the prompts of other nodes' callers would keep reading.
   double tail_ms = 0;                  // From a prompt's reading to its first event; moving average; 0: not measured.
-  std::deque<std::pair<Time, FlowId>> judged_at;  // Waiting prompts, by when they are judged.
+  std::set<std::pair<Time, FlowId>> judged_at;  // Waiting prompts, by when they are judged.
 };
 
 // Learned of a route's prompts.
@@ -140,6 +139,7 @@
   void TakePlace(Flow& flow, admission::AdaptiveWindow& window);
   void NoteRead(const Attempt& attempt);
   void JudgeWaiting(ReadingLine& line);
+  bool DispatchBeyond(Flow& flow, ReadingLine& line);
   Duration ComeBackIn(const Flow& flow);
   void SizeWindows(const std::string& service, ReadingLine& line);
   void MeterReading(Flow& flow, std::int64_t tokens, bool apart);
--- a/tests/core/serving/overload_test.cc
+++ b/tests/core/serving/overload_test.cc
@@ -40,6 +40,44 @@
   static PromptFacts Prompt(int count) { return LongPrompt("s" + std::to_string(count % 97)); }
 };
 
+// Fills the node's window with prompts that no engine answers.
+class FullWindowTest : public ServingFixture {
+ protected:
+  FullWindowTest() {
+    for (int i = 0; i < 100 && !waiting_; ++i) {
+      Arrive("chat", LongPrompt("s" + std::to_string(i)));
+      waiting_ = All<StartAttempt>().empty();
+    }
+  }
+
+  bool waiting_ = false;
+};
+
+TEST_F(FullWindowTest, WhatHasNoRoomIsRefusedWithinAQuarterOfItsObjectiveWithATime) {
+  ASSERT_TRUE(waiting_);
+  Pass(100ms);  // A quarter of 400 ms.
+  const auto answer = One<AnswerOwn>();
+  EXPECT_EQ(answer.status, 503);
+  ASSERT_TRUE(answer.retry_after.has_value());
+  EXPECT_GT(*answer.retry_after, 0s);
+  EXPECT_LT(*answer.retry_after, 4s / 3);  // Callers follow a third of their time.
+}
+
+TEST_F(FullWindowTest, AShorterObjectiveIsJudgedBeforeALongerOneThatCameFirst) {
+  ServingConfig config = MakeConfig();
+  config.version = 2;
+  config.routes[2].objective = 100ms;
+  Send(ConfigurationChanged{config});
+  const FlowId second = Arrive("chat", LongPrompt("later"));
+  Pass(25ms);
+  EXPECT_EQ(One<AnswerOwn>().flow, second);
+}
+
+TEST_F(FullWindowTest, WhatWaitsGoesOnWhenAPromptIsOver) {
+  Send(ClientLeft{1});
+  EXPECT_EQ(All<StartAttempt>().size(), 1U);
+}
+
 // Four nodes; three times what the engines read, for 8 s, then a third of it.
 struct Surge {
   explicit Surge(ServingFleet& fleet) : fleet(fleet) {}
