--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -83,7 +83,7 @@
   // Over this time demand is averaged for role changes.
   Duration demand_memory = 3s;
   // Slots and memory of an engine that answers well are filled to this share.
-  double comfortable_fill = 0.8;
+  double comfortable_fill = 0.5;
 
   // The share of the objective that a request may wait for any engine.
   double wait_share = 0.2;
