Large fleets: fresher digests, lost engines give their readings up, no herding; seeds before the store; second homes

Readings waited 3.5 s at dark engines that other nodes knew of, because patience was reckoned with a first guess of the rate (30 tokens/ms, really 112) and because a spent retry allowance forbade to give up what needs none. A reading counted as alone where the node itself had nothing there, whatever the others had, so that rates came out too low. Each process that started called the store four times. Ruled out: processor time; a lack of engines after the first 12 s.

Change: reports and digests each 100 ms; an engine that is ejected as lost has its waiting attempts looked into at once; a reading that hangs may be given up for a whole send, the request's first arrival; alone means alone of all nodes; the typical rate moves fast at first; what others have probably started since they told is added to an engine's cost at random (policy.guess_unseen); a second home counts what it lacks as a copy, or like the first home where nobody keeps it (policy.balance_homes); a starting node asks its seeds before the store and gives seeds that start too 0.4 s.

--- a/include/saltquay/admission/reading_model.h
+++ b/include/saltquay/admission/reading_model.h
@@ -60,6 +60,7 @@
     double typical_rate_ = 1;
     double fixed_ms_ = 0;
     double relative_error_ = 0;
+    int typical_readings_ = 0;
     int fixed_readings_ = 0;
     int rate_readings_ = 0;
 };
--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -34,6 +34,7 @@
 
 struct RelayedStoreOptions {
     serving::PeerNode self;
+    std::vector<std::string> seeds; // Addresses of peers that may be there; asked while no peer is heard.
     UpstreamKnobs upstream;
     std::chrono::milliseconds reader_wait { 2000 };  // A watch at the store, while others follow this node.
     std::chrono::milliseconds contact_slack { 600 }; // Beyond that, the store counts as not heard.
--- a/include/saltquay/replica/upstream_selector.h
+++ b/include/saltquay/replica/upstream_selector.h
@@ -12,6 +12,10 @@
 // disagree on the ranking: that costs calls, never correctness, since each answer
 // says how many nodes it passed through, and long chains are refused.
 //
+// A node that has just started knows nobody but the seeds of its settings: it asks
+// them before the store, for with many nodes started at once each would call it. Seeds
+// that have just started as well get a moment to learn from the store themselves.
+//
 // When nobody is heard to hear the store, every node would ask it. Most of them
 // are then held back: all nodes together ask a store that is down only a
 // few times a second.
@@ -30,13 +34,15 @@
 namespace saltquay::replica {
 
 struct UpstreamKnobs {
-    int readers_per_zone = 2;    // Of a small fleet; relays of a large one. At least.
-    int nodes_per_reader = 16;   // A larger zone has more of them.
-    int small_fleet = 16;        // Up to so many nodes the zones' readers read the store themselves.
-    int readers = 2;             // Of a large fleet: one may be lost without a gap.
-    Duration avoid_for = 3s;     // A node that failed.
-    Duration lag_grace = 600ms;  // Knowledge may be this much behind a peer's: two gathering pauses and their way.
-    Duration probe_pause = 40ms; // Between two calls of all nodes to a store that nobody is heard to hear.
+    int readers_per_zone = 2;       // Of a small fleet; relays of a large one. At least.
+    int nodes_per_reader = 16;      // A larger zone has more of them.
+    int small_fleet = 16;           // Up to so many nodes the zones' readers read the store themselves.
+    int readers = 2;                // Of a large fleet: one may be lost without a gap.
+    Duration avoid_for = 3s;        // A node that failed.
+    Duration lag_grace = 600ms;     // Knowledge may be this much behind a peer's: two gathering pauses and their way.
+    Duration seed_patience = 400ms; // Given to seeds that answer but know nothing; a fifth of a second is usual.
+    Duration seed_pause = 60ms;     // Between two questions to such a seed.
+    Duration probe_pause = 40ms;    // Between two calls of all nodes to a store that nobody is heard to hear.
 };
 
 // Where to ask next.
@@ -52,9 +58,11 @@
 
 class UpstreamSelector {
 public:
-    UpstreamSelector(serving::PeerNode self, UpstreamKnobs const& knobs)
+    // `seeds`: addresses of peers that may be there.
+    UpstreamSelector(serving::PeerNode self, UpstreamKnobs const& knobs, std::vector<std::string> seeds = {})
         : self_(std::move(self))
         , knobs_(knobs)
+        , seeds_(std::move(seeds))
     {
     }
 
@@ -70,6 +78,8 @@
     std::vector<Ranked> relays(std::span<serving::PeerNode const> peers) const;
     // The first nodes of all zones, best first, of those that answer.
     std::vector<Ranked> readers(std::span<serving::PeerNode const> peers) const;
+    // A seed that was not tried lately; the source is the store where none is worth waiting for.
+    Upstream choose_seed(Time now);
     bool contains_self(std::span<Ranked const>) const;
     // The one that this node prefers; nullptr where none hears the store.
     serving::PeerNode const* pick(std::span<Ranked const>) const;
@@ -78,9 +88,11 @@
 
     serving::PeerNode self_;
     UpstreamKnobs knobs_;
+    std::vector<std::string> seeds_;
     std::map<std::string, Time> avoided_until_; // Nodes that do not answer.
     std::map<std::string, Time> unheard_until_; // Nodes that do not hear the store.
     std::optional<Time> next_probe_;
+    std::optional<Time> seeds_unheard_since_;
 };
 
 }
--- a/src/admission/reading_model.cc
+++ b/src/admission/reading_model.cc
@@ -26,7 +26,9 @@
     constexpr double error_step = 0.05;
     relative_error_ += error_step * (std::abs(predict_ms(tokens) - milliseconds) / milliseconds - relative_error_);
     auto const typical = static_cast<double>(tokens) / milliseconds;
-    typical_rate_ *= typical > typical_rate_ ? 1 + knobs_.typical_step : 1 / (1 + knobs_.typical_step);
+    // The first guess may be wrong several times over.
+    auto const change = std::max(knobs_.typical_step, knobs_.first_step / (1 + typical_readings_++ / halving_readings));
+    typical_rate_ *= typical > typical_rate_ ? 1 + change : 1 / (1 + change);
     if (tokens <= knobs_.short_tokens)
         note_fixed(milliseconds);
     if (tokens >= knobs_.long_tokens && milliseconds > fixed_ms_)
--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -121,7 +121,9 @@
   engine->outcomes.Note(true, now);
   const bool on_probation = engine->ejection > 0s && now < engine->ejected_until + engine->ejection;
   if (engine->consecutive_failures < policy_.failures && !on_probation) return std::nullopt;
-  return Eject(*engine, cause, policy_.lost_share, now);
+  auto change = Eject(*engine, cause, policy_.lost_share, now);
+  if (change) change->lost = true;
+  return change;
 }
 
 std::optional<StandingChange> EngineDirectory::NoteMisdirected(const std::string& id, Time now) {
@@ -180,6 +182,7 @@
   auto change = lost ? Eject(engine, "no node is answered", policy_.lost_share, now)
                      : Eject(engine, "errors above the other engines', of all nodes", policy_.panic_share, now);
   if (!change) return change;
+  change->lost = lost;
   change->span = FromSeconds(ToSeconds(std::max(policy_.first_by_all, engine.ejection)) * (1 + draw));
   engine.ejected_until = now + change->span;
   return change;
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -136,6 +136,7 @@
   bool ejected = false;
   std::string cause;
   Duration span = 0s;
+  bool lost = false;  // It is silent or not reached, so what waits there may wait in vain.
 };
 
 class EngineDirectory {
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -64,20 +64,32 @@
   return best->engine;
 }
 
+double EngineSelector::DrawUnseen(double unseen, int engines) {
+  return engines <= 0 ? 0.0 : random_.Unit() * 2 * unseen / engines;
+}
+
+int EngineSelector::CountStage(EngineDirectory& engines, const std::string& service, EngineStage stage) {
+  int count = 0;
+  engines.ForEachServing(service, [&](EngineState& engine) { count += engine.record.stage == stage ? 1 : 0; });
+  return count;
+}
+
 EngineState* EngineSelector::ChooseUniform(EngineDirectory& engines, const std::string& service, const EngineIds& tried,
                                            Time now) {
+  const int count = CountStage(engines, service, EngineStage::kUniform);
   return Cheapest(engines, service, EngineStage::kUniform, tried, now, [&](const EngineState& engine) {
     if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
     const double bonus = engine.record.zone == zone_ ? knobs_.own_zone_bonus : 0.0;
-    return EstimatedLoad(engine, now) - bonus + random_.Unit() * 0.1;
+    return EstimatedLoad(engine, now) - bonus + random_.Unit() * 0.1 + DrawUnseen(unseen_.requests, count);
   });
 }
 
 EngineState* EngineSelector::ChooseDecode(EngineDirectory& engines, const std::string& service,
                                           const std::string& memory_zone, const EngineIds& tried, Time now) {
+  const int count = CountStage(engines, service, EngineStage::kDecode);
   return Cheapest(engines, service, EngineStage::kDecode, tried, now, [&](const EngineState& engine) {
     if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
-    double cost = EstimatedLoad(engine, now) + random_.Unit() * 0.1;
+    double cost = EstimatedLoad(engine, now) + random_.Unit() * 0.1 + DrawUnseen(unseen_.requests, count);
     if (engine.record.zone == zone_) cost -= knobs_.own_zone_bonus;
     if (engine.record.zone == memory_zone) cost -= knobs_.memory_zone_bonus;
     return cost;
@@ -88,12 +100,22 @@
                                           const PromptFacts& prompt, const EngineIds& tried, Time now) {
   const Homes homes = FindHomes(engines, service, stage, prompt, now);
   const double pressure = MeanBacklog(engines, service, stage) / knobs_.pressure_ms;
+  const double reread = knobs_.reread_weight + pressure;
+  const EngineState* keeper = knobs_.balances_homes ? FindKeeper(engines, service, prompt, now) : nullptr;
+  const int count = CountStage(engines, service, stage);
+  const double mean_unseen_ms = unseen_.prompt_tokens / std::max(1, count) / read_rate();
   return Cheapest(engines, service, stage, tried, now, [&](const EngineState& engine) {
     if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
-    double reread = knobs_.reread_weight + pressure;
-    if (&engine == homes.first) reread = 1;
-    if (&engine != homes.first && &engine != homes.second) reread *= knobs_.stranger_weight;
-    return PrefillCost(engine, prompt, reread, now);
+    if (&engine == homes.first)
+      return PrefillCost(engine, prompt, LackingMs(engine, prompt, now), now) + mean_unseen_ms;
+    if (&engine == homes.second) {
+      return PrefillCost(engine, prompt, SecondHomeLackingMs(engine, keeper, prompt, reread, now), now) +
+             mean_unseen_ms;
+    }
+    // The homes of different prompts differ, but the best of the others is the same for all nodes.
+    const double unseen_ms = DrawUnseen(unseen_.prompt_tokens, count) / read_rate();
+    return PrefillCost(engine, prompt, reread * knobs_.stranger_weight * LackingMs(engine, prompt, now), now) +
+           unseen_ms;
   });
 }
 
@@ -127,7 +149,7 @@
 }
 
 const EngineState* EngineSelector::FindKeeper(EngineDirectory& engines, const std::string& service,
-                                              const PromptFacts& prompt, Time now) {
+                                              const PromptFacts& prompt, Time now) const {
   const EngineState* best = nullptr;
   int least = prompt.tokens;
   engines.ForEachServing(service, [&](EngineState& engine) {
@@ -190,18 +212,30 @@
   return count == 0 ? 0 : tokens / count / read_rate();
 }
 
+double EngineSelector::LackingMs(const EngineState& engine, const PromptFacts& prompt, Time now) const {
+  return std::max(0, TokensToRead(engine.key, prompt, now) - OwnTokens(prompt)) / read_rate();
+}
+
+double EngineSelector::SecondHomeLackingMs(const EngineState& engine, const EngineState* keeper,
+                                           const PromptFacts& prompt, double reread_weight, Time now) const {
+  const double lacking = LackingMs(engine, prompt, now);
+  if (!knobs_.balances_homes || lacking == 0) return reread_weight * lacking;
+  if (keeper == nullptr) return lacking + knobs_.copy_setup_ms;  // It must be read somewhere.
+  if (copy_ms_ <= 0) return reread_weight * lacking;
+  return std::min(reread_weight * lacking,
+                  knobs_.copy_setup_ms + knobs_.copy_slowdown * copy_ms_ * lacking * read_rate());
+}
+
 // Milliseconds until the prompt is read there, and what that costs besides.
-double EngineSelector::PrefillCost(const EngineState& engine, const PromptFacts& prompt, double reread_weight,
+double EngineSelector::PrefillCost(const EngineState& engine, const PromptFacts& prompt, double lacking_ms,
                                    Time now) const {
   const double others_by_load = std::max(0.0, EstimatedLoad(engine, now) - engine.outstanding) * OwnTokens(prompt);
   const double others = peers_known_ ? static_cast<double>(engine.peers_prompt_tokens) : others_by_load;
   const double backlog = (static_cast<double>(engine.outstanding_prompt_tokens) + others) / read_rate();
-  const int tokens = TokensToRead(engine.key, prompt, now);
-  const double reread = reread_weight * std::max(0, tokens - OwnTokens(prompt)) / read_rate();
   const double remote = engine.record.zone == zone_ ? 0.0 : knobs_.remote_prefill_ms;
   const bool answers_too = engine.record.stage == EngineStage::kUniform;
   const double answering = answers_too ? knobs_.answering_ms * EstimatedLoad(engine, now) : 0.0;
-  return backlog + reread + remote + answering;
+  return backlog + lacking_ms + remote + answering;
 }
 
 bool EngineSelector::Keeps(const EngineKey& engine, const PromptPart& part, Time now) const {
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -30,6 +30,12 @@
   int peers_outstanding = 0;
 };
 
+// What other nodes have started since they told of their work, over all engines; a guess.
+struct UnseenWork {
+  double prompt_tokens = 0;
+  double requests = 0;
+};
+
 class EngineSelector {
  public:
   EngineSelector(const ServingKnobs& knobs, std::string zone, std::uint64_t seed)
@@ -71,6 +77,9 @@
   double EstimatedLoad(const EngineState& engine, Time now) const;
   // Whether other nodes report their work; else it is guessed from told loads.
   void set_peers_known(bool known) { peers_known_ = known; }
+  // Milliseconds to copy a token's memory between engines; 0: they cannot.
+  void set_copy_ms(double per_token) { copy_ms_ = per_token; }
+  void set_unseen(const UnseenWork& unseen) { unseen_ = unseen; }
   // Prompt tokens that an engine reads in a millisecond.
   double read_rate() const { return reading_.typical_rate(); }
   const admission::ReadingModel& reading() const { return reading_; }
@@ -85,12 +94,20 @@
   };
   // The engine that is known to keep most of the prompt's shared parts; nullptr: none keeps any.
   const EngineState* FindKeeper(EngineDirectory& engines, const std::string& service, const PromptFacts& prompt,
-                                Time now);
+                                Time now) const;
   Homes FindHomes(EngineDirectory& engines, const std::string& service, EngineStage stage, const PromptFacts& prompt,
                   Time now);
+  // Between nothing and twice an engine's part of `unseen`, at random.
+  double DrawUnseen(double unseen, int engines);
+  static int CountStage(EngineDirectory& engines, const std::string& service, EngineStage stage);
   double MeanBacklog(EngineDirectory& engines, const std::string& service, EngineStage stage) const;
-  // `reread_weight`: of the time to read shared parts that the engine does not keep.
-  double PrefillCost(const EngineState& engine, const PromptFacts& prompt, double reread_weight, Time now) const;
+  // `lacking_ms`: what shared parts that the engine does not keep cost there.
+  double PrefillCost(const EngineState& engine, const PromptFacts& prompt, double lacking_ms, Time now) const;
+  // Milliseconds to read what the engine lacks of the prompt's shared parts.
+  double LackingMs(const EngineState& engine, const PromptFacts& prompt, Time now) const;
+  // What it costs the prompt's second home.
+  double SecondHomeLackingMs(const EngineState& engine, const EngineState* keeper, const PromptFacts& prompt,
+                             double reread_weight, Time now) const;
   bool Keeps(const EngineKey& engine, const PromptPart& part, Time now) const;
 
   // Makes room where too many parts are known: the unused go.
@@ -100,6 +117,8 @@
   std::string zone_;
   Random random_;
   bool peers_known_ = false;
+  UnseenWork unseen_;
+  double copy_ms_ = 0;
   admission::ReadingModel reading_;
   std::uint64_t turn_ = 0;
   std::unordered_map<KeptPart, Time, KeptPartHash> kept_;  // -> last use known.
--- a/src/core/serving/fleet_exchange.h
+++ b/src/core/serving/fleet_exchange.h
@@ -28,9 +28,10 @@
 struct FleetExchangeKnobs {
   // Up to so many peers a report reaches all in each round; see PeerExchangeOptions::fan_out.
   std::size_t direct_peers = 10;
-  Duration interval = 200ms;  // Between two reports, and between two digests.
-  int gatherers = 2;          // To which a node reports.
-  // A gatherer that sent no digest for so long is left aside: five of them may be lost.
+  // Between two reports, and between two digests: an engine takes in several prompts in half a second.
+  Duration interval = 100ms;
+  int gatherers = 2;  // To which a node reports.
+  // A gatherer that sent no digest for so long is left aside: ten of them may be lost.
   Duration silence = 1200ms;
   Duration left_aside = 5s;
   // Reports and digests count for so long: as many intervals as the silence.
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -49,7 +49,18 @@
   return true;
 }
 
+// Between two reports of the others a good engine stays the best in all nodes' eyes: each of them would send
+// there. What they probably have started since is added to each engine at random.
+void ServingCore::GuessUnseen(const std::string& service) {
+  const auto meter = starts_.find(service);
+  if (!knobs_.guesses_unseen || meter == starts_.end() || nodes_ <= 1) return selector_.set_unseen({});
+  // The parts of a report are half as old as the oldest, on average.
+  const double others = ToSeconds(peers_told_age_) / 2 * (nodes_ - 1);
+  selector_.set_unseen({others * meter->second.prompt_tokens.Get(now_), others * meter->second.runs.Get(now_)});
+}
+
 EngineState* ServingCore::ChooseRunEngine(Flow& flow, AttemptMode mode) {
+  GuessUnseen(flow.service);
   if (flow.language) {
     const std::string& zone = mode == AttemptMode::kContinue ? flow.memory_zone : std::string();
     EngineState* decode = selector_.ChooseDecode(engines_, flow.service, zone, flow.tried, now_);
@@ -69,7 +80,7 @@
   attempt.engine_id = engine.record.id;
   attempt.mode = mode;
   attempt.sent_at = now_;
-  attempt.alone_at_start = engine.outstanding == 0;
+  attempt.alone_at_start = engine.outstanding + engine.peers_outstanding == 0;
   StartAttempt start;
   if (mode != AttemptMode::kContinue && flow.language) PlanReading(flow, engine, attempt, start);
   ++engine.outstanding;
@@ -91,6 +102,12 @@
   // A prompt that overflows to an engine that answers still asks for one that reads.
   const bool apart = mode == AttemptMode::kPrefill || SplitsPrompt(flow, knobs_);
   if (mode != AttemptMode::kContinue) MeterReading(flow, attempt.prompt_tokens, apart);
+  StartMeter& meter = starts_.try_emplace(flow.service, knobs_.demand_memory).first->second;
+  if (mode == AttemptMode::kPrefill) {
+    meter.prompt_tokens.Add(static_cast<double>(attempt.prompt_tokens), now_);
+  } else {
+    meter.runs.Add(1, now_);
+  }
   flow.attempts[attempt.id] = attempt;
   actions_->push_back(std::move(start));
   Arm(flow);
@@ -102,6 +119,14 @@
   return knobs_.copies_parts && service != nullptr && service->language && service->language->link_mbps > 0;
 }
 
+double ServingCore::CopyMsPerToken(const Flow& flow) const {
+  if (!CopiesParts(flow)) return 0;
+  constexpr double kBitsPerByte = 8;
+  constexpr double kBitsPerMbpsAndMs = 1000;
+  const LanguageEngineTraits& traits = *config_->FindService(flow.service)->language;
+  return kBitsPerByte * static_cast<double>(traits.kv_token_bytes) / (traits.link_mbps * kBitsPerMbpsAndMs);
+}
+
 void ServingCore::PlanReading(const Flow& flow, EngineState& engine, Attempt& attempt, StartAttempt& start) {
   const PromptFacts& prompt = *flow.facts.prompt;
   attempt.prompt_tokens = selector_.TokensToRead(engine.key, prompt, now_);
@@ -326,7 +351,10 @@
 }
 
 bool ServingCore::GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent) {
-  if (allowance_.Left(flow.service, now_) < 1 || flow.tries >= knobs_.most_tries) return false;
+  if (flow.tries >= knobs_.most_tries) return false;
+  // A prompt that was only read may go whole to an engine that answers: its first arrival, which needs no allowance.
+  if (attempt.mode == AttemptMode::kPrefill && flow.arrivals == 0) return true;
+  if (allowance_.Left(flow.service, now_) < 1) return false;
   if (attempt.mode == AttemptMode::kPrefill) return true;
   return silent && flow.route.kind == RouteKind::kStreaming && MayRunAgain(flow);
 }
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -61,6 +61,7 @@
 
 void ServingCore::On(const PeersChanged& event) {
   allowance_.set_nodes(event.nodes, now_);
+  peers_told_age_ = event.age;
   nodes_ = std::max(1, event.nodes);
   selector_.set_peers_known(event.nodes > 1);
   for (const auto& [id, known] : engines_.all()) {
@@ -307,6 +308,20 @@
   Log(EventId::kEngineEjected, nullptr,
       fmt::format(R"("engine":"{}","cause":"{}","for_ms":{})", change->engine, change->cause,
                   change->span.count() / 1000));
+  if (change->lost) HurryAttempts(change->engine);
+}
+
+// What waits at an engine that is taken to be lost is looked into at once.
+void ServingCore::HurryAttempts(const std::string& engine_id) {
+  for (auto& [id, flow] : flows_) {
+    bool concerned = false;
+    for (auto& [attempt_id, attempt] : flow->attempts) {
+      if (attempt.engine_id != engine_id || attempt.head_seen || attempt.silence_noted) continue;
+      attempt.patience_ends = std::min(attempt.patience_ends, now_);
+      concerned = true;
+    }
+    if (concerned) Arm(*flow);
+  }
 }
 
 }  // namespace saltquay::serving
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -87,6 +87,14 @@
   std::set<std::pair<Time, FlowId>> judged_at;  // Waiting prompts, by when they are judged.
 };
 
+// What this node starts, a second; the others are taken to start as much each.
+struct StartMeter {
+  explicit StartMeter(Duration memory) : prompt_tokens(memory), runs(memory) {}
+
+  DecayingRate prompt_tokens;  // Read apart.
+  DecayingRate runs;
+};
+
 // Learned of a route's prompts.
 struct RouteSizes {
   double mean_size = 0;
@@ -180,10 +188,15 @@
   void Arm(Flow& flow);
   void Log(EventId event, const Flow* flow, std::string details);
   bool CopiesParts(const Flow& flow) const;
+  // Milliseconds on a link of the engines; 0: they cannot copy.
+  double CopyMsPerToken(const Flow& flow) const;
   // Tells the attempt what it reads and from where it copies.
   void PlanReading(const Flow& flow, EngineState& engine, Attempt& attempt, StartAttempt& start);
   void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start, std::int64_t tokens_to_read);
   void LogStanding(const std::optional<StandingChange>& change);
+  void HurryAttempts(const std::string& engine_id);
+  // Tells the selector what other nodes have started meanwhile, as far as it may be guessed.
+  void GuessUnseen(const std::string& service);
   std::string ChooseService(const Route& route);
   void MeterEnd(const Flow& flow, const Attempt& attempt);
 
@@ -205,6 +218,8 @@
   std::optional<Time> next_dispatch_;
   bool dispatch_wanted_ = false;
   int nodes_ = 1;
+  Duration peers_told_age_ = 0s;
+  std::map<std::string, StartMeter> starts_;  // By service.
   Time now_{};
   std::vector<Action>* actions_ = nullptr;
 };
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -11,8 +11,6 @@
 // News go out in two or three rounds, for datagrams may be lost.
 constexpr std::chrono::milliseconds kNewsRepeated{900};
 constexpr std::chrono::milliseconds kDigestNewsRepeated{600};
-// Between two rounds of a large fleet's digests; half a second is the most that knowledge may be old.
-constexpr std::chrono::milliseconds kDigestInterval{200};
 // A report names so many peers at most: its size must not grow with the fleet.
 constexpr std::size_t kNamedPeers = 24;
 // A node's first reports are answered at once: it knows few others.
@@ -53,7 +51,6 @@
 serving::FleetExchangeKnobs DigestKnobs() {
   serving::FleetExchangeKnobs knobs;
   knobs.direct_peers = PeerExchangeOptions{}.fan_out;
-  knobs.interval = kDigestInterval;
   knobs.named_nodes = kNamedPeers;
   return knobs;
 }
@@ -170,6 +167,7 @@
 }
 
 void Coordination::AddReports(serving::PeersChanged& changed) {
+  changed.age = PeerExchangeOptions{}.interval;
   changed.nodes = static_cast<int>(Members().size()) + 1;
   changed.work = peers_.WorkByEngine();
   changed.holds = peers_.Holds();
@@ -190,7 +188,7 @@
 void Coordination::ExchangeDigests() {
   const Time now = gateway_.Now();
   if (exchange_ == nullptr || now < next_digests_) return;
-  next_digests_ = now + kDigestInterval;
+  next_digests_ = now + DigestKnobs().interval;
   const std::vector<serving::PeerNode> nodes = peers_.Nodes();
   if (!fleet_.IsLarge(nodes)) return exchange_->set_quiet(false);
   serving::PeerReport own;
@@ -212,7 +210,8 @@
 void Coordination::Tick() {
   const int before = peers_.Count();
   peers_.Expire(gateway_.Now());
-  if (peers_.Count() != before) {
+  // While digests come, rounds are rare and most nodes are known through others only.
+  if (peers_.Count() != before && fleet_.View(gateway_.Now()) == nullptr) {
     gateway_.Log(EventId::kMemberDead, "", fmt::format(R"("nodes":{})", peers_.Count()));
     TellCore({});
   }
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -38,7 +38,7 @@
     , origin_(origin)
     , options_(std::move(options))
     , fetcher_(loop)
-    , selector_(options_.self, options_.upstream)
+    , selector_(options_.self, options_.upstream, options_.seeds)
     , started_(now())
 {
 }
@@ -63,11 +63,10 @@
         return list_at_store(kind, done);
     if (upstream.source == Upstream::Source::Nobody)
         return list_anywhere(kind, done);
-    list_at_peer(kind, upstream.peer, false, [this, kind, done, node = upstream.peer.node](auto const& list) {
+    list_at_peer(kind, upstream.peer, false, [this, kind, done](auto const& list) {
         if (list.ok())
             return done(list);
-        // A node that was avoided is not chosen again: this ends at the store.
-        selector_.avoid(node, now());
+        // A node that failed is not chosen again for a while: this comes to an end.
         List(kind, done);
     });
 }
@@ -102,23 +101,26 @@
     std::string const& kind, serving::PeerNode const& peer, bool even_if_stale, ListHandler const& done)
 {
     auto const target = fmt::format("/records/{}{}", kind, even_if_stale ? "?stale=1" : "");
-    ask(peer, target, [this, kind, done, node = peer.node](absl::StatusOr<fetch::Reply> const& reply) {
-        if (!reply.ok())
-            return done(reply.status());
-        if (reply->status == unavailable)
+    ask(peer, target, [this, kind, done, even_if_stale, node = peer.node](absl::StatusOr<fetch::Reply> const& reply) {
+        if (reply.ok() && reply->status == unavailable) {
             selector_.note_unheard(node, now());
-        if (reply->status != ok)
             return done(to_status(*reply));
-        auto const passed = decode_list(reply->body);
-        if (!passed.ok())
+        }
+        absl::StatusOr<PassedList> passed = reply.ok() ? to_status(*reply) : reply.status();
+        if (reply.ok() && reply->status == ok)
+            passed = decode_list(reply->body);
+        if (passed.ok() && passed->list.at < kinds_[kind].replica.at())
+            passed = absl::UnavailableError("the peer knows less than this node");
+        if (!passed.ok()) {
+            selector_.avoid(node, now());
             return done(passed.status());
+        }
         auto& state = kinds_[kind];
-        if (passed->list.at < state.replica.at())
-            return done(absl::UnavailableError("the peer knows less than this node"));
         note_upstream(kind, node, "list");
         state.reads_store = false;
         state.follows = node;
-        state.peer_answered = now();
+        // What may be old is not passed on as news.
+        state.peer_answered = even_if_stale ? Time {} : now();
         state.hops = passed->hops + 1;
         take_list(kind, passed->list, done);
     });
--- a/src/replica/upstream_selector.cc
+++ b/src/replica/upstream_selector.cc
@@ -71,11 +71,34 @@
     return best;
 }
 
+Upstream UpstreamSelector::choose_seed(Time now)
+{
+    auto const is_seed = std::find(seeds_.begin(), seeds_.end(), self_.address) != seeds_.end();
+    auto waits = false;
+    for (auto const& address : seeds_) {
+        if (avoided_until_.contains(address) || address == self_.address)
+            continue;
+        auto const unheard = unheard_until_.find(address);
+        if (unheard == unheard_until_.end() || unheard->second - knobs_.avoid_for + knobs_.seed_pause <= now)
+            return { Upstream::Source::Peer, { address, address, self_.zone, 0, false } };
+        waits = true;
+    }
+    if (!waits || is_seed)
+        return {};
+    if (!seeds_unheard_since_)
+        seeds_unheard_since_ = now;
+    if (now - *seeds_unheard_since_ >= knobs_.seed_patience)
+        return {};
+    return { Upstream::Source::Nobody, {} };
+}
+
 Upstream UpstreamSelector::choose(std::span<serving::PeerNode const> peers, Time now)
 {
     auto const is_over = [&](auto const& entry) { return entry.second <= now; };
     std::erase_if(avoided_until_, is_over);
     std::erase_if(unheard_until_, is_over);
+    if (peers.empty())
+        return choose_seed(now);
     auto const nodes = peers.size() + 1;
     auto const zone_relays = relays(peers);
     auto const is_relay = contains_self(zone_relays);
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -1,5 +1,7 @@
 // Engine standing, retry allowance, homes of prompts, peers' reports.
 #include <cmath>
+#include <functional>
+#include <map>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -244,6 +246,51 @@
   EXPECT_EQ(selector_.ChooseDecode(engines_, "s", "", {}, Time{1s})->record.id, "d1");
 }
 
+// One hundred nodes that know the same and choose before they hear of each other.
+std::map<std::string, int> ChooseTogether(
+    const UnseenWork& unseen, const std::function<EngineState*(EngineSelector&, EngineDirectory&)>& choose) {
+  std::map<std::string, int> chosen;
+  for (std::uint64_t node = 0; node < 100; ++node) {
+    EngineDirectory engines{EjectionPolicy{}};
+    for (int i = 0; i < 10; ++i) {
+      const std::string id = std::to_string(i);
+      engines.Update(Record("d" + id, EngineStage::kDecode));
+      engines.Find("d" + id)->peers_outstanding = i == 3 ? 0 : 2;
+      engines.Update(Record("p" + id, EngineStage::kPrefill));
+      engines.Find("p" + id)->peers_prompt_tokens = i == 3 ? 0 : 200000;
+    }
+    EngineSelector selector(ServingKnobs{}, "a", node);
+    selector.set_peers_known(true);
+    selector.set_unseen(unseen);
+    ++chosen[choose(selector, engines)->record.id];
+  }
+  return chosen;
+}
+
+TEST(SelectorHerdTest, WhatOthersStartMeanwhileSpreadsNodesOverTheEngines) {
+  const auto decode = [](EngineSelector& selector, EngineDirectory& engines) {
+    return selector.ChooseDecode(engines, "s", "", {}, Time{1s});
+  };
+  EXPECT_EQ(ChooseTogether({}, decode)["d3"], 100);  // All send to the one that was free.
+  const auto spread = ChooseTogether({0, 100}, decode);
+  for (const auto& [engine, count] : spread) EXPECT_LE(count, 45) << engine;
+  EXPECT_GE(spread.size(), 8U);
+  EXPECT_GT(spread.at("d3"), 10);  // Still the best guess.
+}
+
+TEST(SelectorHerdTest, PromptsThatLeaveTheirHomesDoNotAllGoToTheSameEngine) {
+  const auto read = [](EngineSelector& selector, EngineDirectory& engines) {
+    PromptFacts prompt;
+    prompt.tokens = 17000;
+    prompt.parts = {{"part", 500}, {"own", 16500}};  // Little to read again elsewhere.
+    return selector.ChooseReader(engines, "s", EngineStage::kPrefill, prompt, {}, Time{1s});
+  };
+  EXPECT_EQ(ChooseTogether({}, read)["p3"], 100);
+  const auto spread = ChooseTogether({4000000, 0}, read);
+  for (const auto& [engine, count] : spread) EXPECT_LE(count, 60) << engine;
+  EXPECT_GE(spread.size(), 3U);
+}
+
 TEST(PeerTableTest, AReportNamesABoundedNumberOfPeersAndAllOfThemByTurns) {
   // At 300 nodes, reports that named all would be 20 kB each, over links of 10 Mbit/s.
   PeerTable peers("me");
--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -256,6 +256,31 @@
   EXPECT_NE(second.engine_id, first.engine_id);
 }
 
+TEST_F(FlowTest, AReadingAtAnEngineThatOthersFoundLostIsReadElsewhereAtOnce) {
+  // rcr-roster-large trouble-1: readings waited 3.5 s at engines that had gone dark, while other nodes knew.
+  Arrive("lone", LongPrompt());
+  const auto first = One<StartAttempt>();
+  Pass(300ms);
+  PeersChanged changed;
+  changed.work[first.engine_id].failures = 3;
+  Send(changed);
+  Pass(5ms);
+  EXPECT_EQ(One<CancelAttempt>().attempt, first.attempt);
+  EXPECT_NE(One<StartAttempt>().engine_id, first.engine_id);
+}
+
+TEST_F(FlowTest, AHungReadingIsGivenUpThoughNoRetryIsLeft) {
+  // Sent whole to an engine that answers it is the request's first arrival; it had waited until its time was up.
+  PeersChanged many;
+  many.nodes = 100000;  // No part of the slack.
+  Send(many);
+  Arrive("lone", LongPrompt());
+  const auto first = One<StartAttempt>();
+  Pass(3500ms);
+  EXPECT_EQ(One<CancelAttempt>().attempt, first.attempt);
+  EXPECT_EQ(One<StartAttempt>().mode, AttemptMode::kWhole);
+}
+
 // Whatever engines do: one final answer, at-most-once work is sent again only
 // when it cannot have run, and runs stay within the route's attempts.
 RC_GTEST_FIXTURE_PROP(FlowTest, AnyOutcomesKeepThePromises, ()) {
--- a/tests/replica/relayed_store_test.cc
+++ b/tests/replica/relayed_store_test.cc
@@ -87,9 +87,9 @@
 
 // A node as far as the store's objects go.
 struct Node {
-    Node(boost::asio::io_context& loop, std::string const& name, int link_mbps)
+    Node(boost::asio::io_context& loop, std::string const& name, int link_mbps, std::vector<std::string> seeds = {})
         : origin(loop)
-        , store(loop, origin, make_options(name, link_mbps))
+        , store(loop, origin, make_options(name, link_mbps, std::move(seeds)))
         , relay(std::make_unique<RelayServer>(loop, store))
         , table(name)
     {
@@ -109,9 +109,10 @@
         watcher = std::make_unique<gateway::CollectionWatcher>(
             loop, store, "engines", gateway::WatcherTimes {}, 1, std::move(handlers));
     }
-    static RelayedStoreOptions make_options(std::string const& name, int link_mbps)
+    static RelayedStoreOptions make_options(std::string const& name, int link_mbps, std::vector<std::string> seeds)
     {
         RelayedStoreOptions options;
+        options.seeds = std::move(seeds);
         options.self = { name, "", "a", link_mbps, false };
         options.upstream.readers_per_zone = 1;
         return options;
@@ -251,6 +252,28 @@
     EXPECT_TRUE(run_until([&] { return alone.contact; }, 300ms));
 }
 
+TEST_F(RelayedStoreTest, ANodeThatComesBackAsksASeedBeforeTheStore)
+{
+    // rcr-roster-large trouble-2: 310 nodes were started again, and each called the store four times before it knew
+    // a peer.
+    auto const address = free_address();
+    ASSERT_TRUE(reader_->relay->listen(address).ok());
+    reader_->watcher->Start();
+    ASSERT_TRUE(run_until([&] { return reader_->contact; }, 2s));
+    Node back(loop_, "back", 10, { free_address(), address }); // Nobody listens at the first.
+    back.watcher->Start();
+    EXPECT_TRUE(run_until([&] { return back.contact && back.seen.contains("e1"); }, 300ms));
+    EXPECT_EQ(back.origin.calls, 0);
+}
+
+TEST_F(RelayedStoreTest, ANodeWhoseSeedsAreAllDownListsAtTheStoreAtOnce)
+{
+    Node alone(loop_, "alone", 10, { free_address(), free_address() });
+    alone.origin.put("e1");
+    alone.watcher->Start();
+    EXPECT_TRUE(run_until([&] { return alone.contact; }, 300ms));
+}
+
 TEST_F(RelayedStoreTest, ANodeThatStartsWhileTheStoreIsDownTakesWhatAPeerHas)
 {
     reader_->watcher->Start();
--- a/tests/replica/upstream_selector_test.cc
+++ b/tests/replica/upstream_selector_test.cc
@@ -160,5 +160,36 @@
     EXPECT_GT(calls, 20);
 }
 
+TEST(UpstreamSelectorTest, SeedsThatHaveJustStartedAreWaitedForAMoment)
+{
+    // fcl-norte-large trouble-1: after a loss of power 295 nodes and their seeds came back at once, and all called the
+    // store.
+    std::vector<std::string> const seeds { "1.1.1.1:1", "2.2.2.2:1" };
+    UpstreamSelector node({ "n", "3.3.3.3:1", "a", 1, false }, {}, seeds);
+    Time now { 10s };
+    for (auto const& seed : seeds) {
+        EXPECT_EQ(node.choose({}, now).peer.address, seed);
+        node.note_unheard(seed, now);
+    }
+    EXPECT_EQ(node.choose({}, now).source, Upstream::Source::Nobody);
+    now += 70ms;
+    EXPECT_EQ(node.choose({}, now).peer.address, seeds[0]); // It may know more by now.
+    node.note_unheard(seeds[0], now);
+    node.note_unheard(seeds[1], now);
+    EXPECT_EQ(node.choose({}, now).source, Upstream::Source::Nobody);
+    now += 400ms;
+    node.note_unheard(seeds[0], now);
+    node.note_unheard(seeds[1], now);
+    EXPECT_EQ(node.choose({}, now).source, Upstream::Source::Store);
+    // A seed itself waits for nobody, and seeds that do not answer are not waited for.
+    UpstreamSelector seed({ "s", seeds[0], "a", 1, false }, {}, seeds);
+    seed.note_unheard(seeds[1], now);
+    EXPECT_EQ(seed.choose({}, now).source, Upstream::Source::Store);
+    UpstreamSelector alone({ "n", "3.3.3.3:1", "a", 1, false }, {}, seeds);
+    for (auto const& address : seeds)
+        alone.avoid(address, now);
+    EXPECT_EQ(alone.choose({}, now).source, Upstream::Source::Store);
+}
+
 }
 }
