--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -101,21 +101,16 @@
   const Homes homes = FindHomes(engines, service, stage, prompt, now);
   const double pressure = MeanBacklog(engines, service, stage) / knobs_.pressure_ms;
   const double reread = knobs_.reread_weight + pressure;
-  const EngineState* keeper = knobs_.balances_homes ? FindKeeper(engines, service, prompt, now) : nullptr;
   const int count = CountStage(engines, service, stage);
   const double mean_unseen_ms = unseen_.prompt_tokens / std::max(1, count) / read_rate();
   return Cheapest(engines, service, stage, tried, now, [&](const EngineState& engine) {
     if (knobs_.policy == SelectionPolicy::kLeastOutstanding) return static_cast<double>(engine.outstanding);
-    if (&engine == homes.first)
-      return PrefillCost(engine, prompt, LackingMs(engine, prompt, now), now) + mean_unseen_ms;
-    if (&engine == homes.second) {
-      return PrefillCost(engine, prompt, SecondHomeLackingMs(engine, keeper, prompt, reread, now), now) +
-             mean_unseen_ms;
-    }
+    const double lacking = LackingMs(engine, prompt, now);
+    if (&engine == homes.first) return PrefillCost(engine, prompt, lacking, now) + mean_unseen_ms;
+    if (&engine == homes.second) return PrefillCost(engine, prompt, reread * lacking, now) + mean_unseen_ms;
     // The homes of different prompts differ, but the best of the others is the same for all nodes.
     const double unseen_ms = DrawUnseen(unseen_.prompt_tokens, count) / read_rate();
-    return PrefillCost(engine, prompt, reread * knobs_.stranger_weight * LackingMs(engine, prompt, now), now) +
-           unseen_ms;
+    return PrefillCost(engine, prompt, reread * knobs_.stranger_weight * lacking, now) + unseen_ms;
   });
 }
 
@@ -216,16 +211,6 @@
   return std::max(0, TokensToRead(engine.key, prompt, now) - OwnTokens(prompt)) / read_rate();
 }
 
-double EngineSelector::SecondHomeLackingMs(const EngineState& engine, const EngineState* keeper,
-                                           const PromptFacts& prompt, double reread_weight, Time now) const {
-  const double lacking = LackingMs(engine, prompt, now);
-  if (!knobs_.balances_homes || lacking == 0) return reread_weight * lacking;
-  if (keeper == nullptr) return lacking + knobs_.copy_setup_ms;  // It must be read somewhere.
-  if (copy_ms_ <= 0) return reread_weight * lacking;
-  return std::min(reread_weight * lacking,
-                  knobs_.copy_setup_ms + knobs_.copy_slowdown * copy_ms_ * lacking * read_rate());
-}
-
 // Milliseconds until the prompt is read there, and what that costs besides.
 double EngineSelector::PrefillCost(const EngineState& engine, const PromptFacts& prompt, double lacking_ms,
                                    Time now) const {
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -77,8 +77,6 @@
   double EstimatedLoad(const EngineState& engine, Time now) const;
   // Whether other nodes report their work; else it is guessed from told loads.
   void set_peers_known(bool known) { peers_known_ = known; }
-  // Milliseconds to copy a token's memory between engines; 0: they cannot.
-  void set_copy_ms(double per_token) { copy_ms_ = per_token; }
   void set_unseen(const UnseenWork& unseen) { unseen_ = unseen; }
   // Prompt tokens that an engine reads in a millisecond.
   double read_rate() const { return reading_.typical_rate(); }
@@ -105,9 +103,6 @@
   double PrefillCost(const EngineState& engine, const PromptFacts& prompt, double lacking_ms, Time now) const;
   // Milliseconds to read what the engine lacks of the prompt's shared parts.
   double LackingMs(const EngineState& engine, const PromptFacts& prompt, Time now) const;
-  // What it costs the prompt's second home.
-  double SecondHomeLackingMs(const EngineState& engine, const EngineState* keeper, const PromptFacts& prompt,
-                             double reread_weight, Time now) const;
   bool Keeps(const EngineKey& engine, const PromptPart& part, Time now) const;
 
   // Makes room where too many parts are known: the unused go.
@@ -118,7 +113,6 @@
   Random random_;
   bool peers_known_ = false;
   UnseenWork unseen_;
-  double copy_ms_ = 0;
   admission::ReadingModel reading_;
   std::uint64_t turn_ = 0;
   std::unordered_map<KeptPart, Time, KeptPartHash> kept_;  // -> last use known.
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -119,14 +119,6 @@
   return knobs_.copies_parts && service != nullptr && service->language && service->language->link_mbps > 0;
 }
 
-double ServingCore::CopyMsPerToken(const Flow& flow) const {
-  if (!CopiesParts(flow)) return 0;
-  constexpr double kBitsPerByte = 8;
-  constexpr double kBitsPerMbpsAndMs = 1000;
-  const LanguageEngineTraits& traits = *config_->FindService(flow.service)->language;
-  return kBitsPerByte * static_cast<double>(traits.kv_token_bytes) / (traits.link_mbps * kBitsPerMbpsAndMs);
-}
-
 void ServingCore::PlanReading(const Flow& flow, EngineState& engine, Attempt& attempt, StartAttempt& start) {
   const PromptFacts& prompt = *flow.facts.prompt;
   attempt.prompt_tokens = selector_.TokensToRead(engine.key, prompt, now_);
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -40,14 +40,6 @@
   // Under load that time is taken from others: the weight grows by one for each so many
   // milliseconds of reading that wait at an engine on average.
   double pressure_ms = 250;
-  // Whether a prompt's second home counts a shared part that it lacks as what it costs there: nothing beside the
-  // first home's where no engine keeps it yet, a copy where one does. Else it is counted as read again.
-  bool balances_homes = true;
-  // What a copy costs in milliseconds beside its bytes, for its setup and the wait behind other moves; a first home is
-  // preferred by as much.
-  double copy_setup_ms = 15;
-  // Copies are twice as slow between zones, and wait for each other on a link.
-  double copy_slowdown = 3;
   // A part is spread to engines beyond its first two homes only for this much more.
   double stranger_weight = 2;
 
--- a/src/core/serving/reading_steps.cc
+++ b/src/core/serving/reading_steps.cc
@@ -135,7 +135,6 @@
   const bool may = extra ? allowance_.Left(flow.service, now_) >= 1 : allowance_.MayRisk(flow.service, now_, at_risk);
   if (!may) return false;
   GuessUnseen(flow.service);
-  selector_.set_copy_ms(CopyMsPerToken(flow));
   EngineState* engine =
       selector_.ChooseReader(engines_, flow.service, EngineStage::kPrefill, *flow.facts.prompt, flow.tried, now_);
   if (engine == nullptr) return false;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -188,8 +188,6 @@
   void Arm(Flow& flow);
   void Log(EventId event, const Flow* flow, std::string details);
   bool CopiesParts(const Flow& flow) const;
-  // Milliseconds on a link of the engines; 0: they cannot copy.
-  double CopyMsPerToken(const Flow& flow) const;
   // Tells the attempt what it reads and from where it copies.
   void PlanReading(const Flow& flow, EngineState& engine, Attempt& attempt, StartAttempt& start);
   void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start, std::int64_t tokens_to_read);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -87,7 +87,6 @@
   settings.knobs.refuses_excess = policy.Boolean("refuse_excess", true);
   settings.knobs.overflows = policy.Boolean("overflow", true);
   settings.knobs.copies_parts = policy.Boolean("copy_parts", true);
-  settings.knobs.balances_homes = policy.Boolean("balance_homes", true);
   settings.knobs.guesses_unseen = policy.Boolean("guess_unseen", true);
   settings.initial_prefill_share = policy.Number("initial_prefill_share", 0, 1, settings.initial_prefill_share);
   settings.knobs.whole_prompt_tokens =
