The steps of waiting and giving up move into a file of their own

Change: Hedge, PatienceFor, CheckPatience, GivesUpOn and HurryAttempts stand in patience_steps.cc; no line of them differs. Seen: serving_core_test, 80 tests passed.

--- /dev/null
+++ b/src/core/serving/patience_steps.cc
@@ -0,0 +1,66 @@
+// How long an attempt is waited for, and what is given up; see serving_core.h for the protocol.
+#include <algorithm>
+
+#include "src/core/serving/serving_core.h"
+
+namespace saltquay::serving {
+
+void ServingCore::Hedge(Flow& flow) {
+  flow.hedge_at.reset();
+  const bool silent = flow.attempts.size() == 1 && !flow.attempts.begin()->second.head_seen;
+  if (!silent || !MayRunAgain(flow)) return;
+  flow.tried.insert(flow.attempts.begin()->second.engine_id);
+  Retry(flow, "no answer in most of the objective");
+}
+
+// A reading may be awaited for some times what it should take; work that may
+// run once, for as long as the request has.
+Duration ServingCore::PatienceFor(const Attempt& attempt, const EngineState& engine) const {
+  if (attempt.mode != AttemptMode::kPrefill) return knobs_.silence;
+  constexpr double kMillisecond = 0.001;
+  // This prompt's tokens are among the outstanding ones.
+  const auto tokens = static_cast<double>(engine.outstanding_prompt_tokens + engine.peers_prompt_tokens);
+  const Duration expected = FromSeconds(kMillisecond * tokens / selector_.reading().rate());
+  return knobs_.silence + FromSeconds(knobs_.prefill_patience * ToSeconds(expected));
+}
+
+// An engine that has said nothing to anybody since our request is taken out.
+// What is only read, or may run again, goes elsewhere; other work stays there.
+void ServingCore::CheckPatience(Flow& flow) {
+  for (auto& [id, attempt] : flow.attempts) {
+    if (attempt.silence_noted || attempt.head_seen || now_ < attempt.patience_ends) continue;
+    attempt.silence_noted = true;
+    const EngineState* engine = engines_.Find(attempt.engine_id);
+    const bool silent = engine == nullptr || engine->last_heard < attempt.sent_at;
+    if (silent) LogStanding(engines_.NoteFailure(attempt.engine_id, "silent", now_));
+    if (!GivesUpOn(flow, attempt, silent)) continue;
+    flow.tried.insert(attempt.engine_id);
+    actions_->push_back(CancelAttempt{id});
+    EndAttempt(flow, id);
+    return Retry(flow, "no answer from the engine");  // The attempts have changed.
+  }
+}
+
+bool ServingCore::GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent) {
+  if (flow.tries >= knobs_.most_tries) return false;
+  // A prompt that was only read may go whole to an engine that answers: its first arrival, which needs no allowance.
+  if (attempt.mode == AttemptMode::kPrefill && flow.arrivals == 0) return true;
+  if (allowance_.Left(flow.service, now_) < 1) return false;
+  if (attempt.mode == AttemptMode::kPrefill) return true;
+  return silent && flow.route.kind == RouteKind::kStreaming && MayRunAgain(flow);
+}
+
+// What waits at an engine that is taken to be lost is looked into at once.
+void ServingCore::HurryAttempts(const std::string& engine_id) {
+  for (auto& [id, flow] : flows_) {
+    bool concerned = false;
+    for (auto& [attempt_id, attempt] : flow->attempts) {
+      if (attempt.engine_id != engine_id || attempt.head_seen || attempt.silence_noted) continue;
+      attempt.patience_ends = std::min(attempt.patience_ends, now_);
+      concerned = true;
+    }
+    if (concerned) Arm(*flow);
+  }
+}
+
+}  // namespace saltquay::serving
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -311,17 +311,4 @@
   if (change->lost) HurryAttempts(change->engine);
 }
 
-// What waits at an engine that is taken to be lost is looked into at once.
-void ServingCore::HurryAttempts(const std::string& engine_id) {
-  for (auto& [id, flow] : flows_) {
-    bool concerned = false;
-    for (auto& [attempt_id, attempt] : flow->attempts) {
-      if (attempt.engine_id != engine_id || attempt.head_seen || attempt.silence_noted) continue;
-      attempt.patience_ends = std::min(attempt.patience_ends, now_);
-      concerned = true;
-    }
-    if (concerned) Arm(*flow);
-  }
-}
-
 }  // namespace saltquay::serving
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -169,11 +169,13 @@
   void OnLost(Flow& flow, const Attempt& attempt, AttemptFailure failure);
   void Retry(Flow& flow, std::string_view cause);
   bool MayRunAgain(const Flow& flow) const;
-  void Hedge(Flow& flow);
   void TimeOut(Flow& flow);
+  // What is waited for, and for how long (patience_steps.cc).
+  void Hedge(Flow& flow);
   void CheckPatience(Flow& flow);
   bool GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent);
   Duration PatienceFor(const Attempt& attempt, const EngineState& engine) const;
+  void HurryAttempts(const std::string& engine_id);
 
   // Ends of a flow.
   void Refuse(Flow& flow, std::string_view cause);
@@ -192,7 +194,6 @@
   void PlanReading(const Flow& flow, EngineState& engine, Attempt& attempt, StartAttempt& start);
   void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start, std::int64_t tokens_to_read);
   void LogStanding(const std::optional<StandingChange>& change);
-  void HurryAttempts(const std::string& engine_id);
   // Tells the selector what other nodes have started meanwhile, as far as it may be guessed.
   void GuessUnseen(const std::string& service);
   std::string ChooseService(const Route& route);
