--- a/include/saltquay/replica/upstream_selector.h
+++ b/include/saltquay/replica/upstream_selector.h
@@ -71,6 +71,8 @@
     void avoid(std::string_view node, Time now) { avoided_until_[std::string(node)] = now + knobs_.avoid_for; }
     // It answers, and says that it does not hear the store.
     void note_unheard(std::string_view node, Time now) { unheard_until_[std::string(node)] = now + knobs_.avoid_for; }
+    // The store answered this node itself: while it does, nothing is held back.
+    void note_store_answered(Time now) { store_answered_ = now; }
 
 private:
     using Ranked = serving::RankedNode;
@@ -92,6 +94,7 @@
     std::map<std::string, Time> avoided_until_; // Nodes that do not answer.
     std::map<std::string, Time> unheard_until_; // Nodes that do not hear the store.
     std::optional<Time> next_probe_;
+    std::optional<Time> store_answered_;
     std::optional<Time> seeds_unheard_since_;
 };
 
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -79,6 +79,7 @@
         auto& state = kinds_[kind];
         if (!list.ok())
             return state.replica.known() ? done(list) : list_anywhere(kind, done);
+        selector_.note_store_answered(now());
         state.store_answered = now();
         state.reads_store = true;
         state.hops = 0;
@@ -175,8 +176,10 @@
     auto const asked = now();
     origin_.Watch(
         kind, state.revision, wait, [this, kind, asked, turn = state.turn](absl::StatusOr<ObjectEvents> const& events) {
-            if (events.ok())
+            if (events.ok()) {
+                selector_.note_store_answered(now());
                 kinds_[kind].store_answered = now();
+            }
             if (events.ok() && !events->events.empty())
                 kinds_[kind].next_store_watch = asked + options_.store_distance;
             finish_watch(kind, turn, events);
--- a/src/replica/upstream_selector.cc
+++ b/src/replica/upstream_selector.cc
@@ -113,7 +113,8 @@
         peer = pick(fleet_readers);
     if (peer != nullptr)
         return { Upstream::Source::Peer, *peer };
-    if (unheard_until_.empty() || is_relay || may_probe(nodes, now))
+    auto const store_answers = store_answered_ && now - *store_answered_ < knobs_.avoid_for;
+    if (unheard_until_.empty() || is_relay || store_answers || may_probe(nodes, now))
         return {};
     return { Upstream::Source::Nobody, {} };
 }
--- a/tests/replica/upstream_selector_test.cc
+++ b/tests/replica/upstream_selector_test.cc
@@ -191,5 +191,22 @@
     EXPECT_EQ(alone.choose({}, now).source, Upstream::Source::Store);
 }
 
+TEST(UpstreamSelectorTest, ANodeThatTheStoreAnswersIsNotHeldBack)
+{
+    // rutas-gt scale-2, seed 418471024996: both readers of a zone were cut off; the third node listed at the store and
+    // was held back from watching it, so that it served under a configuration that was five seconds old.
+    auto const peers = make_zone("a", 7, 10);
+    UpstreamSelector node({ "self", "", "a", 1, false }, {});
+    Time const now { 10s };
+    auto upstream = node.choose(peers, now);
+    while (upstream.source == Upstream::Source::Peer) {
+        node.note_unheard(upstream.peer.node, now);
+        upstream = node.choose(peers, now);
+    }
+    node.note_store_answered(now);
+    for (Time at = now; at < now + 2900ms; at += 10ms)
+        EXPECT_EQ(node.choose(peers, at).source, Upstream::Source::Store);
+}
+
 }
 }
