A node's own outcomes are not taken for others'; the mean age of what is known; aggregators; one way of taking turns

Cause, found on a last reading: (1) a digest's sums hold the node's own answers and failures, which were not taken off as its work is, and the judgement by all nodes adds them once more: two failures at one node counted as four and ejected an engine as though all had seen it. Change: own outcomes are taken off; ages are averaged over the nodes. Besides, without effect on behaviour: who sums reports is called an aggregator, as the field does; the three places that took some of many by turns share turns.h.

--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -82,7 +82,7 @@
 // What the peers' reports add up to.
 struct PeersChanged {
   int nodes = 1;      // This one included.
-  Duration age = 0s;  // Of the oldest part.
+  Duration age = 0s;  // The parts' mean.
   std::map<EngineKey, EngineWork> work;
   std::vector<EngineHold> holds;
   std::vector<KeptPart> kept;         // News.
--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "src/core/serving/node_ranking.h"
+#include "src/core/serving/turns.h"
 
 namespace saltquay::serving {
 namespace {
@@ -17,7 +18,7 @@
  public:
   void Add(const PeerReport& report, Duration age) {
     nodes_ += report.nodes;
-    age_ = std::max(age_, age + report.age);
+    ages_ += (age + report.age) * report.nodes;
     for (const EngineWork& work : report.work) work_[work.engine].Add(work);
     for (const ServiceDemand& demand : report.demand) {
       ServiceDemand& sum = demand_.try_emplace(demand.service, ServiceDemand{demand.service}).first->second;
@@ -34,7 +35,7 @@
   }
   void MoveTo(PeerReport& report) const {
     report.nodes = nodes_;
-    report.age = age_;
+    report.age = nodes_ > 0 ? ages_ / nodes_ : 0s;
     for (const auto& [key, work] : work_) report.work.push_back(work);
     for (const auto& [service, demand] : demand_) report.demand.push_back(demand);
     for (const auto& [engine, left] : holds_) {
@@ -45,7 +46,7 @@
 
  private:
   int nodes_ = 0;
-  Duration age_ = 0s;
+  Duration ages_ = 0s;  // Of all nodes together.
   std::map<EngineKey, EngineWork> work_;
   std::map<std::string, ServiceDemand> demand_;
   std::map<std::string, Duration> holds_;
@@ -54,7 +55,7 @@
 
 }  // namespace
 
-bool FleetExchange::gathers(Time now) const {
+bool FleetExchange::aggregates(Time now) const {
   return std::any_of(nodes_.begin(), nodes_.end(),
                      [&](const auto& entry) { return now - entry.second.at < knobs_.memory; });
 }
@@ -62,7 +63,7 @@
 bool FleetExchange::Note(const PeerReport& report, Time now) {
   if (report.node == self_.node || report.node.empty()) return false;
   if (report.scope == ReportScope::kNode) {
-    if (report.gather) Gather(report, now);
+    if (report.aggregate) Aggregate(report, now);
     return false;
   }
   if (report.scope == ReportScope::kZone) {
@@ -88,7 +89,7 @@
   return fresh && known.node != report.node && report.nodes < knobs_.fuller_share * known.nodes;
 }
 
-void FleetExchange::Gather(const PeerReport& report, Time now) {
+void FleetExchange::Aggregate(const PeerReport& report, Time now) {
   Heard& heard = nodes_[report.node];
   if (heard.at != Time{} && !IsNewer(report, heard.report)) return;
   heard.report = report;
@@ -113,21 +114,21 @@
 }
 
 // The first nodes of the zone of which none was silent. This node may be one of them.
-std::vector<PeerNode> FleetExchange::ChooseGatherers(Time now, const std::vector<PeerNode>& peers) {
+std::vector<PeerNode> FleetExchange::ChooseAggregators(Time now, const std::vector<PeerNode>& peers) {
   for (const auto& [node, asked] : asked_) {
     const Time last = std::max(asked.since, asked.digest);
     if (now - last > knobs_.silence) aside_until_[node] = now + knobs_.left_aside;
   }
   std::vector<PeerNode> chosen;
   for (const RankedNode& ranked : RankZone(self_, peers, self_.zone)) {
-    if (chosen.size() == static_cast<std::size_t>(knobs_.gatherers)) break;
+    if (chosen.size() == static_cast<std::size_t>(knobs_.aggregators)) break;
     if (!aside_until_.contains(ranked.node->node)) chosen.push_back(*ranked.node);
   }
   std::map<std::string, Asked> asked;
-  for (const PeerNode& gatherer : chosen) {
-    if (gatherer.node == self_.node) continue;
-    const auto before = asked_.find(gatherer.node);
-    asked[gatherer.node] = before == asked_.end() ? Asked{now, Time{}} : before->second;
+  for (const PeerNode& aggregator : chosen) {
+    if (aggregator.node == self_.node) continue;
+    const auto before = asked_.find(aggregator.node);
+    asked[aggregator.node] = before == asked_.end() ? Asked{now, Time{}} : before->second;
   }
   asked_ = std::move(asked);
   return chosen;
@@ -141,13 +142,13 @@
     return messages;
   }
   FleetMessage report{{}, own};
-  report.report.gather = true;
-  bool gathers_itself = false;
-  for (const PeerNode& gatherer : ChooseGatherers(now, peers)) {
-    gathers_itself |= gatherer.node == self_.node;
-    if (gatherer.node != self_.node) report.addresses.push_back(gatherer.address);
+  report.report.aggregate = true;
+  bool aggregates_itself = false;
+  for (const PeerNode& aggregator : ChooseAggregators(now, peers)) {
+    aggregates_itself |= aggregator.node == self_.node;
+    if (aggregator.node != self_.node) report.addresses.push_back(aggregator.address);
   }
-  if (gathers_itself || !nodes_.empty()) {
+  if (aggregates_itself || !nodes_.empty()) {
     NoteNews(own, now);
     SendZoneDigest(now, own, peers, messages);
     FleetMessage digest{{}, Sum(ReportScope::kFleet, own, now)};
@@ -163,7 +164,7 @@
   return messages;
 }
 
-// To one gatherer of each other zone, by turns: those that are heard, and the first in the zone's ranking while fewer
+// To one aggregator of each other zone, by turns: those that are heard, and the first in the zone's ranking while fewer
 // are.
 void FleetExchange::SendZoneDigest(Time now, const PeerReport& own, const std::vector<PeerNode>& peers,
                                    std::vector<FleetMessage>& messages) {
@@ -173,19 +174,20 @@
   zones.erase(self_.zone);
   ++zone_turn_;
   for (const std::string& zone : zones) {
-    const std::vector<std::string> gatherers = GatherersOf(zone, peers);
-    if (!gatherers.empty()) digest.addresses.push_back(gatherers[zone_turn_ % gatherers.size()]);
+    const std::vector<std::string> aggregators = AggregatorsOf(zone, peers);
+    if (!aggregators.empty()) digest.addresses.push_back(aggregators[zone_turn_ % aggregators.size()]);
   }
   messages.push_back(std::move(digest));
 }
 
-std::vector<std::string> FleetExchange::GatherersOf(const std::string& zone, const std::vector<PeerNode>& peers) const {
+std::vector<std::string> FleetExchange::AggregatorsOf(const std::string& zone,
+                                                      const std::vector<PeerNode>& peers) const {
   std::vector<std::string> addresses;
   for (const auto& [node, heard] : zone_senders_) {
     if (heard.report.zone == zone) addresses.push_back(heard.report.address);
   }
   for (const RankedNode& ranked : RankZone(self_, peers, zone)) {
-    if (addresses.size() >= static_cast<std::size_t>(knobs_.gatherers)) break;
+    if (addresses.size() >= static_cast<std::size_t>(knobs_.aggregators)) break;
     if (!zone_senders_.contains(ranked.node->node)) addresses.push_back(ranked.node->address);
   }
   return addresses;
@@ -214,7 +216,7 @@
   return report;
 }
 
-// Some of the nodes that are heard here or through other zones' gatherers, others each time.
+// Some of the nodes that are heard here or through other zones' aggregators, others each time.
 std::vector<PeerNode> FleetExchange::NextMembers() {
   std::vector<PeerNode> members;
   for (const auto& [node, heard] : nodes_) {
@@ -226,12 +228,7 @@
     members.insert(members.end(), report.peers.begin(), report.peers.end());
     members.push_back({node, report.address, report.zone, report.link_mbps, false});
   }
-  if (members.size() <= knobs_.named_nodes) return members;
-  const std::size_t first = next_member_ % members.size();
-  next_member_ = first + knobs_.named_nodes;
-  std::rotate(members.begin(), members.begin() + static_cast<std::ptrdiff_t>(first), members.end());
-  members.resize(knobs_.named_nodes);
-  return members;
+  return TakeByTurns(std::move(members), knobs_.named_nodes, next_member_);
 }
 
 // This node's own part was told up to two intervals ago; what is under way there now it knows itself.
@@ -243,6 +240,8 @@
     if (own == own_told_.end()) continue;
     work.outstanding = std::max(0, work.outstanding - own->second.outstanding);
     work.prompt_tokens = std::max<std::int64_t>(0, work.prompt_tokens - own->second.prompt_tokens);
+    work.answers = std::max(0, work.answers - own->second.answers);
+    work.failures = std::max(0, work.failures - own->second.failures);
   }
   for (ServiceDemand& demand : view_.demand) {
     const auto own = own_demand_.find(demand.service);
--- a/src/core/serving/fleet_exchange.h
+++ b/src/core/serving/fleet_exchange.h
@@ -3,13 +3,13 @@
 // Protocol. In a small fleet a node's reports reach all others in each round and
 // nothing is needed here. In a larger one, each node sends its report to the
 // first two nodes of its zone, several times a second. A node that gets such reports
-// gathers them: it sends their sum to the gatherers of the other zones, one of each by
+// aggregates them: it sends their sum to the aggregators of the other zones, one of each by
 // turns, and the sum over all zones, the fleet's digest, to the nodes that report to it.
-// Whoever is asked gathers, so nodes need not agree on the ranking. Messages and work
+// Whoever is asked aggregates, so nodes need not agree on the ranking. Messages and work
 // grow with the nodes of a zone and with the zones, never with their product,
 // and what a node knows is as old in a fleet of 800 nodes as in one of 12.
 //
-// A gatherer whose digests do not come is left aside for a while, and the next
+// An aggregator whose digests do not come is left aside for a while, and the next
 // in the ranking takes its place. With two of them, one may be lost without a gap.
 //
 // Deterministic: messages in, messages out; the driver has the sockets.
@@ -30,8 +30,8 @@
   std::size_t direct_peers = 10;
   // Between two reports, and between two digests: an engine takes in several prompts in half a second.
   Duration interval = 100ms;
-  int gatherers = 2;  // To which a node reports.
-  // A gatherer that sent no digest for so long is left aside: ten of them may be lost.
+  int aggregators = 2;  // To which a node reports.
+  // An aggregator that sent no digest for so long is left aside: ten of them may be lost.
   Duration silence = 1200ms;
   Duration left_aside = 5s;
   // Reports and digests count for so long: as many intervals as the silence.
@@ -41,7 +41,7 @@
   Duration news_rest = 8s;  // Well within ServingKnobs::part_memory.
   std::size_t named_nodes = 24;
   // A digest of fewer nodes than this share of the last one's is taken only when no fuller one comes: its sender has
-  // just begun to gather, or hears only some of its zone.
+  // just begun to sum up, or hears only some of its zone.
   double fuller_share = 0.8;
 };
 
@@ -58,16 +58,16 @@
   // Whether the fleet is too large for each to hear each.
   bool IsLarge(const std::vector<PeerNode>& peers) const { return peers.size() > knobs_.direct_peers; }
 
-  // A report of a node that this one gathers for, or a digest. Returns whether it is a newer digest of the fleet.
+  // A report of a node that this one aggregates for, or a digest. Returns whether it is a newer digest of the fleet.
   bool Note(const PeerReport& report, Time now);
   // What to send now. `own`: this node's report; call it each interval.
   std::vector<FleetMessage> Tick(Time now, const PeerReport& own, const std::vector<PeerNode>& peers);
 
   // The newest digest, without what this node told itself; nullptr where none came lately.
   const PeerReport* View(Time now) const;
-  // How old the oldest part of the view is.
+  // How old the parts of the view are, on average.
   Duration ViewAge(Time now) const { return now - view_heard_ + view_.age; }
-  bool gathers(Time now) const;
+  bool aggregates(Time now) const;
 
  private:
   struct Heard {
@@ -83,14 +83,14 @@
     Time digest{};  // Its last one.
   };
 
-  std::vector<PeerNode> ChooseGatherers(Time now, const std::vector<PeerNode>& peers);
-  void Gather(const PeerReport& report, Time now);
+  std::vector<PeerNode> ChooseAggregators(Time now, const std::vector<PeerNode>& peers);
+  void Aggregate(const PeerReport& report, Time now);
   void NoteNews(const PeerReport& report, Time now);
   void Forget(Time now);
   PeerReport Sum(ReportScope scope, const PeerReport& own, Time now);
   void SendZoneDigest(Time now, const PeerReport& own, const std::vector<PeerNode>& peers,
                       std::vector<FleetMessage>& messages);
-  std::vector<std::string> GatherersOf(const std::string& zone, const std::vector<PeerNode>& peers) const;
+  std::vector<std::string> AggregatorsOf(const std::string& zone, const std::vector<PeerNode>& peers) const;
   void TakeView(const PeerReport& digest, Time now);
   // Whether `known` is to be kept although `report` came after it.
   bool IsFuller(const PeerReport& known, Time known_at, const PeerReport& report, Time now) const;
@@ -98,11 +98,11 @@
 
   FleetExchangeKnobs knobs_;
   PeerNode self_;
-  std::map<std::string, Asked> asked_;         // Gatherers of this node.
-  std::map<std::string, Time> aside_until_;    // Gatherers that were silent.
+  std::map<std::string, Asked> asked_;         // Aggregators of this node.
+  std::map<std::string, Time> aside_until_;    // Aggregators that were silent.
   std::map<std::string, Heard> nodes_;         // Of this zone, that report to this node.
   std::map<std::string, Heard> zones_;         // Other zones' newest digests.
-  std::map<std::string, Heard> zone_senders_;  // Gatherers of other zones, by node.
+  std::map<std::string, Heard> zone_senders_;  // Aggregators of other zones, by node.
   std::unordered_map<KeptPart, Passed, KeptPartHash> news_;
   std::map<EngineKey, EngineWork> own_told_;  // What this node reported last.
   std::map<std::string, ServiceDemand> own_demand_;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -54,8 +54,7 @@
 void ServingCore::GuessUnseen(const std::string& service) {
   const auto meter = starts_.find(service);
   if (!knobs_.guesses_unseen || meter == starts_.end() || nodes_ <= 1) return selector_.set_unseen({});
-  // The parts of a report are half as old as the oldest, on average.
-  const double others = ToSeconds(peers_told_age_) / 2 * (nodes_ - 1);
+  const double others = ToSeconds(peers_told_age_) * (nodes_ - 1);
   selector_.set_unseen({others * meter->second.prompt_tokens.Get(now_), others * meter->second.runs.Get(now_)});
 }
 
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/core/serving/turns.h"
+
 namespace saltquay::serving {
 namespace {
 
@@ -73,15 +75,7 @@
   return nodes;
 }
 
-std::vector<PeerNode> PeerTable::NextNodes(std::size_t most) {
-  std::vector<PeerNode> nodes = Nodes();
-  if (nodes.size() <= most) return nodes;
-  const std::size_t first = next_node_ % nodes.size();
-  next_node_ = first + most;
-  std::rotate(nodes.begin(), nodes.begin() + static_cast<std::ptrdiff_t>(first), nodes.end());
-  nodes.resize(most);
-  return nodes;
-}
+std::vector<PeerNode> PeerTable::NextNodes(std::size_t most) { return TakeByTurns(Nodes(), most, next_node_); }
 
 std::vector<RecordMark> PeerTable::LastChanges() const {
   std::map<std::string, std::int64_t> last;
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -69,10 +69,10 @@
 
 struct PeerReport {
   ReportScope scope = ReportScope::kNode;
-  bool gather = false;  // Of a node: the receiver is asked to gather for it.
-  int nodes = 1;        // Whose sums these are.
-  Duration age = 0s;    // Of the oldest part, when it was sent.
-  std::string node;     // The sender.
+  bool aggregate = false;  // Of a node: the receiver is asked to aggregate for it.
+  int nodes = 1;           // Whose sums these are.
+  Duration age = 0s;       // Of the oldest part, when it was sent.
+  std::string node;        // The sender.
   std::string address;
   std::string zone;
   int link_mbps = 0;
--- /dev/null
+++ b/src/core/serving/turns.h
@@ -0,0 +1,22 @@
+// Some of many, others each time.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace saltquay::serving {
+
+// Returns at most `most` of `items`, from where `next` stands on, and moves it behind them.
+template <typename Item>
+std::vector<Item> TakeByTurns(std::vector<Item> items, std::size_t most, std::size_t& next) {
+  if (items.size() <= most) return items;
+  const std::size_t first = next % items.size();
+  next = first + most;
+  std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(first), items.end());
+  items.resize(most);
+  return items;
+}
+
+}  // namespace saltquay::serving
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -167,7 +167,7 @@
 }
 
 void Coordination::AddReports(serving::PeersChanged& changed) {
-  changed.age = PeerExchangeOptions{}.interval;
+  changed.age = PeerExchangeOptions{}.interval / 2;
   changed.nodes = static_cast<int>(Members().size()) + 1;
   changed.work = peers_.WorkByEngine();
   changed.holds = peers_.Holds();
@@ -194,10 +194,10 @@
   serving::PeerReport own;
   FillReport(own);
   own.peers.clear();
-  const bool gathers = fleet_.gathers(now);
+  const bool aggregates = fleet_.aggregates(now);
   exchange_->Send(fleet_.Tick(now, own, nodes));
   exchange_->set_quiet(fleet_.View(now) != nullptr);
-  if (gathers) TellCore({});
+  if (aggregates) TellCore({});
 }
 
 void Coordination::UpdateStorePeers() {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -30,8 +30,8 @@
   answer_seconds_ = histogram("saltquay_answer_seconds", "From a request's arrival to its whole answer");
   first_event_seconds_ = histogram("saltquay_first_event_seconds", "From a request's arrival to its first event");
   store_seconds_ = histogram("saltquay_store_call_seconds", "Calls to the store, watches aside");
-  knowledge_age_seconds_ = histogram("saltquay_knowledge_age_seconds",
-                                     "Age of the oldest part of the fleet's digest when it was taken over");
+  knowledge_age_seconds_ =
+      histogram("saltquay_knowledge_age_seconds", "Mean age of the parts of the fleet's digest when it was taken over");
   config_version_ = gauge("saltquay_config_version", "Version of the configuration in force");
   engines_ = gauge("saltquay_engines", "Engines known");
   open_requests_ = gauge("saltquay_open_requests", "Requests under way");
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -22,7 +22,7 @@
   void CountStoreCall(const std::string& kind, const std::string& call, const std::string& cause);
   void ObserveAnswer(double seconds) { answer_seconds_->Observe(seconds); }
   void ObserveFirstEvent(double seconds) { first_event_seconds_->Observe(seconds); }
-  // How old the oldest part of a digest was when this node took it over.
+  // How old the parts of a digest were, on average, when this node took it over.
   void ObserveKnowledgeAge(double seconds) { knowledge_age_seconds_->Observe(seconds); }
   void ObserveStoreCall(double seconds) { store_seconds_->Observe(seconds); }
   void SetState(double config_version, double engines, double open_requests, double log_dropped);
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -71,7 +71,7 @@
   }
   builder.Finish(wire::CreateReport(
       builder, kFormat, builder.CreateString(report.node), builder.CreateString(report.address), report.boot,
-      report.sequence, report.stopping, report.gather, static_cast<std::uint8_t>(report.scope), report.nodes,
+      report.sequence, report.stopping, report.aggregate, static_cast<std::uint8_t>(report.scope), report.nodes,
       Milliseconds(report.age), builder.CreateVectorOfStructs(work), builder.CreateVector(demand),
       builder.CreateVector(holds), builder.CreateVector(peers), builder.CreateVectorOfStructs(kept),
       builder.CreateString(report.zone), report.link_mbps, builder.CreateVector(records)));
@@ -91,7 +91,7 @@
   report.boot = source->boot();
   report.sequence = source->sequence();
   report.stopping = source->stopping();
-  report.gather = source->gather();
+  report.aggregate = source->aggregate();
   report.scope = static_cast<serving::ReportScope>(source->scope());
   report.nodes = std::max(0, source->nodes());
   report.age = std::chrono::milliseconds(source->age_ms());
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -1,10 +1,10 @@
 #include "src/gateway/peer_exchange.h"
 
-#include <algorithm>
 #include <set>
 
 #include <boost/asio/buffer.hpp>
 
+#include "src/core/serving/turns.h"
 #include "src/gateway/peer_codec.h"
 #include "src/http/socket.h"
 
@@ -62,11 +62,7 @@
   std::vector<std::string> targets;
   for (const serving::PeerNode& peer : handlers_.peers()) targets.push_back(peer.address);
   const std::size_t fan_out = quiet_ ? options_.quiet_fan_out : options_.fan_out;
-  if (targets.size() > fan_out) {
-    std::rotate(targets.begin(), targets.begin() + static_cast<std::ptrdiff_t>(next_ % targets.size()), targets.end());
-    next_ += fan_out;
-    targets.resize(fan_out);
-  }
+  targets = serving::TakeByTurns(std::move(targets), fan_out, next_);
   // Seeds are asked as long as few answer: they may be stale.
   if (!quiet_ && targets.size() < options_.seeds.size()) {
     targets.insert(targets.end(), options_.seeds.begin(), options_.seeds.end());
@@ -74,7 +70,10 @@
   // Who is there changes seldom: it is told in some rounds only.
   constexpr std::uint64_t kRoundsPerListing = 5;
   if (!quiet_ && report.sequence % kRoundsPerListing != 1) report.peers.clear();
-  if (quiet_) report.work.clear(), report.kept.clear();
+  if (quiet_) {
+    report.work.clear();
+    report.kept.clear();
+  }
   const std::string bytes = EncodeReport(report);
   for (const std::string& target : std::set<std::string>(targets.begin(), targets.end())) {
     if (target != options_.address) SendTo(target, bytes);
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -434,7 +434,7 @@
     VT_BOOT = 10,
     VT_SEQUENCE = 12,
     VT_STOPPING = 14,
-    VT_GATHER = 16,
+    VT_AGGREGATE = 16,
     VT_SCOPE = 18,
     VT_NODES = 20,
     VT_AGE_MS = 22,
@@ -465,8 +465,8 @@
   bool stopping() const {
     return GetField<uint8_t>(VT_STOPPING, 0) != 0;
   }
-  bool gather() const {
-    return GetField<uint8_t>(VT_GATHER, 0) != 0;
+  bool aggregate() const {
+    return GetField<uint8_t>(VT_AGGREGATE, 0) != 0;
   }
   uint8_t scope() const {
     return GetField<uint8_t>(VT_SCOPE, 0);
@@ -511,7 +511,7 @@
            VerifyField<uint64_t>(verifier, VT_BOOT, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint8_t>(verifier, VT_STOPPING, 1) &&
-           VerifyField<uint8_t>(verifier, VT_GATHER, 1) &&
+           VerifyField<uint8_t>(verifier, VT_AGGREGATE, 1) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
            VerifyField<int32_t>(verifier, VT_NODES, 4) &&
            VerifyField<int32_t>(verifier, VT_AGE_MS, 4) &&
@@ -560,8 +560,8 @@
   void add_stopping(bool stopping) {
     fbb_.AddElement<uint8_t>(Report::VT_STOPPING, static_cast<uint8_t>(stopping), 0);
   }
-  void add_gather(bool gather) {
-    fbb_.AddElement<uint8_t>(Report::VT_GATHER, static_cast<uint8_t>(gather), 0);
+  void add_aggregate(bool aggregate) {
+    fbb_.AddElement<uint8_t>(Report::VT_AGGREGATE, static_cast<uint8_t>(aggregate), 0);
   }
   void add_scope(uint8_t scope) {
     fbb_.AddElement<uint8_t>(Report::VT_SCOPE, scope, 0);
@@ -615,7 +615,7 @@
     uint64_t boot = 0,
     uint64_t sequence = 0,
     bool stopping = false,
-    bool gather = false,
+    bool aggregate = false,
     uint8_t scope = 0,
     int32_t nodes = 1,
     int32_t age_ms = 0,
@@ -643,7 +643,7 @@
   builder_.add_address(address);
   builder_.add_node(node);
   builder_.add_scope(scope);
-  builder_.add_gather(gather);
+  builder_.add_aggregate(aggregate);
   builder_.add_stopping(stopping);
   builder_.add_format(format);
   return builder_.Finish();
@@ -657,7 +657,7 @@
     uint64_t boot = 0,
     uint64_t sequence = 0,
     bool stopping = false,
-    bool gather = false,
+    bool aggregate = false,
     uint8_t scope = 0,
     int32_t nodes = 1,
     int32_t age_ms = 0,
@@ -686,7 +686,7 @@
       boot,
       sequence,
       stopping,
-      gather,
+      aggregate,
       scope,
       nodes,
       age_ms,
--- a/tests/core/serving/fleet_exchange_test.cc
+++ b/tests/core/serving/fleet_exchange_test.cc
@@ -1,4 +1,4 @@
-// How old what nodes know of each other is, what it costs, and what the loss of gatherers does.
+// How old what nodes know of each other is, what it costs, and what the loss of aggregators does.
 #include "src/core/serving/fleet_exchange.h"
 
 #include <gtest/gtest.h>
@@ -114,7 +114,7 @@
     for (std::size_t node = 0; node < fleet.size(); ++node) EXPECT_EQ(fleet.Seen(node), 0);
     fleet.set_work(0, 7);
     fleet.set_work(fleet.size() - 1, 5);
-    // Three steps: to the gatherer, between the zones where gatherers are met by turns, and back.
+    // Three steps: to the aggregator, between the zones where aggregators are met by turns, and back.
     fleet.Run(820ms);
     for (std::size_t node = 1; node + 1 < fleet.size(); ++node) {
       EXPECT_EQ(fleet.Seen(node), 12) << per_zone << " a zone, node " << node;
@@ -129,6 +129,41 @@
   }
 }
 
+TEST(FleetExchangeTest, ANodesOwnOutcomesAreNotTakenForOthers) {
+  // Counted twice, two failures at one node were four of all nodes and ejected an engine for the whole fleet's eyes.
+  FleetExchange node(FleetExchangeKnobs{}, {"a9", "a9", "a", 20, false});
+  PeerReport own;
+  own.node = "a9";
+  EngineWork seen;
+  seen.engine = "e";
+  seen.answers = 1;
+  seen.failures = 2;
+  own.work = {seen};
+  std::vector<PeerNode> peers;
+  peers.reserve(20);
+  for (int i = 0; i < 20; ++i) peers.push_back({"p" + std::to_string(i), "p", "a", 200, false});
+  node.Tick(Time{1s}, own, peers);
+  PeerReport digest;
+  digest.scope = ReportScope::kFleet;
+  digest.node = "p0";
+  digest.nodes = 21;
+  digest.sequence = 1;
+  digest.work = {seen};
+  ASSERT_TRUE(node.Note(digest, Time{1100ms}));
+  EXPECT_EQ(node.View(Time{1100ms})->work[0].failures, 0);
+  EXPECT_EQ(node.View(Time{1100ms})->work[0].answers, 0);
+}
+
+TEST(FleetExchangeTest, OneOldReportDoesNotMakeAllKnowledgeOld) {
+  // A node that was killed leaves its last report behind for a second; what the others told is as young as ever.
+  Exchanges fleet(2, 20, 1);
+  fleet.Run(2s);
+  const Duration before = fleet.at(10).ViewAge(fleet.now());
+  fleet.set_up(15, false);
+  fleet.Run(1s);
+  EXPECT_LE(fleet.at(10).ViewAge(fleet.now()), before + 150ms);
+}
+
 TEST(FleetExchangeTest, AnOrdinaryNodesMessagesDoNotGrowWithTheFleet) {
   for (const int per_zone : {4, 60}) {
     Exchanges fleet(5, per_zone, 1);
@@ -137,7 +172,7 @@
   }
 }
 
-TEST(FleetExchangeTest, WhenOneGathererIsLostNothingIsMissed) {
+TEST(FleetExchangeTest, WhenOneAggregatorIsLostNothingIsMissed) {
   Exchanges fleet(3, 20, 1);
   fleet.Run(2s);
   fleet.set_up(0, false);
@@ -150,7 +185,7 @@
   }
 }
 
-TEST(FleetExchangeTest, WhenAllGatherersOfAZoneAreLostOthersTakeTheirPlace) {
+TEST(FleetExchangeTest, WhenAllAggregatorsOfAZoneAreLostOthersTakeTheirPlace) {
   Exchanges fleet(3, 20, 1);
   fleet.Run(2s);
   for (std::size_t node = 0; node < 4; ++node) fleet.set_up(node, false);
@@ -185,7 +220,7 @@
   EXPECT_EQ(node.View(Time{3s})->nodes, 1);
 }
 
-TEST(FleetExchangeTest, OnlyWhoIsAskedGathers) {
+TEST(FleetExchangeTest, OnlyWhoIsAskedAggregates) {
   // Seen on fcl-norte-large quiet-1: every node took its peers' ordinary reports for such, and all 295 sent digests
   // between the zones, 5.7 GB in a minute.
   FleetExchange node(FleetExchangeKnobs{}, {"a9", "a9", "a", 20, false});
@@ -194,10 +229,10 @@
   report.zone = "a";
   report.sequence = 1;
   node.Note(report, Time{1s});
-  EXPECT_FALSE(node.gathers(Time{1s}));
-  report.gather = true;
+  EXPECT_FALSE(node.aggregates(Time{1s}));
+  report.aggregate = true;
   node.Note(report, Time{1s});
-  EXPECT_TRUE(node.gathers(Time{1s}));
+  EXPECT_TRUE(node.aggregates(Time{1s}));
 }
 
 TEST(FleetExchangeTest, BytesBetweenZonesGrowWithTheZonesOnly) {
@@ -205,7 +240,8 @@
   fleet.Run(10s);
   int between_zones = 0;
   for (std::size_t node = 0; node < fleet.size(); ++node) between_zones += fleet.sent_far(node);
-  EXPECT_LE(between_zones, 5 * 2 * 4 * 5 * 10);  // Two gatherers of each of five zones, to four others, five a second.
+  EXPECT_LE(between_zones,
+            5 * 2 * 4 * 5 * 10);  // Two aggregators of each of five zones, to four others, five a second.
 }
 
 TEST(FleetExchangeTest, ADigestOfFewerNodesDoesNotReplaceAFullOne) {
@@ -228,19 +264,19 @@
   Exchanges fleet(2, 12, 1);
   fleet.Run(2s);
   PeerReport report = fleet.Report(5);
-  report.gather = true;
+  report.aggregate = true;
   report.kept = {{"e", 77}};
-  FleetExchange& gatherer = fleet.at(fleet.at(0).gathers(fleet.now()) ? 0 : 1);
+  FleetExchange& aggregator = fleet.at(fleet.at(0).aggregates(fleet.now()) ? 0 : 1);
   int passed = 0;
   for (Time now = fleet.now(); now < fleet.now() + 4s; now += 200ms) {
     ++report.sequence;
-    gatherer.Note(report, now);
+    aggregator.Note(report, now);
     PeerReport own;
     own.node = "own";
     std::vector<PeerNode> peers;
     peers.reserve(20);
     for (int i = 0; i < 20; ++i) peers.push_back({"x" + std::to_string(i), "x", "x", 1, false});
-    for (const FleetMessage& message : gatherer.Tick(now, own, peers)) {
+    for (const FleetMessage& message : aggregator.Tick(now, own, peers)) {
       if (message.report.scope == ReportScope::kFleet) passed += static_cast<int>(message.report.kept.size());
     }
   }
