Tests: events that came through too many nodes are not taken; a refused hand-over keeps its memory

The test is changed here: it asked for one call to the store, but a node may also answer that nobody near enough hears it.

--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -170,6 +170,7 @@
   Answer(first, 503, true);
   const auto second = One<StartAttempt>();
   EXPECT_EQ(second.mode, AttemptMode::kContinue);
+  ASSERT_TRUE(second.memory);
   EXPECT_EQ(second.memory->handle, "handle");
   EXPECT_NE(second.engine_id, first.engine_id);
   EXPECT_TRUE(core_.engines().Find(first.engine_id)->IsOut(now_));  // Left alone for a while.
--- a/tests/replica/relayed_store_test.cc
+++ b/tests/replica/relayed_store_test.cc
@@ -353,5 +353,22 @@
     EXPECT_TRUE(run_until([&] { return follower_->origin.calls + last_->origin.calls > 0; }, 4s));
 }
 
+TEST_F(RelayChainTest, ChangesThatWentThroughTooManyNodesAreNotTaken)
+{
+    start_both();
+    ASSERT_TRUE(follower_sees("e1", 1s));
+    // From the reader, which is one node away from the store, but not from the follower behind it.
+    auto options = Node::make_options("near", 10, {});
+    options.most_hops = 0;
+    TableStore origin(loop_);
+    RelayedStore near(loop_, origin, options);
+    near.update_peers(last_->table.Heard(), last_->table.LastChanges());
+    std::optional<bool> taken;
+    near.Watch("engines", 0, std::chrono::milliseconds(50), [&](auto const& events) { taken = events.ok(); });
+    EXPECT_TRUE(run_until([&] { return taken.has_value(); }, 2s));
+    // It went on to the store, or says that nobody near enough hears it.
+    EXPECT_EQ(*taken, origin.calls > 0);
+}
+
 }
 }
