--- /dev/null
+++ b/include/saltquay/duties/capacity_controller.h
@@ -0,0 +1,118 @@
+// Orders engines of the services that may be scaled; see capacity_planner.h for how many.
+//
+// Protocol. An order names the number of engines of one kind in one zone; the platform keeps the number, so that an
+// order may be repeated and comes to the same. New engines are ordered before those that they replace are sent away:
+// ordinary engines go only as far as enough others serve. Where no spot engines are to be had, they are asked for again
+// after a pause, and ordinary ones fill in if what is left would not do. Whoever holds the lease next starts from the
+// engines that it sees.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "saltquay/duties/capacity_planner.h"
+#include "saltquay/duties/duty_outcome.h"
+#include "src/base/event_catalogue.h"
+
+namespace saltquay::duties {
+
+struct EngineOrder {
+    std::string service;
+    std::string zone;
+    int engines = 0;
+    bool spot = false;
+};
+
+struct LogCapacity {
+    EventId event = EventId::kEnginesOrdered;
+    std::string details; // JSON members, without braces.
+};
+
+using CapacityAction = std::variant<EngineOrder, LogCapacity>;
+
+struct CapacityControllerKnobs {
+    CapacityKnobs planner;
+    Duration interval = 250ms;
+    Duration log_interval = 5s;
+    // Beyond the boot time, until an order that did not bring the engines is repeated.
+    Duration order_slack = 3s;
+    Duration unavailable_pause = 2s; // Until spot engines are asked for again where there were none.
+    Duration unknown_pause = 1s;     // The same after no answer.
+    int most_orders = 6;             // In one interval, of all services together.
+    // Engines make themselves known over two heartbeats. None is sent away until the number of those that were there
+    // at first has rested so long, or that many times as long is over.
+    Duration rest = 2500ms;
+    int longest_rests = 4;
+    // More are ordered only when so much more than what was wanted is needed, or each moment would bring an order.
+    double growth_step = 1.08;
+};
+
+class CapacityController {
+public:
+    explicit CapacityController(CapacityControllerKnobs const& knobs)
+        : knobs_(knobs)
+    {
+    }
+
+    // `holds`: this node may order now. `tenure`: the lease's token; with another one, others may have ordered
+    // meanwhile. `demand`: of all nodes, by service.
+    void step(Time now, bool holds, std::int64_t tenure, serving::ServingConfig const&,
+        std::map<std::string, serving::ServiceDemand> const& demand, serving::EngineDirectory const&,
+        std::vector<CapacityAction>&);
+    void on_ordered(Time now, EngineOrder const&, DutyOutcome);
+
+private:
+    using Lot = std::tuple<std::string, std::string, bool>; // Service, zone, whether spot.
+    struct Order {
+        int engines = 0;
+        Time at {};
+        bool under_way = false;
+        Time not_before {};
+        bool unavailable = false;
+    };
+    struct ZonePlan {
+        serving::Service const& service;
+        std::string zone;
+        ZoneEngines target;
+        ZoneEngines present;
+        bool idle = false;         // Nothing is being asked.
+        bool settled = false;      // All engines that were there at first are known.
+        bool may_exchange = false; // Ordinary engines may go now.
+        int missing = 0;           // Of all zones, for the demand itself.
+    };
+    struct ServiceState {
+        int wanted = 0;       // All zones together.
+        bool settled = false; // All engines that were there at first are known.
+        int first_spot = -1;  // Spot engines that were there at first; -1: not looked yet.
+        int seen = 0;
+        Time first_seen {};
+        Time seen_since {};
+        double peak = 0;
+        Time low_since {};
+        Time next_exchange {};
+        Time next_log {};
+    };
+
+    void plan(Time now, serving::Service const&, serving::ServiceDemand const&, EnginesByZone const& present,
+        std::vector<CapacityAction>&);
+    // Looks at the engines that were there before any was ordered.
+    void settle(Time now, ServiceState&, EnginesByZone const& present, bool idle) const;
+    int update_wanted(Time now, serving::Service const&, serving::ServiceDemand const&, EnginesByZone const& present);
+    void plan_zone(Time now, ZonePlan const&, std::vector<CapacityAction>&);
+    void order(Time now, EngineOrder const&, ZonePlan const&, std::vector<CapacityAction>&);
+    bool is_idle(serving::ServiceDemand const&) const;
+    bool is_unavailable(Lot const&) const;
+
+    CapacityControllerKnobs knobs_;
+    Time next_step_ {};
+    int orders_left_ = 0;
+    std::int64_t tenure_ = 0;
+    std::map<std::string, ServiceState> services_;
+    std::map<Lot, Order> orders_;
+};
+
+}
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,7 +8,7 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 47> kCatalogue = {{
+constexpr std::array<EventDescription, 52> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
@@ -45,6 +45,16 @@
     {kEngineReadmitted, kInfo, "engine_readmitted", "An ejected engine gets work again.", "None."},
     {kEngineRecord, kInfo, "engine_record", "What the platform records of an engine changed.", "None."},
     {kRolePlan, kInfo, "role_plan", "What the planning node knows of demand and stages; every two seconds.", "None."},
+    {kUsageSealed, kInfo, "usage_sealed", "A window's usage report is fixed: only these counts are ever sent.",
+     "None; where it says that nodes were not heard: look at their links."},
+    {kUsageReported, kInfo, "usage_reported", "The platform answered a usage report, or did not.",
+     "None; if it is never taken: check the platform's API."},
+    {kUsageNotReported, kWarning, "usage_not_reported", "A window goes unreported: what was counted is lost.",
+     "Settle that window by the engines' own records."},
+    {kCapacityPlan, kInfo, "capacity_plan", "Engines that a service has, wants and needs now; every five seconds.",
+     "None."},
+    {kEnginesOrdered, kInfo, "engines_ordered", "A number of engines was ordered in a zone, and what came of it.",
+     "Where it is refused for long: check the platform's limits."},
     {kRequestRefused, kInfo, "request_refused", "A request was refused with a typed error.",
      "Add engines or raise the class limit if it lasts."},
     {kRequestRetried, kInfo, "request_retried", "A request goes to another engine.", "None."},
--- a/src/core/serving/duty_lease.cc
+++ b/src/core/serving/duty_lease.cc
@@ -1,41 +1,48 @@
-#include "src/core/serving/role_lease.h"
+#include "src/core/serving/duty_lease.h"
+
+#include <algorithm>
 
 namespace saltquay::serving {
 
-LeaseStep RoleLease::Next(Time now, Duration needed) {
-  if (busy_ || MayOrder(now, needed) || now < not_before_) return LeaseStep::kNone;
-  const bool own = known_ && holds_;
-  const bool free = known_ && known_->revision == 0;
-  const bool lapsed = known_ && now - known_since_ >= times_.lease + times_.window + times_.slack;
+LeaseStep DutyLease::Next(Time now, Duration needed, int rank) {
+  if (gave_up_ || busy_ || MayOrder(now, needed) || now < not_before_) return LeaseStep::kNone;
+  if (!unsettled_ && !known_ && now < began_ + std::min(rank, times_.most_turns) * times_.turn) return LeaseStep::kNone;
   if (unsettled_ || !known_) {
     busy_ = true;
     return LeaseStep::kRead;
   }
-  if (own || free) {
-    StartWrite(now);
-    return LeaseStep::kWrite;
-  }
-  if (!lapsed) {
-    not_before_ = now + times_.retry;
-    return LeaseStep::kNone;
-  }
-  // Seen unchanged long enough only if it still is: the conditional write tells.
+  if (!holds_ && !MayTake(now, rank)) return LeaseStep::kNone;
   StartWrite(now);
   return LeaseStep::kWrite;
 }
 
-void RoleLease::StartWrite(Time now) {
+// Whether the record may be replaced by this node's, if it is still the last one: the conditional write tells.
+bool DutyLease::MayTake(Time now, int rank) const {
+  const Duration turn = std::min(rank, times_.most_turns) * times_.turn;
+  const Duration unchanged = now - known_since_;
+  if (known_->revision == 0) return unchanged >= turn;
+  const bool same_machine = !address_.empty() && known_->holder == node_ && known_->address == address_;
+  if (same_machine) return true;
+  if (known_->holder.empty()) {
+    // This node may have been the holder before the one that gave up.
+    const Time quiet_since = std::max(began_, ordered_until_);
+    return unchanged >= turn && now - quiet_since >= times_.lease + times_.slack;
+  }
+  return unchanged >= times_.lease + times_.window + times_.slack + turn;
+}
+
+void DutyLease::StartWrite(Time now) {
   busy_ = true;
   write_sent_ = now;
-  draft_ = LeaseRecord{node_, ++nonce_, known_ ? known_->revision : 0};
+  draft_ = LeaseRecord{node_, address_, ++nonce_, holds_ ? token_ : 0, known_ ? known_->revision : 0};
 }
 
-void RoleLease::OnRead(const LeaseRecord& record, Time now) {
+void DutyLease::OnRead(const LeaseRecord& record, Time now) {
   busy_ = false;
   const bool ours = record.holder == node_ && record.nonce == draft_.nonce && record.revision > 0;
   if (unsettled_ && ours) {
     holds_ = true;
-    token_ = record.revision;
+    token_ = record.token != 0 ? record.token : record.revision;
     ordered_until_ = write_sent_ + times_.window;
   } else if (!ours) {
     holds_ = false;
@@ -45,22 +52,22 @@
   known_ = record;
 }
 
-void RoleLease::OnReadFailed(Time now) {
+void DutyLease::OnReadFailed(Time now) {
   busy_ = false;
   not_before_ = now + times_.retry;
 }
 
-void RoleLease::OnWritten(std::int64_t revision) {
+void DutyLease::OnWritten(std::int64_t revision) {
   busy_ = false;
-  holds_ = true;
-  token_ = revision;
+  holds_ = !gave_up_;
+  token_ = draft_.token != 0 ? draft_.token : revision;
   ordered_until_ = write_sent_ + times_.window;
   known_ = draft_;
   known_->revision = revision;
   known_since_ = write_sent_;
 }
 
-void RoleLease::OnWriteFailed(bool settled, Time now) {
+void DutyLease::OnWriteFailed(bool settled, Time now) {
   busy_ = false;
   holds_ = false;
   not_before_ = now + times_.retry;
@@ -71,4 +78,24 @@
   }
 }
 
+void DutyLease::OnHeard(const LeaseRecord& record, Time now) {
+  if (busy_ || unsettled_ || record.revision <= known().revision) return;
+  holds_ = false;
+  known_ = record;
+  known_since_ = now;
+}
+
+std::optional<LeaseRecord> DutyLease::GiveUp() {
+  gave_up_ = true;
+  const bool may_write = holds_ && !busy_ && known_;
+  holds_ = false;
+  if (!may_write) return std::nullopt;
+  return LeaseRecord{"", "", ++nonce_, 0, known_->revision};
+}
+
+void DutyLease::OnGivenUp(std::int64_t revision, Time now) {
+  known_ = LeaseRecord{"", "", nonce_, 0, revision};
+  known_since_ = now;
+}
+
 }  // namespace saltquay::serving
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -37,6 +37,7 @@
   bool leaving = false;
   EngineStage stage = EngineStage::kUniform;
   std::int64_t order_sequence = 0;
+  bool spot = false;  // It costs less and may be taken away, with all others of its zone.
 
   bool operator==(const EngineRecord&) const = default;
 };
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -46,6 +46,8 @@
   std::optional<Duration> deadline;
   std::optional<PromptFacts> prompt;
   std::string last_event_id;  // Of a client that resumes a stream.
+  // The caller's secret, empty where it sent none. It stands in no log line and goes to no engine.
+  std::string api_key;
 };
 
 // What an engine's answer head says.
@@ -141,6 +143,7 @@
   Duration connect_timeout = 0s;
   int priority = 5;
   bool streams = false;
+  std::string tenant;  // Whose request it is; empty: an anonymous caller's.
 };
 struct CancelAttempt {
   AttemptId attempt = 0;
@@ -170,6 +173,11 @@
 struct ReleaseMemory {
   MemorySource memory;
 };
+// A tenant's request began to run at an engine, for the first time.
+struct RunBegan {
+  std::string tenant;
+  Time began{};
+};
 // One line of the decision log.
 struct LogDecision {
   EventId event = EventId::kRequestRouted;
@@ -178,6 +186,6 @@
 };
 
 using Action = std::variant<StartAttempt, CancelAttempt, RelayAnswer, BeginRelay, EndRelay, AnswerOwn, BreakOff,
-                            ReleaseMemory, LogDecision>;
+                            ReleaseMemory, RunBegan, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -28,6 +28,7 @@
       Duration& left = holds_[hold.engine_id];
       left = std::max(left, hold.left - age);
     }
+    if (report.lease.revision > lease_.revision) lease_ = report.lease;
     for (const RecordMark& mark : report.records) {
       std::int64_t& last = records_[mark.kind];
       last = std::max(last, mark.changed_at);
@@ -42,6 +43,7 @@
       if (left > 0s) report.holds.push_back({engine, left});
     }
     for (const auto& [kind, last] : records_) report.records.push_back({kind, last});
+    report.lease = lease_;
   }
 
  private:
@@ -51,6 +53,7 @@
   std::map<std::string, ServiceDemand> demand_;
   std::map<std::string, Duration> holds_;
   std::map<std::string, std::int64_t> records_;
+  LeaseMark lease_;
 };
 
 }  // namespace
@@ -207,6 +210,7 @@
   report.zone = self_.zone;
   report.link_mbps = self_.link_mbps;
   report.boot = own.boot;
+  report.wall_ms = own.wall_ms;
   report.sequence = ++sequence_;
   sum.MoveTo(report);
   for (const auto& [kept, passed] : news_) {
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -95,21 +95,26 @@
   start.time_left = flow.ends + knobs_.answer_margin - now_;
   start.connect_timeout = std::clamp(FromSeconds(connect_seconds), knobs_.shortest_connect, knobs_.longest_connect);
   start.priority = flow.route.priority;
+  start.tenant = flow.tenant;
   start.streams = flow.route.kind == RouteKind::kStreaming;
   LogRouted(flow, engine, start, attempt.prompt_tokens);
   attempt.patience_ends = now_ + PatienceFor(attempt, engine);
+  MeterStart(flow, attempt);
+  flow.attempts[attempt.id] = attempt;
+  actions_->push_back(std::move(start));
+  Arm(flow);
+}
+
+void ServingCore::MeterStart(Flow& flow, const Attempt& attempt) {
   // A prompt that overflows to an engine that answers still asks for one that reads.
-  const bool apart = mode == AttemptMode::kPrefill || SplitsPrompt(flow, knobs_);
-  if (mode != AttemptMode::kContinue) MeterReading(flow, attempt.prompt_tokens, apart);
+  const bool apart = attempt.mode == AttemptMode::kPrefill || SplitsPrompt(flow, knobs_);
+  if (attempt.mode != AttemptMode::kContinue) MeterReading(flow, attempt.prompt_tokens, apart);
   StartMeter& meter = starts_.try_emplace(flow.service, knobs_.demand_memory).first->second;
-  if (mode == AttemptMode::kPrefill) {
+  if (attempt.mode == AttemptMode::kPrefill) {
     meter.prompt_tokens.Add(static_cast<double>(attempt.prompt_tokens), now_);
   } else {
     meter.runs.Add(1, now_);
   }
-  flow.attempts[attempt.id] = attempt;
-  actions_->push_back(std::move(start));
-  Arm(flow);
 }
 
 // Engines of the service can copy memory from each other.
@@ -136,17 +141,18 @@
 void ServingCore::LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start,
                             std::int64_t tokens_to_read) {
   Log(EventId::kRequestRouted, &flow,
-      fmt::format(R"("route":"{}","service":"{}","version":{},"engine":"{}","mode":"{}","try":{},"load":{:.1f},)"
-                  R"("load_age_ms":{},"backlog_tokens":{},"peers_tokens":{},"tokens_to_read":{},"read_rate":{:.0f},)"
-                  R"("window":{:.1f},"under_way":{},"waiting":{},)"
-                  R"("copy_from":"{}","left_ms":{})",
-                  flow.route.name, flow.service, version(), engine.record.id, ModeName(start.mode), flow.tries,
-                  selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
-                  engine.outstanding_prompt_tokens, engine.peers_prompt_tokens, tokens_to_read, selector_.read_rate(),
-                  lines_.contains(flow.service) ? lines_.at(flow.service).readers.limit() : 0,
-                  lines_.contains(flow.service) ? lines_.at(flow.service).readers.under_way() : 0,
-                  lines_.contains(flow.service) ? lines_.at(flow.service).order->size() : 0, start.copy_from,
-                  start.time_left.count() / 1000));
+      fmt::format(
+          R"("route":"{}","service":"{}","tenant":"{}","version":{},"engine":"{}","mode":"{}","try":{},"load":{:.1f},)"
+          R"("load_age_ms":{},"backlog_tokens":{},"peers_tokens":{},"tokens_to_read":{},"read_rate":{:.0f},)"
+          R"("window":{:.1f},"under_way":{},"waiting":{},)"
+          R"("copy_from":"{}","left_ms":{})",
+          flow.route.name, flow.service, flow.tenant, version(), engine.record.id, ModeName(start.mode), flow.tries,
+          selector_.EstimatedLoad(engine, now_), engine.ever_told ? (now_ - engine.told_at).count() / 1000 : -1,
+          engine.outstanding_prompt_tokens, engine.peers_prompt_tokens, tokens_to_read, selector_.read_rate(),
+          lines_.contains(flow.service) ? lines_.at(flow.service).readers.limit() : 0,
+          lines_.contains(flow.service) ? lines_.at(flow.service).readers.under_way() : 0,
+          lines_.contains(flow.service) ? lines_.at(flow.service).order->size() : 0, start.copy_from,
+          start.time_left.count() / 1000));
 }
 
 void ServingCore::WaitOrRefuse(Flow& flow) {
--- a/src/core/serving/node_ranking.h
+++ b/src/core/serving/node_ranking.h
@@ -18,6 +18,9 @@
   bool Before(const RankedNode& other) const;
 };
 
+// All nodes that do not stop, best first, `self` among them; see RankZone for the pointers.
+std::vector<RankedNode> RankNodes(const PeerNode& self, std::span<const PeerNode> peers);
+
 // The nodes of that zone that do not stop, best first; `self` is one of them where it is its zone. The
 // pointers are into `self` and `peers`.
 std::vector<RankedNode> RankZone(const PeerNode& self, std::span<const PeerNode> peers, std::string_view zone);
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -88,6 +88,14 @@
   return marks;
 }
 
+LeaseMark PeerTable::NewestLease() const {
+  LeaseMark newest;
+  for (const auto& [node, entry] : peers_) {
+    if (entry.report.lease.revision > newest.revision) newest = entry.report.lease;
+  }
+  return newest;
+}
+
 std::map<EngineKey, EngineWork> PeerTable::WorkByEngine() const {
   std::map<EngineKey, EngineWork> sums;
   for (const auto& [node, entry] : peers_) {
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -55,6 +55,22 @@
   std::int64_t changed_at = 0;  // Revision of the last change that it knows.
 };
 
+// The newest revision of the duties' lease that a node knows; revision 0: none.
+struct LeaseMark {
+  std::string holder;  // Empty: it was given up.
+  std::string address;
+  std::int64_t revision = 0;
+};
+
+// Requests of one tenant that began to run in one window of the usage reports.
+struct UsageCount {
+  std::int64_t window = 0;
+  std::string tenant;
+  std::int64_t requests = 0;
+
+  bool operator==(const UsageCount&) const = default;
+};
+
 // What a node says of itself, or others of it.
 struct PeerNode {
   std::string node;
@@ -64,8 +80,8 @@
   bool stopping = false;
 };
 
-// Whose work a report tells of.
-enum class ReportScope : std::uint8_t { kNode, kZone, kFleet };
+// Whose work a report tells of; kUsage: of a node's requests by tenant only, for who holds the duties.
+enum class ReportScope : std::uint8_t { kNode, kZone, kFleet, kUsage };
 
 struct PeerReport {
   ReportScope scope = ReportScope::kNode;
@@ -85,6 +101,10 @@
   std::vector<KeptPart> kept;   // News since some rounds.
   std::vector<PeerNode> peers;  // Some that the sender knows.
   std::vector<RecordMark> records;
+  LeaseMark lease;
+  std::int64_t wall_ms = 0;         // The time of day as the sender believes it, since 1970; 0: not told.
+  std::int64_t closed_through = 0;  // Of kUsage: the last window whose counts change no more.
+  std::vector<UsageCount> usage;    // Of kUsage: counts of `node` in its life `boot`; they only grow.
 };
 
 class PeerTable {
@@ -106,6 +126,8 @@
   std::vector<PeerNode> Nodes() const;
   // At most `most` of them, others each time: what one report names.
   std::vector<PeerNode> NextNodes(std::size_t most);
+  // The newest mark of the duties' lease that any node heard knows.
+  LeaseMark NewestLease() const;
   // Of each kind of the store's objects, the last change that any node heard knows.
   std::vector<RecordMark> LastChanges() const;
   // Work of all other nodes by engine.
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -18,9 +18,8 @@
 
 }  // namespace
 
-RoleController::RoleController(const RoleControllerKnobs& knobs, const std::string& node, std::uint64_t seed,
-                               Time started)
-    : knobs_(knobs), lease_(node, knobs.lease, seed), started_(started) {}
+RoleController::RoleController(const RoleControllerKnobs& knobs, DutyLease& lease, Time started)
+    : knobs_(knobs), lease_(lease), started_(started) {}
 
 void RoleController::OnTick(Time now, bool candidate, const ServingConfig& config,
                             const std::map<std::string, ServiceDemand>& demand, EngineDirectory& engines,
@@ -47,12 +46,13 @@
     const auto known = demand.find(service.name);
     const ServiceDemand asked = known == demand.end() ? ServiceDemand{service.name, 0, 0} : known->second;
     const StageCounts counts = CountStages(now, engines, service.name);
+    accepted_cooldown_[service.name] = knobs_.planner.IsIdle(asked) ? knobs_.idle_cooldown : knobs_.cooldown;
     LogPlan(now, asked, counts, actions);
     const bool empty_stage = (counts.prefill == 0) != (counts.decode == 0);
     if (!empty_stage && now < cooled_at_[service.name]) continue;
     const std::optional<StageChangePlan> plan = PlanStageChange(knobs_.planner, asked, counts);
     if (!plan || PickEngine(engines, service.name, OtherStage(plan->stage), now) == nullptr) continue;
-    if (!lease_.MayOrder(now, knobs_.order_time)) return StepLease(now, actions);
+    if (!lease_.MayOrder(now, knobs_.order_time)) return lease_.Want(now);
     BeginChanges(now, service, *plan, engines, actions);
   }
 }
@@ -107,12 +107,6 @@
           counts.to_prefill, counts.to_decode)});
 }
 
-void RoleController::StepLease(Time now, std::vector<RoleAction>& actions) {
-  const LeaseStep step = lease_.Next(now, knobs_.order_time);
-  if (step == LeaseStep::kRead) actions.push_back(ReadLease{});
-  if (step == LeaseStep::kWrite) actions.push_back(WriteLease{lease_.draft()});
-}
-
 // The engine with the least work, in a zone that has most engines of the stage.
 const EngineState* RoleController::PickEngine(EngineDirectory& engines, const std::string& service, EngineStage from,
                                               Time now) {
@@ -152,7 +146,7 @@
   const bool short_queue = work <= knobs_.short_queue && now >= change.began + knobs_.shortest_hold;
   if (!short_queue && now < change.began + knobs_.longest_hold) return;
   if (!lease_.MayOrder(now, knobs_.order_time)) {
-    if (now < change.began + knobs_.longest_hold * 2) return StepLease(now, actions);
+    if (now < change.began + knobs_.longest_hold * 2) return lease_.Want(now);
     changes_.erase(engine_id);  // The lease is another node's by now.
     return;
   }
@@ -188,7 +182,7 @@
     const Time until = now + change->away + kDrainTime;
     away_[engine_id] = Away{until, change->stage};
     if (EngineState* engine = engines.Find(engine_id)) engine->changing_until = until;
-    cooled_at_[change->service] = now + knobs_.cooldown;
+    cooled_at_[change->service] = now + accepted_cooldown_[change->service];
   } else {
     cooled_at_[change->service] = now + knobs_.idle_cooldown;
   }
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -1,5 +1,5 @@
 // Decides and orders stage changes of engines; see role_planner.h and
-// role_lease.h.
+// duty_lease.h.
 //
 // Protocol of a change. The candidate (least name among live nodes) takes the
 // lease, announces a hold on the engine so that no node sends it new work,
@@ -16,8 +16,8 @@
 #include <vector>
 
 #include "src/base/event_catalogue.h"
+#include "src/core/serving/duty_lease.h"
 #include "src/core/serving/peer_table.h"
-#include "src/core/serving/role_lease.h"
 #include "src/core/serving/role_planner.h"
 #include "src/core/serving/serving_config.h"
 
@@ -25,7 +25,6 @@
 
 struct RoleControllerKnobs {
   RolePlannerKnobs planner;
-  RoleLeaseTimes lease;
   Duration settle_in = 1500ms;  // After a start, before the first plan.
   Duration plan_interval = 250ms;
   Duration plan_log_interval = 2s;
@@ -47,10 +46,6 @@
 
 enum class OrderOutcome { kAccepted, kConflict, kFenced, kRefused, kUnknown };
 
-struct ReadLease {};
-struct WriteLease {
-  LeaseRecord record;  // Its revision is the condition; 0: create.
-};
 struct ReadEngineState {
   std::string engine_id;
   std::string address;
@@ -68,19 +63,16 @@
   EventId event = EventId::kOrderSent;
   std::string details;
 };
-using RoleAction = std::variant<ReadLease, WriteLease, ReadEngineState, SendStageOrder, AnnounceHolds, LogRole>;
+using RoleAction = std::variant<ReadEngineState, SendStageOrder, AnnounceHolds, LogRole>;
 
 class RoleController {
  public:
-  RoleController(const RoleControllerKnobs& knobs, const std::string& node, std::uint64_t seed, Time started);
+  // `lease` outlives it; its driver renews it as long as it is wanted.
+  RoleController(const RoleControllerKnobs& knobs, DutyLease& lease, Time started);
 
   // `candidate`: this node should plan now. `demand` by service, of all nodes.
   void OnTick(Time now, bool candidate, const ServingConfig& config, const std::map<std::string, ServiceDemand>& demand,
               EngineDirectory& engines, std::vector<RoleAction>& actions);
-  void OnLeaseRead(Time now, const LeaseRecord& record) { lease_.OnRead(record, now); }
-  void OnLeaseReadFailed(Time now) { lease_.OnReadFailed(now); }
-  void OnLeaseWritten(std::int64_t revision) { lease_.OnWritten(revision); }
-  void OnLeaseWriteFailed(Time now, bool settled) { lease_.OnWriteFailed(settled, now); }
   void OnEngineState(Time now, const std::string& engine_id, const std::optional<EngineStateReport>& report,
                      EngineDirectory& engines, std::vector<RoleAction>& actions);
   void OnOrderAnswered(Time now, const std::string& engine_id, OrderOutcome outcome, EngineDirectory& engines,
@@ -88,7 +80,6 @@
 
   // Engines that get no new work: held for an order, or on the way to the other stage.
   std::vector<EngineHold> Holds(Time now) const;
-  bool leads(Time now) const { return lease_.MayOrder(now); }
 
  private:
   enum class Phase { kHolding, kReading, kOrdering };
@@ -115,17 +106,18 @@
   const EngineState* PickEngine(EngineDirectory& engines, const std::string& service, EngineStage from, Time now);
   void ContinueHold(Time now, Change& change, EngineDirectory& engines, std::vector<RoleAction>& actions);
   void LogPlan(Time now, const ServiceDemand& asked, const StageCounts& counts, std::vector<RoleAction>& actions);
-  void StepLease(Time now, std::vector<RoleAction>& actions);
   // The change that waits for an answer of this engine in that phase; nullptr where there is none.
   Change* FindChange(const std::string& engine_id, Phase phase);
 
   RoleControllerKnobs knobs_;
-  RoleLease lease_;
+  DutyLease& lease_;
   Time started_;
   Time next_plan_{};
   Time next_plan_log_{};
-  std::map<std::string, Change> changes_;   // Engine -> the change that is on the way to its order.
-  std::map<std::string, Time> cooled_at_;   // Service -> when it may change again.
+  std::map<std::string, Change> changes_;  // Engine -> the change that is on the way to its order.
+  std::map<std::string, Time> cooled_at_;  // Service -> when it may change again.
+  // Service -> the pause after an accepted order: changes cost nobody anything while nothing is asked.
+  std::map<std::string, Duration> accepted_cooldown_;
   std::map<std::string, Away> away_;        // By engine.
   std::map<std::string, Time> settled_at_;  // Engine -> when an unanswered order is surely over.
 };
--- a/src/core/serving/role_planner.cc
+++ b/src/core/serving/role_planner.cc
@@ -8,7 +8,7 @@
 double IdealPrefillEngines(const RolePlannerKnobs& knobs, const ServiceDemand& demand, int engines) {
   const double prefill = demand.prefill_engines;
   const double decode = demand.decode_engines;
-  if (prefill + decode < knobs.idle_demand) return knobs.initial_prefill_share * engines;
+  if (knobs.IsIdle(demand)) return knobs.initial_prefill_share * engines;
   const double spare = engines - prefill - decode;
   if (spare <= 0) return engines * prefill / (prefill + decode);
   const double prefill_root = std::sqrt(knobs.prefill_weight * prefill);
@@ -36,7 +36,7 @@
                                                const StageCounts& counts) {
   const int serving = counts.prefill + counts.decode;
   if (serving < 2) return std::nullopt;
-  const bool idle = demand.prefill_engines + demand.decode_engines < knobs.idle_demand;
+  const bool idle = knobs.IsIdle(demand);
   const bool empty_stage = (counts.prefill == 0) != (counts.decode == 0);
   const int changing = counts.to_prefill + counts.to_decode;
   // A stage without any engine cannot wait for the changes before.
--- a/src/core/serving/role_planner.h
+++ b/src/core/serving/role_planner.h
@@ -26,6 +26,10 @@
   int keep = 3;                         // Of each stage, or a third where there are fewer.
   double change_share = 0.08;           // Of a service's engines that may be changing at one time under load,
   double idle_change_share = 0.34;      // and before any demand is known. One engine always may.
+
+  bool IsIdle(const ServiceDemand& demand) const {
+    return demand.prefill_engines + demand.decode_engines < idle_demand;
+  }
 };
 
 // A service's engines by stage.
--- a/src/core/serving/serving_config.h
+++ b/src/core/serving/serving_config.h
@@ -4,11 +4,13 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/core/serving/tenant_directory.h"
 
 namespace saltquay::serving {
 
@@ -36,6 +38,7 @@
   int priority = 5;            // 0 is the most urgent.
   bool prefix_affine = false;  // Requests name the parts of their prompts.
   bool resumable = false;
+  bool allows_anonymous = false;  // Callers need no key, where the configuration asks for keys at all.
 
   bool repeatable() const { return kind == RouteKind::kRepeatable || (kind == RouteKind::kStreaming && resumable); }
 };
@@ -50,11 +53,21 @@
   Duration role_change = 2s;  // How long an engine is away when its stage changes.
 };
 
+// How many engines of a service may be ordered, and what they cost.
+struct ScalingTraits {
+  int min = 0;  // In each zone, of both kinds together.
+  int max = 0;
+  Duration boot = 0s;                         // From an order until the engine serves.
+  std::optional<double> spot_price;           // As a share of an ordinary engine's; nothing: there are none.
+  std::map<std::string, double> zone_prices;  // Of an ordinary engine for a second, by zone.
+};
+
 struct Service {
   std::string name;
   std::string health_path;
   int max_connections = 0;  // Per engine, of all callers together; 0: no limit.
   std::optional<LanguageEngineTraits> language;
+  std::optional<ScalingTraits> scaling;
 };
 
 struct IngressLimits {
@@ -69,6 +82,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   IngressLimits limits;
+  bool requires_keys = false;  // Callers name their tenant by a key.
+  std::vector<Tenant> tenants;
 
   // Returns the route for the host and path: of those for the host, the one
   // with the longest prefix that begins the path; nullptr where there is none.
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -1,6 +1,7 @@
 #include "src/core/serving/serving_core.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -30,9 +31,10 @@
 void ServingCore::On(const ConfigurationChanged& event) {
   if (config_ && event.config.version <= config_->version) return;
   config_ = event.config;
+  tenants_ = TenantDirectory(config_->tenants);
   Log(EventId::kConfigInForce, nullptr,
-      fmt::format(R"("version":{},"routes":{},"services":{})", config_->version, config_->routes.size(),
-                  config_->services.size()));
+      fmt::format(R"("version":{},"routes":{},"services":{},"tenants":{},"keys":{})", config_->version,
+                  config_->routes.size(), config_->services.size(), config_->tenants.size(), tenants_.key_count()));
 }
 
 void ServingCore::On(const EnginesReplaced& event) {
@@ -162,6 +164,7 @@
     return store_contact_ ? Fail(flow, kNotFound, "no route") : Refuse(flow, "no route known, store not heard");
   }
   flow.route = *route;
+  if (!Authenticate(flow)) return;
   flow.service = ChooseService(*route);
   const Service* service = config_->FindService(flow.service);
   flow.language = service != nullptr && service->language && flow.facts.prompt;
@@ -175,6 +178,36 @@
   Advance(flow);
 }
 
+bool ServingCore::Authenticate(Flow& flow) {
+  constexpr int kUnauthorized = 401;
+  const std::string key = std::exchange(flow.facts.api_key, "");
+  if (!config_->requires_keys) return true;
+  if (key.empty() && flow.route.allows_anonymous) return true;
+  const Tenant* tenant = tenants_.FindByKey(key);
+  if (tenant != nullptr) {
+    flow.tenant = tenant->name;
+    flow.route.priority = tenant->priority.value_or(flow.route.priority);
+    return true;
+  }
+  // A key may have been handed out since this node last heard of the configuration; a missing one never helps.
+  if (key.empty()) {
+    Fail(flow, kUnauthorized, "no key");
+  } else if (store_contact_) {
+    Fail(flow, kUnauthorized, "unknown key");
+  } else {
+    Refuse(flow, "unknown key, store not heard");
+  }
+  return false;
+}
+
+// A language engine begins with the first token, which is in its answer's head; others begin when a request reaches
+// them, and answer when they are done.
+void ServingCore::CountRun(Flow& flow, const Attempt& attempt) {
+  if (flow.counted || flow.tenant.empty() || attempt.mode == AttemptMode::kPrefill) return;
+  flow.counted = true;
+  actions_->push_back(RunBegan{flow.tenant, flow.language ? now_ : attempt.sent_at});
+}
+
 void ServingCore::On(const ClientLeft& event) {
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr) return;
@@ -200,6 +233,7 @@
     const bool time_ran_out = event.answer.status == kGatewayTimeout && now_ + kEndTolerance >= flow->ends;
     const bool failed = event.answer.status >= kFirstError && !time_ran_out;
     LogStanding(engines_.NoteAnswer(attempt.engine_id, failed, now_));
+    CountRun(*flow, attempt);
   }
   const bool begins = flow->route.kind == RouteKind::kStreaming && attempt.mode != AttemptMode::kPrefill &&
                       event.answer.status < kFirstRedirect && event.answer.signed_by_engine;
@@ -233,6 +267,8 @@
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
   const Attempt attempt = flow->attempts[event.attempt];
+  // An answer that was lost had mostly been made; a prompt that is lost had mostly not come to its first token.
+  if (event.failure != AttemptFailure::kNotSent && !flow->language) CountRun(*flow, attempt);
   EndAttempt(*flow, event.attempt);
   const EngineState* engine = engines_.Find(attempt.engine_id);
   const bool unreached = event.failure == AttemptFailure::kNotSent;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -48,6 +48,7 @@
   RequestFacts facts;
   Route route;  // As it was when the request came.
   std::string service;
+  std::string tenant;  // Empty: an anonymous caller's.
   bool language = false;
   Time arrived{};
   Time ends{};
@@ -69,6 +70,7 @@
   double worth = 0;              // Against the mean of its route; 0: not known yet.
   bool reading_metered = false;  // Its reading is in the measured demand.
   std::optional<Time> read_at;   // When its prompt had been read apart.
+  bool counted = false;          // For its tenant's usage.
 };
 
 // What a service's prompts wait for, and what was learned of them.
@@ -197,6 +199,11 @@
   // Tells the selector what other nodes have started meanwhile, as far as it may be guessed.
   void GuessUnseen(const std::string& service);
   std::string ChooseService(const Route& route);
+  // Finds out whose request it is; false: it was answered, for its key opens nothing.
+  bool Authenticate(Flow& flow);
+  // The attempt has run, or may have: the request counts as its tenant's usage, once.
+  void CountRun(Flow& flow, const Attempt& attempt);
+  void MeterStart(Flow& flow, const Attempt& attempt);
   void MeterEnd(const Flow& flow, const Attempt& attempt);
 
   ServingKnobs knobs_;
@@ -205,6 +212,7 @@
   RetryAllowance allowance_;
   Random random_;
   std::optional<ServingConfig> config_;
+  TenantDirectory tenants_;                    // Of config_.
   std::map<std::string, DemandMeter> demand_;  // By service.
   bool heard_engines_ = false;
   bool store_contact_ = false;
--- /dev/null
+++ b/src/duties/capacity_controller.cc
@@ -0,0 +1,210 @@
+#include "saltquay/duties/capacity_controller.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace saltquay::duties {
+
+namespace {
+
+EnginesByZone count_engines(serving::EngineDirectory const& engines, serving::Service const& service)
+{
+    EnginesByZone counts;
+    for (auto const& [zone, price] : service.scaling->zone_prices)
+        counts[zone] = {};
+    for (auto const& [id, engine] : engines.all()) {
+        auto const& record = engine.record;
+        if (record.service != service.name || engine.gone || record.leaving)
+            continue;
+        auto& count = counts[record.zone];
+        ++(record.spot ? count.spot : count.ordinary);
+    }
+    return counts;
+}
+
+int spot_total(EnginesByZone const& zones)
+{
+    auto sum = 0;
+    for (auto const& [zone, engines] : zones)
+        sum += engines.spot;
+    return sum;
+}
+
+int total(EnginesByZone const& zones)
+{
+    auto sum = 0;
+    for (auto const& [zone, engines] : zones)
+        sum += engines.all();
+    return sum;
+}
+
+}
+
+void CapacityController::step(Time now, bool holds, std::int64_t tenure, serving::ServingConfig const& config,
+    std::map<std::string, serving::ServiceDemand> const& demand, serving::EngineDirectory const& engines,
+    std::vector<CapacityAction>& actions)
+{
+    if (!holds || now < next_step_)
+        return;
+    if (tenure != tenure_) {
+        orders_.clear();
+        services_.clear();
+    }
+    tenure_ = tenure;
+    next_step_ = now + knobs_.interval;
+    orders_left_ = knobs_.most_orders;
+    for (auto const& service : config.services) {
+        if (!service.scaling || service.scaling->zone_prices.empty())
+            continue;
+        auto const known = demand.find(service.name);
+        auto const asked = known == demand.end() ? serving::ServiceDemand { service.name } : known->second;
+        plan(now, service, asked, count_engines(engines, service), actions);
+    }
+}
+
+// Before anything is known of the demand, who set the service up knew best.
+void CapacityController::settle(Time now, ServiceState& state, EnginesByZone const& present, bool idle) const
+{
+    if (state.settled)
+        return;
+    if (state.first_spot < 0) {
+        state.first_spot = spot_total(present);
+        state.first_seen = state.seen_since = now;
+    }
+    auto const seen = total(present) - spot_total(present) + state.first_spot;
+    if (seen != state.seen)
+        state.seen_since = now;
+    state.seen = seen;
+    auto const factor = idle ? knobs_.planner.cold_factor : 1.0;
+    state.wanted = std::max(state.wanted, static_cast<int>(std::ceil(factor * seen)));
+    state.low_since = now;
+    state.settled =
+        now - state.seen_since >= knobs_.rest || now - state.first_seen >= knobs_.longest_rests * knobs_.rest;
+}
+
+int CapacityController::update_wanted(
+    Time now, serving::Service const& service, serving::ServiceDemand const& asked, EnginesByZone const& present)
+{
+    auto& state = services_[service.name];
+    auto const needed = engines_wanted(knobs_.planner, asked, *service.scaling, present.size());
+    settle(now, state, present, is_idle(asked));
+    if (needed > knobs_.planner.shrink_below * state.wanted) {
+        state.low_since = now;
+        state.peak = 0;
+    }
+    state.peak = std::max(state.peak, static_cast<double>(needed));
+    if (needed > knobs_.growth_step * state.wanted)
+        state.wanted = needed;
+    if (now - state.low_since >= knobs_.planner.shrink_after) {
+        state.wanted = std::max(1, static_cast<int>(state.peak));
+        state.low_since = now;
+        state.peak = 0;
+    }
+    return needed;
+}
+
+bool CapacityController::is_idle(serving::ServiceDemand const& asked) const
+{
+    return asked.prefill_engines + asked.decode_engines < knobs_.planner.idle_demand;
+}
+
+void CapacityController::plan(Time now, serving::Service const& service, serving::ServiceDemand const& asked,
+    EnginesByZone const& present, std::vector<CapacityAction>& actions)
+{
+    auto const needed = update_wanted(now, service, asked, present);
+    auto& state = services_[service.name];
+    auto const target = share_out(knobs_.planner, *service.scaling, state.wanted);
+    auto const idle = is_idle(asked);
+    // Until spot engines come back, ordinary ones fill what the demand itself needs.
+    auto const busy = asked.prefill_engines + asked.decode_engines;
+    auto const missing = static_cast<int>(std::ceil(knobs_.planner.headroom * busy)) - total(present);
+    if (now >= state.next_log) {
+        state.next_log = now + knobs_.log_interval;
+        actions.push_back(LogCapacity { EventId::kCapacityPlan,
+            fmt::format(
+                R"("service":"{}","engines":{},"wanted":{},"needed":{},"prefill_demand":{:.1f},"decode_demand":{:.1f})",
+                service.name, total(present), state.wanted, needed, asked.prefill_engines, asked.decode_engines) });
+    }
+    auto const may_exchange = state.settled && (idle || now >= state.next_exchange);
+    if (may_exchange)
+        state.next_exchange = now + knobs_.planner.exchange_pause;
+    for (auto const& [zone, engines] : target) {
+        auto const there = present.find(zone);
+        auto const now_there = there == present.end() ? ZoneEngines {} : there->second;
+        plan_zone(now, { service, zone, engines, now_there, idle, state.settled, may_exchange, missing }, actions);
+    }
+}
+
+void CapacityController::plan_zone(Time now, ZonePlan const& plan, std::vector<CapacityAction>& actions)
+{
+    auto const& name = plan.service.name;
+    auto const most = plan.service.scaling->max;
+    if (plan.service.scaling->spot_price) {
+        auto const room = std::max(0, most - plan.present.ordinary);
+        order(now, { name, plan.zone, std::min(plan.target.spot, room), true }, plan, actions);
+    }
+    // An order replaces the number that the platform keeps: one for some more than are known yet would send the others
+    // away.
+    if (!plan.settled)
+        return;
+    auto ordinary = plan.target.ordinary;
+    if (plan.missing > 0 && is_unavailable({ name, plan.zone, true }))
+        ordinary = std::min(most, plan.present.ordinary + plan.missing);
+    if (ordinary < plan.present.ordinary) {
+        if (!plan.may_exchange)
+            return;
+        // Only what others serve for may go, and under load little at a time.
+        auto const spare = std::max(0, plan.present.all() - plan.target.all());
+        auto const step = std::max(1, static_cast<int>(knobs_.planner.exchange_share * plan.present.all()));
+        auto const leaving = std::min(spare, plan.idle ? spare : step);
+        ordinary = std::max(ordinary, plan.present.ordinary - leaving);
+    }
+    order(now, { name, plan.zone, ordinary, false }, plan, actions);
+}
+
+bool CapacityController::is_unavailable(Lot const& lot) const
+{
+    auto const entry = orders_.find(lot);
+    return entry != orders_.end() && entry->second.unavailable;
+}
+
+void CapacityController::order(
+    Time now, EngineOrder const& order, ZonePlan const& plan, std::vector<CapacityAction>& actions)
+{
+    auto const present = order.spot ? plan.present.spot : plan.present.ordinary;
+    Lot const lot { order.service, order.zone, order.spot };
+    auto entry = orders_.find(lot);
+    if (entry == orders_.end()) {
+        if (order.engines == present)
+            return;
+        entry = orders_.emplace(lot, Order { present, Time {}, false, Time {}, false }).first;
+    }
+    auto& last = entry->second;
+    auto const same = order.engines == last.engines && now < last.at + plan.service.scaling->boot + knobs_.order_slack;
+    auto const satisfied = order.engines == last.engines && order.engines == present;
+    if (last.under_way || now < last.not_before || same || satisfied || orders_left_ <= 0)
+        return;
+    --orders_left_;
+    last.under_way = true;
+    last.engines = order.engines;
+    last.at = now;
+    actions.push_back(order);
+}
+
+void CapacityController::on_ordered(Time now, EngineOrder const& order, DutyOutcome outcome)
+{
+    auto const entry = orders_.find(Lot { order.service, order.zone, order.spot });
+    if (entry == orders_.end())
+        return;
+    auto& last = entry->second;
+    last.under_way = false;
+    last.unavailable = outcome == DutyOutcome::Refused;
+    if (outcome == DutyOutcome::Done)
+        return;
+    last.at = Time {}; // It is still to be ordered.
+    last.not_before = now + (outcome == DutyOutcome::Refused ? knobs_.unavailable_pause : knobs_.unknown_pause);
+}
+
+}
--- /dev/null
+++ b/src/duties/capacity_planner.cc
@@ -0,0 +1,36 @@
+#include "saltquay/duties/capacity_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace saltquay::duties {
+
+int engines_wanted(CapacityKnobs const& knobs, serving::ServiceDemand const& demand,
+    serving::ScalingTraits const& scaling, std::size_t zones)
+{
+    constexpr double least_left = 0.1;
+    auto const zone_share = scaling.spot_price && zones > 1 ? 1.0 / static_cast<double>(zones) : 0.0;
+    auto const left = std::max(least_left, 1 - zone_share - knobs.failing_share);
+    auto const busy = demand.prefill_engines + demand.decode_engines;
+    return static_cast<int>(std::ceil(knobs.headroom * busy / left));
+}
+
+EnginesByZone share_out(CapacityKnobs const& knobs, serving::ScalingTraits const& scaling, int engines)
+{
+    std::vector<std::pair<double, std::string>> zones;
+    for (auto const& [zone, price] : scaling.zone_prices)
+        zones.emplace_back(price, zone);
+    std::sort(zones.begin(), zones.end());
+    EnginesByZone shares;
+    auto left = engines;
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+        auto const others = static_cast<int>(zones.size() - i);
+        auto const share = std::clamp((left + others - 1) / others, scaling.min, scaling.max);
+        left = std::max(0, left - share);
+        auto const ordinary = scaling.spot_price ? static_cast<int>(std::ceil(knobs.ordinary_share * share)) : share;
+        shares[zones[i].second] = { ordinary, share - ordinary };
+    }
+    return shares;
+}
+
+}
--- /dev/null
+++ b/src/duties/fleet_clock.cc
@@ -0,0 +1,53 @@
+#include "saltquay/duties/fleet_clock.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace saltquay::duties {
+
+namespace {
+
+// In a large fleet a node hears some ten peers itself in this time; a clock drifts by far less than a millisecond.
+constexpr Duration sample_memory = 15s;
+
+std::chrono::milliseconds offset_of(Time now, WallTime wall)
+{
+    return wall.time_since_epoch() - std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+}
+
+}
+
+void FleetClock::note_own(Time now, WallTime wall)
+{
+    own_offset_ = offset_of(now, wall);
+    std::erase_if(peers_, [&](auto const& entry) { return now - entry.second.at > sample_memory; });
+}
+
+void FleetClock::note_peer(std::string_view node, Time now, WallTime wall)
+{
+    auto entry = peers_.find(node);
+    if (entry == peers_.end())
+        entry = peers_.emplace(std::string(node), Sample {}).first;
+    entry->second = { offset_of(now, wall), now };
+}
+
+std::chrono::milliseconds FleetClock::median_offset(Time now) const
+{
+    std::vector<std::chrono::milliseconds> offsets { own_offset_ };
+    for (auto const& [node, sample] : peers_) {
+        if (now - sample.at <= sample_memory)
+            offsets.push_back(sample.offset);
+    }
+    auto const middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+    std::nth_element(offsets.begin(), middle, offsets.end());
+    return *middle;
+}
+
+WallTime FleetClock::at(Time now) const
+{
+    return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) + median_offset(now));
+}
+
+std::chrono::milliseconds FleetClock::own_error(Time now) const { return own_offset_ - median_offset(now); }
+
+}
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -17,28 +17,13 @@
 constexpr std::uint64_t kGreetedReports = 3;
 constexpr std::chrono::milliseconds kEngineCallTimeout{600};
 constexpr std::chrono::milliseconds kEngineConnect{200};
-constexpr std::string_view kLeaseKind = "saltquay-leases";
-constexpr std::string_view kLeaseName = "engine-roles";
+// The lease is renewed while it is still good for an order and its way.
+constexpr Duration kLeaseMargin = 400ms;
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
 constexpr int kPreconditionFailed = 412;
 
-std::string EncodeLease(const serving::LeaseRecord& record) {
-  return nlohmann::json{{"holder", record.holder}, {"nonce", record.nonce}}.dump();
-}
-
-// A record that does not decode is somebody's all the same: it is waited out.
-serving::LeaseRecord DecodeLease(const StoredObject& object) {
-  serving::LeaseRecord record;
-  record.revision = object.revision;
-  const nlohmann::json content = nlohmann::json::parse(object.content, nullptr, false);
-  if (!content.is_object()) return record;
-  record.holder = content.value("holder", "");
-  record.nonce = content.value("nonce", std::uint64_t{0});
-  return record;
-}
-
 serving::OrderOutcome ToOutcome(const absl::StatusOr<fetch::Reply>& reply) {
   if (absl::IsDeadlineExceeded(reply.status())) return serving::OrderOutcome::kUnknown;
   const int status = reply.ok() ? reply->status : 0;
@@ -57,16 +42,21 @@
 
 serving::RoleControllerKnobs RoleKnobs(const GatewaySettings& settings) {
   serving::RoleControllerKnobs knobs;
-  knobs.lease.lease = settings.lease;
   knobs.planner.initial_prefill_share = settings.initial_prefill_share;
   return knobs;
 }
 
+serving::DutyLeaseTimes LeaseTimes(const GatewaySettings& settings) {
+  serving::DutyLeaseTimes times;
+  times.lease = settings.lease;
+  return times;
+}
+
 }  // namespace
 
 Coordination::Coordination(boost::asio::io_context& loop, const GatewaySettings& settings,
                            const EngineProtocol& protocol, Gateway& gateway, replica::RelayedStore& store,
-                           std::uint64_t seed)
+                           DutyApi* duty_api, std::uint64_t seed)
     : loop_(loop),
       settings_(settings),
       protocol_(protocol),
@@ -76,9 +66,14 @@
       peers_(settings.node_name),
       fleet_(DigestKnobs(),
              serving::PeerNode{settings.node_name, settings.peer_listen, settings.zone, settings.link_mbps, false}),
-      roles_(RoleKnobs(settings), settings.node_name, seed, gateway.Now()),
-      timer_(loop),
-      boot_(static_cast<std::uint64_t>(UnixMilliseconds())) {}
+      boot_(static_cast<std::uint64_t>(UnixMilliseconds())),
+      lease_(settings.node_name, settings.peer_listen, LeaseTimes(settings), seed, gateway.Now()),
+      lease_client_(gateway, store, lease_),
+      roles_(RoleKnobs(settings), lease_, gateway.Now()),
+      duties_(settings, gateway, store, duty_api, lease_, boot_),
+      timer_(loop) {
+  gateway.on_run_began = [this](const serving::RunBegan& run) { duties_.OnRunBegan(run); };
+}
 
 absl::Status Coordination::Start() {
   Tick();
@@ -102,6 +97,9 @@
 
 void Coordination::BeginStop() {
   stopping_ = true;
+  lease_client_.GiveUp([this] {
+    if (exchange_ != nullptr) exchange_->SendNow();
+  });
   if (exchange_ != nullptr) exchange_->SendNow();
 }
 
@@ -121,6 +119,8 @@
   report.zone = settings_.zone;
   report.link_mbps = settings_.link_mbps;
   report.records = store_.marks();
+  report.lease = OwnLeaseMark();
+  report.wall_ms = UnixMilliseconds();
 }
 
 std::vector<serving::PeerNode> Coordination::Members() const {
@@ -130,6 +130,9 @@
 
 void Coordination::OnReport(const serving::PeerReport& report) {
   const Time now = gateway_.Now();
+  if (report.scope == serving::ReportScope::kUsage) return duties_.OnUsage(report);
+  duties_.OnClock(report);
+  NoteLease(report.lease);
   if (report.scope != serving::ReportScope::kNode) {
     peers_.NoteNamed(report, now);
     if (fleet_.Note(report, now)) TellCore(report.kept);
@@ -217,20 +220,54 @@
   }
   UpdateStorePeers();
   ExchangeDigests();
+  const std::vector<serving::PeerNode> members = Members();
   const std::optional<serving::ServingConfig>& config = gateway_.core().config();
+  std::map<std::string, serving::ServiceDemand> demand;
+  if (config) demand = TotalDemand(gateway_.Now());
   if (config && settings_.changes_roles) {
-    const bool may_plan = !stopping_ && store_contact_ && gateway_.core().ready();
-    const bool candidate = may_plan && peers_.OwnNameIsLeast(Members());
     std::vector<serving::RoleAction> actions;
-    roles_.OnTick(gateway_.Now(), candidate, *config, TotalDemand(gateway_.Now()), gateway_.core().engines(), actions);
+    roles_.OnTick(gateway_.Now(), IsCandidate(), *config, demand, gateway_.core().engines(), actions);
     Carry(actions);
   }
+  duties_.Tick(members, demand, [this](const std::vector<serving::FleetMessage>& messages) {
+    if (exchange_ != nullptr) exchange_->Send(messages);
+  });
+  StepLease(members);
+  gateway_.metrics().SetLeader(lease_.MayOrder(gateway_.Now()));
   timer_.expires_after(kTick);
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) Tick();
   });
 }
 
+// Where there are duties, who holds the lease also plans the engines' roles; elsewhere the lease is only taken for
+// orders, by one node that all agree on.
+bool Coordination::IsCandidate() {
+  const bool may_plan = !stopping_ && store_contact_ && gateway_.core().ready();
+  if (!may_plan) return false;
+  return duties_.any() ? lease_.MayOrder(gateway_.Now()) : peers_.OwnNameIsLeast(Members());
+}
+
+void Coordination::StepLease(const std::vector<serving::PeerNode>& members) {
+  const Time now = gateway_.Now();
+  if (!duties_.any()) {
+    if (lease_.wanted(now)) lease_client_.Step(kLeaseMargin, 0);
+    return;
+  }
+  // Who hears no peers gets no counts from them: in a fleet of many, it leaves the duties to others.
+  const bool hears_peers = !fleet_.IsLarge(peers_.Nodes()) || fleet_.View(now) != nullptr;
+  if (!stopping_ && store_contact_ && hears_peers) lease_client_.Step(kLeaseMargin, duties_.RankOf(members));
+}
+
+serving::LeaseMark Coordination::OwnLeaseMark() const {
+  const serving::LeaseRecord& record = lease_.known();
+  return {record.holder, record.address, record.revision};
+}
+
+void Coordination::NoteLease(const serving::LeaseMark& mark) {
+  if (mark.revision > 0) lease_.OnHeard({mark.holder, mark.address, 0, 0, mark.revision}, gateway_.Now());
+}
+
 std::map<std::string, serving::ServiceDemand> Coordination::TotalDemand(Time now) {
   std::map<std::string, serving::ServiceDemand> total;
   for (const serving::ServiceDemand& own : gateway_.core().OwnDemand(now)) total[own.service] = own;
@@ -250,29 +287,6 @@
   for (const serving::RoleAction& action : actions) {
     std::visit([this](const auto& typed) { CarryOne(typed); }, action);
   }
-  gateway_.metrics().SetLeader(roles_.leads(gateway_.Now()));
-}
-
-void Coordination::CarryOne(const serving::ReadLease& /*action*/) {
-  store_.Read(std::string(kLeaseKind), std::string(kLeaseName), [this](const absl::StatusOr<StoredObject>& object) {
-    if (object.ok()) return roles_.OnLeaseRead(gateway_.Now(), DecodeLease(*object));
-    if (absl::IsNotFound(object.status())) return roles_.OnLeaseRead(gateway_.Now(), serving::LeaseRecord{});
-    roles_.OnLeaseReadFailed(gateway_.Now());
-  });
-}
-
-void Coordination::CarryOne(const serving::WriteLease& action) {
-  const StoredObject object{std::string(kLeaseName), action.record.revision, EncodeLease(action.record)};
-  store_.Write(std::string(kLeaseKind), object, [this](const absl::StatusOr<StoredObject>& written) {
-    if (written.ok()) {
-      gateway_.Log(EventId::kLeaseAcquired, "", fmt::format(R"("token":{})", written->revision));
-      return roles_.OnLeaseWritten(written->revision);
-    }
-    const bool settled = !absl::IsDeadlineExceeded(written.status());
-    gateway_.Log(EventId::kLeaseLost, "",
-                 fmt::format(R"("cause":"{}","settled":{})", EscapeJson(MessageOf(written.status())), settled));
-    roles_.OnLeaseWriteFailed(gateway_.Now(), settled);
-  });
 }
 
 void Coordination::CarryOne(const serving::ReadEngineState& action) {
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -1,6 +1,6 @@
 // What nodes do together: reports between peers, and role changes of engines
-// under one lease. Drives PeerTable and RoleController with sockets and the
-// store; see src/core/serving for the protocols.
+// and duties toward the platform under one lease. Drives PeerTable and RoleController with sockets
+// and the store; see src/core/serving for the protocols.
 #pragma once
 
 #include <map>
@@ -13,6 +13,7 @@
 #include "saltquay/replica/relayed_store.h"
 #include "src/core/serving/fleet_exchange.h"
 #include "src/core/serving/role_controller.h"
+#include "src/gateway/duties.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/peer_exchange.h"
 
@@ -21,7 +22,7 @@
 class Coordination {
  public:
   Coordination(boost::asio::io_context& loop, const GatewaySettings& settings, const EngineProtocol& protocol,
-               Gateway& gateway, replica::RelayedStore& store, std::uint64_t seed);
+               Gateway& gateway, replica::RelayedStore& store, DutyApi* duty_api, std::uint64_t seed);
 
   absl::Status Start();
   // This node stops: it plans no more, and tells its peers.
@@ -44,9 +45,12 @@
   // Nodes that count as members: heard, in a large fleet also those that others named.
   std::vector<serving::PeerNode> Members() const;
   std::map<std::string, serving::ServiceDemand> TotalDemand(Time now);
+  // Whether this node may be the one that acts for all.
+  bool IsCandidate();
+  void StepLease(const std::vector<serving::PeerNode>& members);
+  serving::LeaseMark OwnLeaseMark() const;
+  void NoteLease(const serving::LeaseMark& mark);
   void Carry(const std::vector<serving::RoleAction>& actions);
-  void CarryOne(const serving::ReadLease& action);
-  void CarryOne(const serving::WriteLease& action);
   void CarryOne(const serving::ReadEngineState& action);
   void CarryOne(const serving::SendStageOrder& action);
   void CarryOne(const serving::AnnounceHolds& action);
@@ -62,10 +66,13 @@
   fetch::Fetcher fetcher_;
   serving::PeerTable peers_;
   serving::FleetExchange fleet_;
+  std::uint64_t boot_;  // When this life began; orders it among this node's lives.
+  serving::DutyLease lease_;
+  LeaseClient lease_client_;
   serving::RoleController roles_;
+  Duties duties_;
   std::unique_ptr<PeerExchange> exchange_;
   boost::asio::steady_timer timer_;
-  std::uint64_t boot_;
   std::uint64_t sequence_ = 0;
   Time next_digests_{};
   std::set<std::string> refused_senders_;
--- /dev/null
+++ b/src/gateway/duties.cc
@@ -0,0 +1,247 @@
+#include "src/gateway/duties.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "src/core/serving/node_ranking.h"
+#include "src/gateway/usage_codec.h"
+
+namespace saltquay::gateway {
+namespace {
+
+constexpr std::string_view kUsageKind = "saltquay-usage";
+constexpr std::string_view kUsageName = "reports";
+// What a call needs of the lease: its way to the platform.
+constexpr Duration kCallTime = 200ms;
+// A count that changed is told in three messages in a row, for datagrams may be lost.
+constexpr Duration kChangeTold = 300ms;
+constexpr Duration kFullInterval = 1s;
+// About 3 KB: two frames.
+constexpr std::size_t kCountsInMessage = 120;
+// After a window's end a node may still learn of a request that began in it: answers take some tens of milliseconds.
+constexpr std::chrono::milliseconds kStragglers{500};
+// Windows before the present one for which counts are kept: until the latest holder has reported them.
+constexpr std::int64_t kKeptWindows = 8;
+
+std::string_view OutcomeName(duties::DutyOutcome outcome) {
+  switch (outcome) {
+    case duties::DutyOutcome::Done:
+      return "done";
+    case duties::DutyOutcome::Fenced:
+      return "fenced";
+    case duties::DutyOutcome::Refused:
+      return "refused";
+    case duties::DutyOutcome::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+Duties::Duties(const GatewaySettings& settings, Gateway& gateway, ObjectStore& store, DutyApi* api,
+               serving::DutyLease& lease, std::uint64_t boot)
+    : settings_(settings),
+      gateway_(gateway),
+      store_(store),
+      api_(api),
+      lease_(lease),
+      boot_(boot),
+      windows_(settings.duties.report_window),
+      counter_(windows_),
+      table_(duties::UsageTableKnobs{}, gateway.Now()),
+      reporter_(duties::UsageReporterKnobs{}, windows_),
+      capacity_(duties::CapacityControllerKnobs{}) {}
+
+void Duties::OnRunBegan(const serving::RunBegan& run) {
+  if (!any() || run.tenant.empty()) return;
+  counter_.note(run.tenant, clock_.at(run.began), gateway_.Now());
+}
+
+void Duties::OnUsage(const serving::PeerReport& report) {
+  table_.note(report, gateway_.Now());
+  OnClock(report);
+}
+
+void Duties::OnClock(const serving::PeerReport& report) {
+  if (report.wall_ms > 0) {
+    clock_.note_peer(report.node, gateway_.Now(), duties::WallTime(std::chrono::milliseconds(report.wall_ms)));
+  }
+}
+
+int Duties::RankOf(const std::vector<serving::PeerNode>& members) const {
+  const serving::PeerNode self{settings_.node_name, settings_.peer_listen, settings_.zone, settings_.link_mbps, false};
+  const std::vector<serving::RankedNode> ranked = serving::RankNodes(self, members);
+  const auto own = std::find_if(ranked.begin(), ranked.end(),
+                                [&](const serving::RankedNode& node) { return node.node->node == self.node; });
+  return static_cast<int>(own - ranked.begin());
+}
+
+void Duties::Tick(const std::vector<serving::PeerNode>& members,
+                  const std::map<std::string, serving::ServiceDemand>& demand, const SendMessages& send) {
+  const Time now = gateway_.Now();
+  clock_.note_own(now, duties::WallTime(std::chrono::milliseconds(UnixMilliseconds())));
+  if (!any()) return;
+  const std::int64_t window = windows_.number_at(clock_.at(now));
+  if (first_window_ == 0) first_window_ = window;
+  counter_.forget_before(window - kKeptWindows);
+  table_.forget(now, window - kKeptWindows);
+  if (settings_.duties.reports_usage) {
+    TellUsage(members, send);
+    StepUsage();
+  }
+  if (settings_.duties.orders_engines) StepCapacity(demand);
+  gateway_.metrics().SetDuties(static_cast<double>(reporter_.sealed_through().value_or(0)),
+                               static_cast<double>(reporter_.unsent()),
+                               ToSeconds(std::chrono::duration_cast<Duration>(clock_.own_error(now))));
+}
+
+std::int64_t Duties::ClosedThrough() const { return windows_.number_at(clock_.at(gateway_.Now()) - kStragglers) - 1; }
+
+std::vector<serving::PeerReport> Duties::OwnUsage(std::vector<duties::UsageCount> counts) const {
+  std::vector<serving::PeerReport> reports;
+  serving::PeerReport report;
+  report.scope = serving::ReportScope::kUsage;
+  report.node = settings_.node_name;
+  report.address = settings_.peer_listen;
+  report.boot = boot_;
+  report.wall_ms = UnixMilliseconds();
+  report.closed_through = ClosedThrough();
+  std::size_t first = 0;
+  do {
+    const std::size_t last = std::min(counts.size(), first + kCountsInMessage);
+    report.usage.assign(counts.begin() + static_cast<std::ptrdiff_t>(first),
+                        counts.begin() + static_cast<std::ptrdiff_t>(last));
+    // Only the last message says that nothing is missing.
+    serving::PeerReport part = report;
+    if (last < counts.size()) part.closed_through = 0;
+    reports.push_back(std::move(part));
+    first = last;
+  } while (first < counts.size());
+  return reports;
+}
+
+// The holder, and the first node that would take its place.
+std::vector<std::string> Duties::Receivers(const std::vector<serving::PeerNode>& members) const {
+  std::vector<std::string> addresses;
+  const serving::LeaseRecord& holder = lease_.known();
+  if (!holder.address.empty() && holder.address != settings_.peer_listen) addresses.push_back(holder.address);
+  const serving::PeerNode self{settings_.node_name, settings_.peer_listen, settings_.zone, settings_.link_mbps, false};
+  for (const serving::RankedNode& next : serving::RankNodes(self, members)) {
+    if (next.node->node == holder.holder) continue;
+    if (next.node->node != self.node) addresses.push_back(next.node->address);
+    break;
+  }
+  return addresses;
+}
+
+void Duties::TellUsage(const std::vector<serving::PeerNode>& members, const SendMessages& send) {
+  const Time now = gateway_.Now();
+  const std::string holder = lease_.known().address;
+  const bool new_holder = !holder.empty() && holder != told_holder_;
+  const bool full = new_holder || now >= next_full_;
+  if (full) next_full_ = now + kFullInterval;
+  std::vector<duties::UsageCount> counts = full ? counter_.all() : counter_.changed_since(now - kChangeTold);
+  if (counts.empty() && !full) return;
+  std::vector<serving::FleetMessage> messages;
+  const std::vector<std::string> receivers = Receivers(members);
+  for (serving::PeerReport& report : OwnUsage(std::move(counts))) {
+    table_.note(report, now);
+    messages.push_back({receivers, std::move(report)});
+  }
+  if (new_holder) {
+    told_holder_ = holder;
+    // What this node heard of others may be all that is left of nodes that were killed.
+    if (holder != settings_.peer_listen) {
+      for (serving::PeerReport& report : table_.contributions(settings_.node_name, kCountsInMessage)) {
+        if (!report.usage.empty()) messages.push_back({{holder}, std::move(report)});
+      }
+    }
+  }
+  send(messages);
+}
+
+void Duties::StepUsage() {
+  const Time now = gateway_.Now();
+  const bool holds = lease_.MayOrder(now, kCallTime);
+  const bool leads = lease_.MayOrder(now);
+  // Until it was the holder, only some nodes told it what they counted.
+  if (leads && !held_) table_.begin_round(now);
+  held_ = leads;
+  duties::UsageActions actions;
+  reporter_.step(now, clock_.at(now), holds, lease_.token(), first_window_, table_, actions);
+  for (const duties::UsageAction& action : actions) {
+    std::visit([this](const auto& typed) { Carry(typed); }, action);
+  }
+}
+
+void Duties::StepCapacity(const std::map<std::string, serving::ServiceDemand>& demand) {
+  const std::optional<serving::ServingConfig>& config = gateway_.core().config();
+  if (!config || !gateway_.core().ready()) return;
+  std::vector<duties::CapacityAction> actions;
+  capacity_.step(gateway_.Now(), lease_.MayOrder(gateway_.Now(), kCallTime), lease_.token(), *config, demand,
+                 gateway_.core().engines(), actions);
+  for (const duties::CapacityAction& action : actions) {
+    std::visit([this](const auto& typed) { Carry(typed); }, action);
+  }
+}
+
+void Duties::Carry(const duties::ReadSealedUsage& /*action*/) {
+  store_.Read(std::string(kUsageKind), std::string(kUsageName), [this](const absl::StatusOr<StoredObject>& object) {
+    const Time now = gateway_.Now();
+    if (absl::IsNotFound(object.status())) return reporter_.on_read(now, duties::SealedUsage{});
+    const absl::StatusOr<duties::SealedUsage> sealed =
+        object.ok() ? DecodeSealedUsage(*object) : absl::StatusOr<duties::SealedUsage>(object.status());
+    if (sealed.ok()) return reporter_.on_read(now, *sealed);
+    gateway_.Log(EventId::kUsageNotReported, "",
+                 fmt::format(R"("cause":"{}")", EscapeJson(MessageOf(sealed.status()))));
+    reporter_.on_read(now, std::nullopt);
+  });
+}
+
+void Duties::Carry(const duties::WriteSealedUsage& action) {
+  const StoredObject object{std::string(kUsageName), action.object.revision, EncodeSealedUsage(action.object)};
+  store_.Write(std::string(kUsageKind), object, [this](const absl::StatusOr<StoredObject>& written) {
+    const Time now = gateway_.Now();
+    if (written.ok()) return reporter_.on_written(now, written->revision);
+    gateway_.Log(EventId::kUsageNotReported, "",
+                 fmt::format(R"("cause":"not sealed: {}")", EscapeJson(MessageOf(written.status()))));
+    reporter_.on_write_failed(now);
+  });
+}
+
+void Duties::Carry(const duties::SendUsageReport& action) {
+  const std::int64_t token = lease_.token();
+  api_->ReportUsage(Holder(), action.report, [this, token, window = action.report.window](duties::DutyOutcome outcome) {
+    gateway_.Log(EventId::kUsageReported, "",
+                 fmt::format(R"("window":{},"token":{},"outcome":"{}")", window, token, OutcomeName(outcome)));
+    NoteOutcome(outcome);
+    reporter_.on_sent(gateway_.Now(), window, outcome);
+  });
+}
+
+void Duties::Carry(const duties::LogUsage& action) {
+  gateway_.Log(
+      action.event, "",
+      fmt::format(R"("window":{},"requests":{},"tenants":{},"lives":{},"complete":{},"cause":"{}")", action.window,
+                  action.requests, action.tenants, table_.lives(), action.complete, action.cause));
+}
+
+void Duties::Carry(const duties::EngineOrder& order) {
+  api_->OrderEngines(Holder(), order, [this, order, token = lease_.token()](duties::DutyOutcome outcome) {
+    gateway_.Log(EventId::kEnginesOrdered, "",
+                 fmt::format(R"("service":"{}","zone":"{}","engines":{},"spot":{},"token":{},"outcome":"{}")",
+                             order.service, order.zone, order.engines, order.spot, token, OutcomeName(outcome)));
+    NoteOutcome(outcome);
+    capacity_.on_ordered(gateway_.Now(), order, outcome);
+  });
+}
+
+void Duties::Carry(const duties::LogCapacity& action) { gateway_.Log(action.event, "", action.details); }
+
+void Duties::NoteOutcome(duties::DutyOutcome outcome) {
+  if (outcome == duties::DutyOutcome::Fenced) lease_.OnFenced();
+}
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/duties.h
@@ -0,0 +1,81 @@
+// What one node does for all, under the duties' lease: usage reports to the platform, and orders of engines.
+//
+// Every node counts its own requests by tenant and tells the holder of the lease and the node that would be the next
+// one. Drives the state machines of src/duties with the store, the platform's API and messages between peers.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "saltquay/duties/capacity_controller.h"
+#include "saltquay/duties/fleet_clock.h"
+#include "saltquay/duties/usage_counter.h"
+#include "saltquay/duties/usage_reporter.h"
+#include "saltquay/duties/usage_table.h"
+#include "src/core/serving/fleet_exchange.h"
+#include "src/gateway/duty_api.h"
+#include "src/gateway/lease_client.h"
+
+namespace saltquay::gateway {
+
+class Duties {
+ public:
+  using SendMessages = std::function<void(const std::vector<serving::FleetMessage>&)>;
+
+  // `api`: nullptr where the platform asks for no duties. `boot`: of this life, as its reports tell it.
+  Duties(const GatewaySettings& settings, Gateway& gateway, ObjectStore& store, DutyApi* api, serving::DutyLease& lease,
+         std::uint64_t boot);
+
+  // Whether the lease is held all the time.
+  bool any() const { return api_ != nullptr && (settings_.duties.reports_usage || settings_.duties.orders_engines); }
+
+  // Call it each 100 ms. `members`: the other nodes that are known; `demand`: of all nodes, by service.
+  void Tick(const std::vector<serving::PeerNode>& members, const std::map<std::string, serving::ServiceDemand>& demand,
+            const SendMessages& send);
+  // A tenant's request began to run.
+  void OnRunBegan(const serving::RunBegan& run);
+  // A report of kind kUsage.
+  void OnUsage(const serving::PeerReport& report);
+  // Any other report: what the peer's clock says.
+  void OnClock(const serving::PeerReport& report);
+  // Which nodes go before this one when the lease is to be taken.
+  int RankOf(const std::vector<serving::PeerNode>& members) const;
+
+ private:
+  void TellUsage(const std::vector<serving::PeerNode>& members, const SendMessages& send);
+  std::vector<std::string> Receivers(const std::vector<serving::PeerNode>& members) const;
+  std::vector<serving::PeerReport> OwnUsage(std::vector<duties::UsageCount> counts) const;
+  std::int64_t ClosedThrough() const;
+  void StepUsage();
+  void StepCapacity(const std::map<std::string, serving::ServiceDemand>& demand);
+  void Carry(const duties::ReadSealedUsage& action);
+  void Carry(const duties::WriteSealedUsage& action);
+  void Carry(const duties::SendUsageReport& action);
+  void Carry(const duties::LogUsage& action);
+  void Carry(const duties::EngineOrder& order);
+  void Carry(const duties::LogCapacity& action);
+  DutyHolder Holder() const { return {settings_.node_name, lease_.token()}; }
+  // What an answer says of the lease.
+  void NoteOutcome(duties::DutyOutcome outcome);
+
+  GatewaySettings settings_;
+  Gateway& gateway_;
+  ObjectStore& store_;
+  DutyApi* api_;
+  serving::DutyLease& lease_;
+  std::uint64_t boot_;
+  duties::FleetClock clock_;
+  duties::UsageWindows windows_;
+  duties::UsageCounter counter_;
+  duties::UsageTable table_;
+  duties::UsageReporter reporter_;
+  duties::CapacityController capacity_;
+  std::int64_t first_window_ = 0;
+  std::string told_holder_;  // Address to which everything was told since it holds the lease.
+  bool held_ = false;
+  Time next_full_{};
+};
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/duty_api.h
@@ -0,0 +1,31 @@
+// Calls to the platform that are the duty of one node at a time, as the product sees them.
+//
+// Callbacks run later on the loop's thread, exactly once.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "saltquay/duties/capacity_controller.h"
+#include "saltquay/duties/usage_reporter.h"
+
+namespace saltquay::gateway {
+
+// Who calls, under which fencing token of the duties' lease.
+struct DutyHolder {
+  std::string node;
+  std::int64_t token = 0;
+};
+
+class DutyApi {
+ public:
+  using Done = std::function<void(duties::DutyOutcome)>;
+
+  virtual ~DutyApi() = default;
+
+  virtual void ReportUsage(const DutyHolder& holder, const duties::UsageReport& report, Done done) = 0;
+  virtual void OrderEngines(const DutyHolder& holder, const duties::EngineOrder& order, Done done) = 0;
+};
+
+}  // namespace saltquay::gateway
--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -57,6 +57,7 @@
     if (const auto value = ParseInt(*text)) facts.deadline = std::chrono::milliseconds(std::max(0, *value));
   }
   facts.last_event_id = std::string(head.fields.Find(names_.last_event_id).value_or(""));
+  facts.api_key = std::string(head.fields.Find(names_.api_key).value_or(""));
   const auto counts = head.fields.Find(names_.token_counts);
   if (!counts) return facts;
   serving::PromptFacts prompt;
@@ -83,6 +84,7 @@
   head.fields.Add(names_.deadline_ms, std::to_string(std::max<std::int64_t>(1, left)));
   head.fields.Add(names_.expected_engine, attempt.engine_id);
   head.fields.Add(names_.priority, std::to_string(std::clamp(attempt.priority, 0, 9)));
+  if (!attempt.tenant.empty()) head.fields.Add(names_.tenant, attempt.tenant);
   if (!attempt.last_event_id.empty()) head.fields.Add(names_.last_event_id, attempt.last_event_id);
   if (attempt.mode == serving::AttemptMode::kPrefill) head.fields.Add(names_.stage, names_.stage_prefill);
   if (!attempt.copy_from.empty()) head.fields.Add(names_.copy_source, attempt.copy_from);
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -28,6 +28,8 @@
   std::string stage_decode = "decode";
   std::string memory_source = "Saltquay-Memory-Source";
   std::string copy_source = "Saltquay-Copy-Source";  // Engine that keeps shared parts of the prompt.
+  std::string api_key = "Saltquay-Api-Key";          // Of the caller.
+  std::string tenant = "Saltquay-Tenant";            // Told to engines in place of the key.
   std::string signature = "Saltquay-Signature";
   std::string not_executed = "Saltquay-Not-Executed";
   std::string load = "Saltquay-Load";      // Running, waiting, slots.
@@ -43,9 +45,10 @@
   std::string expected_sequence_member = "expected_sequence";
   std::string sequence_member = "sequence";
   std::string busy_member = "busy";
-  // Fields that only this system may set: never passed on from a client.
-  std::vector<std::string> system_fields = {"Saltquay-Expect-Engine", "Saltquay-Priority", "Saltquay-Stage",
-                                            "Saltquay-Memory-Source", "Saltquay-Copy-Source"};
+  // Fields that only this system may set, and those that are for it alone: never passed on from a client.
+  std::vector<std::string> system_fields = {"Saltquay-Expect-Engine", "Saltquay-Priority",    "Saltquay-Stage",
+                                            "Saltquay-Memory-Source", "Saltquay-Copy-Source", "Saltquay-Api-Key",
+                                            "Saltquay-Tenant"};
 };
 
 class EngineProtocol {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -235,6 +235,8 @@
   if (flow == flows_.end()) return;
   http::ResponseHead head;
   head.status = action.status;
+  constexpr int kUnauthorized = 401;
+  if (action.status == kUnauthorized) head.fields.Add("WWW-Authenticate", "ApiKey");
   if (action.retry_after) {
     head.fields.Add("Retry-After", fmt::format("{:.2f}", ToSeconds(*action.retry_after)));
   }
@@ -264,6 +266,10 @@
                                 http::SerializeRequest(protocol_.MakeRelease(action.memory), ""), options, handlers);
 }
 
+void Gateway::Carry(const serving::RunBegan& action) {
+  if (on_run_began) on_run_began(action);
+}
+
 void Gateway::Carry(const serving::LogDecision& action) { Log(action.event, action.request_id, action.details); }
 
 void Gateway::EndFlow(serving::FlowId id, int status) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 // carries out what the core decides; it decides nothing itself.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,6 +34,9 @@
   void RefuseUnread(const std::shared_ptr<http::Exchange>& exchange, std::string_view cause,
                     std::string_view retry_after);
 
+  // Runs when a tenant's request has begun to run.
+  std::function<void(const serving::RunBegan&)> on_run_began;
+
   serving::ServingCore& core() { return core_; }
   GatewayMetrics& metrics() { return metrics_; }
   std::size_t open_requests() const { return flows_.size(); }
@@ -67,6 +71,7 @@
   void Carry(const serving::AnswerOwn& action);
   void Carry(const serving::BreakOff& action);
   void Carry(const serving::ReleaseMemory& action);
+  void Carry(const serving::RunBegan& action);
   void Carry(const serving::LogDecision& action);
 
   http::CallHandlers MakeHandlers(serving::AttemptId id);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -36,7 +36,10 @@
   engines_ = gauge("saltquay_engines", "Engines known");
   open_requests_ = gauge("saltquay_open_requests", "Requests under way");
   log_dropped_ = gauge("saltquay_log_lines_dropped", "Log lines dropped so far");
-  leader_ = gauge("saltquay_role_leader", "1 while this node holds the role lease");
+  leader_ = gauge("saltquay_role_leader", "1 while this node holds the duties' lease");
+  sealed_window_ = gauge("saltquay_usage_sealed_window", "Last window whose usage report is fixed; 0: not known here");
+  unsent_reports_ = gauge("saltquay_usage_unsent_reports", "Usage reports that are fixed and not taken yet");
+  clock_error_seconds_ = gauge("saltquay_clock_error_seconds", "How far this machine's clock is ahead of the fleet's");
 }
 
 void GatewayMetrics::CountRequest(int status) { requests_->Add({{"status", std::to_string(status)}}).Increment(); }
@@ -56,6 +59,12 @@
   log_dropped_->Set(log_dropped);
 }
 
+void GatewayMetrics::SetDuties(double sealed_window, double unsent_reports, double clock_error_seconds) {
+  sealed_window_->Set(sealed_window);
+  unsent_reports_->Set(unsent_reports);
+  clock_error_seconds_->Set(clock_error_seconds);
+}
+
 std::string GatewayMetrics::Text() const { return prometheus::TextSerializer().Serialize(registry_->Collect()); }
 
 }  // namespace saltquay::gateway
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -27,6 +27,8 @@
   void ObserveStoreCall(double seconds) { store_seconds_->Observe(seconds); }
   void SetState(double config_version, double engines, double open_requests, double log_dropped);
   void SetLeader(bool leads) { leader_->Set(leads ? 1 : 0); }
+  // `clock_error_seconds`: this machine's clock against the fleet's.
+  void SetDuties(double sealed_window, double unsent_reports, double clock_error_seconds);
 
   std::string Text() const;
 
@@ -45,6 +47,9 @@
   prometheus::Gauge* open_requests_;
   prometheus::Gauge* log_dropped_;
   prometheus::Gauge* leader_;
+  prometheus::Gauge* sealed_window_;
+  prometheus::Gauge* unsent_reports_;
+  prometheus::Gauge* clock_error_seconds_;
 };
 
 }  // namespace saltquay::gateway
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -60,7 +60,7 @@
 
 GatewayProcess::GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings,
                                std::string settings_path, const EngineProtocol& protocol, RecordCodec codec,
-                               ObjectStore& store)
+                               ObjectStore& store, DutyApi* duty_api)
     : loop_(loop),
       settings_(settings),
       settings_path_(std::move(settings_path)),
@@ -69,7 +69,7 @@
       relay_(loop, store_),
       log_(LogOptions(settings)),
       gateway_(loop, settings, protocol, log_, RandomSeed()),
-      coordination_(loop, settings, protocol, gateway_, store_, RandomSeed()),
+      coordination_(loop, settings, protocol, gateway_, store_, duty_api, RandomSeed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP),
       stop_timer_(loop) {}
 
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -35,9 +35,9 @@
 
 class GatewayProcess {
  public:
-  // `settings_path` is read again on SIGHUP; empty: never.
+  // `settings_path` is read again on SIGHUP; empty: never. `duty_api`: nullptr where the platform asks for no duties.
   GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings, std::string settings_path,
-                 const EngineProtocol& protocol, RecordCodec codec, ObjectStore& store);
+                 const EngineProtocol& protocol, RecordCodec codec, ObjectStore& store, DutyApi* duty_api = nullptr);
   ~GatewayProcess();
 
   // Binds the addresses and starts watching. Errors name the remedy.
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -58,6 +58,19 @@
   budget.window = FromSeconds(bounds.Number("retry_window_s", 0.1, 3600, 10));
 }
 
+DutySettings ReadDuties(ConfigReader& table) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  DutySettings duties;
+  duties.address = ReadAddress(table, "address", "");
+  for (const std::string& call : table.Strings("calls")) {
+    if (call == "usage") duties.reports_usage = true;
+    if (call == "scaling") duties.orders_engines = true;
+  }
+  duties.report_window = std::chrono::milliseconds(
+      static_cast<std::int64_t>(table.Number("report_window_s", 0.1, 3600, 5) * kMillisecondsPerSecond));
+  return duties;
+}
+
 }  // namespace
 
 absl::StatusOr<GatewaySettings> ParseGatewaySettings(const std::string& text, const std::string& source) {
@@ -80,6 +93,9 @@
   ConfigReader bounds = root.Table("bounds");
   ReadBounds(bounds, settings);
   bounds.RejectUnreadKeys();
+  ConfigReader duties = root.Table("duties");
+  settings.duties = ReadDuties(duties);
+  duties.RejectUnreadKeys();
   ConfigReader policy = root.Table("policy");
   settings.knobs.policy = ReadPolicy(policy);
   settings.changes_roles = policy.Boolean("change_roles", true);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -10,6 +10,14 @@
 
 namespace saltquay::gateway {
 
+// The platform's API for what one node at a time does for all.
+struct DutySettings {
+  std::string address;          // ip:port; empty: there is none.
+  bool reports_usage = false;   // Requests by tenant and window.
+  bool orders_engines = false;  // Of services that may be scaled.
+  std::chrono::milliseconds report_window{5000};
+};
+
 struct GatewaySettings {
   std::string node_name;
   std::string zone;
@@ -25,6 +33,7 @@
   bool first_start = false;  // The whole system starts, for the first time.
   bool changes_roles = true;
   double initial_prefill_share = 0.67;  // Of a service's engines, before demand is known.
+  DutySettings duties;
   int log_lines_per_second = 2000;
   serving::ServingKnobs knobs;
 };
--- /dev/null
+++ b/src/gateway/lease_client.cc
@@ -0,0 +1,77 @@
+#include "src/gateway/lease_client.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace saltquay::gateway {
+namespace {
+
+constexpr std::string_view kLeaseKind = "saltquay-leases";
+constexpr std::string_view kLeaseName = "duties";
+
+std::string EncodeLease(const serving::LeaseRecord& record) {
+  return nlohmann::json{
+      {"holder", record.holder}, {"address", record.address}, {"nonce", record.nonce}, {"token", record.token}}
+      .dump();
+}
+
+// A record that does not decode is somebody's all the same: it is waited out.
+serving::LeaseRecord DecodeLease(const StoredObject& object) {
+  serving::LeaseRecord record;
+  record.holder = "unreadable";
+  record.revision = object.revision;
+  const nlohmann::json content = nlohmann::json::parse(object.content, nullptr, false);
+  if (!content.is_object()) return record;
+  record.holder = content.value("holder", "");
+  record.address = content.value("address", "");
+  record.nonce = content.value("nonce", std::uint64_t{0});
+  record.token = content.value("token", std::int64_t{0});
+  return record;
+}
+
+}  // namespace
+
+void LeaseClient::Step(Duration needed, int rank) {
+  const serving::LeaseStep step = lease_.Next(gateway_.Now(), needed, rank);
+  if (step == serving::LeaseStep::kRead) Read();
+  if (step == serving::LeaseStep::kWrite) Write();
+}
+
+void LeaseClient::Read() {
+  store_.Read(std::string(kLeaseKind), std::string(kLeaseName), [this](const absl::StatusOr<StoredObject>& object) {
+    if (object.ok()) return lease_.OnRead(DecodeLease(*object), gateway_.Now());
+    if (absl::IsNotFound(object.status())) return lease_.OnRead(serving::LeaseRecord{}, gateway_.Now());
+    lease_.OnReadFailed(gateway_.Now());
+  });
+}
+
+void LeaseClient::Write() {
+  const serving::LeaseRecord& draft = lease_.draft();
+  const bool renews = draft.token != 0;
+  const StoredObject object{std::string(kLeaseName), draft.revision, EncodeLease(draft)};
+  store_.Write(std::string(kLeaseKind), object, [this, renews](const absl::StatusOr<StoredObject>& written) {
+    if (written.ok()) {
+      lease_.OnWritten(written->revision);
+      if (renews) return;
+      return gateway_.Log(EventId::kLeaseAcquired, "", fmt::format(R"("token":{})", lease_.token()));
+    }
+    const bool settled = !absl::IsDeadlineExceeded(written.status());
+    gateway_.Log(EventId::kLeaseLost, "",
+                 fmt::format(R"("cause":"{}","settled":{})", EscapeJson(MessageOf(written.status())), settled));
+    lease_.OnWriteFailed(settled, gateway_.Now());
+  });
+}
+
+void LeaseClient::GiveUp(const std::function<void()>& done) {
+  const std::optional<serving::LeaseRecord> record = lease_.GiveUp();
+  if (!record) return;
+  const StoredObject object{std::string(kLeaseName), record->revision, EncodeLease(*record)};
+  store_.Write(std::string(kLeaseKind), object, [this, done](const absl::StatusOr<StoredObject>& written) {
+    if (written.ok()) lease_.OnGivenUp(written->revision, gateway_.Now());
+    const std::string cause = written.ok() ? "given up" : MessageOf(written.status());
+    gateway_.Log(EventId::kLeaseLost, "", fmt::format(R"("cause":"{}","settled":true)", EscapeJson(cause)));
+    done();
+  });
+}
+
+}  // namespace saltquay::gateway
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -10,7 +10,7 @@
 namespace saltquay::gateway {
 namespace {
 
-constexpr std::uint8_t kFormat = 2;
+constexpr std::uint8_t kFormat = 3;
 
 std::string Text(const flatbuffers::String* text) { return text == nullptr ? "" : text->str(); }
 
@@ -33,6 +33,23 @@
   return {serving::EngineKey(work.engine()), work.outstanding(), work.prompt_tokens(), work.answers(), work.failures()};
 }
 
+flatbuffers::Offset<wire::LeaseMark> LeaseToWire(flatbuffers::FlatBufferBuilder& builder,
+                                                 const serving::LeaseMark& lease) {
+  return wire::CreateLeaseMark(builder, builder.CreateString(lease.holder), builder.CreateString(lease.address),
+                               lease.revision);
+}
+
+flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::UsageCount>>> UsageToWire(
+    flatbuffers::FlatBufferBuilder& builder, const std::vector<serving::UsageCount>& counts) {
+  std::vector<flatbuffers::Offset<wire::UsageCount>> usage;
+  usage.reserve(counts.size());
+  for (const auto& item : counts) {
+    usage.push_back(
+        wire::CreateUsageCount(builder, item.window, builder.CreateSharedString(item.tenant), item.requests));
+  }
+  return builder.CreateVector(usage);
+}
+
 // Reads `source`, where the vector is there, by `read`.
 template <typename Vector, typename Read>
 void ForEach(const Vector* source, Read read) {
@@ -74,29 +91,47 @@
       report.sequence, report.stopping, report.aggregate, static_cast<std::uint8_t>(report.scope), report.nodes,
       Milliseconds(report.age), builder.CreateVectorOfStructs(work), builder.CreateVector(demand),
       builder.CreateVector(holds), builder.CreateVector(peers), builder.CreateVectorOfStructs(kept),
-      builder.CreateString(report.zone), report.link_mbps, builder.CreateVector(records)));
+      builder.CreateString(report.zone), report.link_mbps, builder.CreateVector(records),
+      LeaseToWire(builder, report.lease), report.wall_ms, report.closed_through, UsageToWire(builder, report.usage)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
+namespace {
+
+// What a report tells of its sender and of the duties, without the lists of other things.
+void ReadSender(const wire::Report& source, serving::PeerReport& report) {
+  report.node = Text(source.node());
+  report.address = Text(source.address());
+  report.boot = source.boot();
+  report.sequence = source.sequence();
+  report.stopping = source.stopping();
+  report.aggregate = source.aggregate();
+  report.scope = static_cast<serving::ReportScope>(source.scope());
+  report.nodes = std::max(0, source.nodes());
+  report.age = std::chrono::milliseconds(source.age_ms());
+  report.zone = Text(source.zone());
+  report.link_mbps = source.link_mbps();
+  if (const wire::LeaseMark* lease = source.lease()) {
+    report.lease = {Text(lease->holder()), Text(lease->address()), lease->revision()};
+  }
+  report.wall_ms = source.wall_ms();
+  report.closed_through = source.closed_through();
+  ForEach(source.usage(), [&](const wire::UsageCount& item) {
+    report.usage.push_back({item.window(), Text(item.tenant()), item.requests()});
+  });
+}
+
+}  // namespace
+
 absl::StatusOr<serving::PeerReport> DecodeReport(std::string_view bytes) {
   flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
   if (!wire::VerifyReportBuffer(verifier)) return absl::UnavailableError("bytes that are no report");
   const wire::Report* source = wire::GetReport(bytes.data());
-  if (source->format() != kFormat || source->scope() > static_cast<std::uint8_t>(serving::ReportScope::kFleet)) {
+  if (source->format() != kFormat || source->scope() > static_cast<std::uint8_t>(serving::ReportScope::kUsage)) {
     return absl::FailedPreconditionError("a report of another format; run one version on all nodes");
   }
   serving::PeerReport report;
-  report.node = Text(source->node());
-  report.address = Text(source->address());
-  report.boot = source->boot();
-  report.sequence = source->sequence();
-  report.stopping = source->stopping();
-  report.aggregate = source->aggregate();
-  report.scope = static_cast<serving::ReportScope>(source->scope());
-  report.nodes = std::max(0, source->nodes());
-  report.age = std::chrono::milliseconds(source->age_ms());
-  report.zone = Text(source->zone());
-  report.link_mbps = source->link_mbps();
+  ReadSender(*source, report);
   ForEach(source->work(), [&](const wire::EngineWork& item) { report.work.push_back(FromWire(item)); });
   ForEach(source->kept(), [&](const wire::KeptPart& item) {
     report.kept.push_back({serving::EngineKey(item.engine()), item.part()});
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -33,6 +33,12 @@
 struct RecordMark;
 struct RecordMarkBuilder;
 
+struct LeaseMark;
+struct LeaseMarkBuilder;
+
+struct UsageCount;
+struct UsageCountBuilder;
+
 struct Report;
 struct ReportBuilder;
 
@@ -425,6 +431,158 @@
       changed_at);
 }
 
+struct LeaseMark FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaseMarkBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOLDER = 4,
+    VT_ADDRESS = 6,
+    VT_REVISION = 8
+  };
+  const flatbuffers::String *holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOLDER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  int64_t revision() const {
+    return GetField<int64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyString(holder()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LeaseMarkBuilder {
+  typedef LeaseMark Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
+    fbb_.AddOffset(LeaseMark::VT_HOLDER, holder);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(LeaseMark::VT_ADDRESS, address);
+  }
+  void add_revision(int64_t revision) {
+    fbb_.AddElement<int64_t>(LeaseMark::VT_REVISION, revision, 0);
+  }
+  explicit LeaseMarkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaseMark> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaseMark>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaseMark> CreateLeaseMark(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> holder = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    int64_t revision = 0) {
+  LeaseMarkBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_address(address);
+  builder_.add_holder(holder);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LeaseMark> CreateLeaseMarkDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *holder = nullptr,
+    const char *address = nullptr,
+    int64_t revision = 0) {
+  auto holder__ = holder ? _fbb.CreateString(holder) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return saltquay::gateway::wire::CreateLeaseMark(
+      _fbb,
+      holder__,
+      address__,
+      revision);
+}
+
+struct UsageCount FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageCountBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WINDOW = 4,
+    VT_TENANT = 6,
+    VT_REQUESTS = 8
+  };
+  int64_t window() const {
+    return GetField<int64_t>(VT_WINDOW, 0);
+  }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  int64_t requests() const {
+    return GetField<int64_t>(VT_REQUESTS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_WINDOW, 8) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<int64_t>(verifier, VT_REQUESTS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageCountBuilder {
+  typedef UsageCount Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_window(int64_t window) {
+    fbb_.AddElement<int64_t>(UsageCount::VT_WINDOW, window, 0);
+  }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(UsageCount::VT_TENANT, tenant);
+  }
+  void add_requests(int64_t requests) {
+    fbb_.AddElement<int64_t>(UsageCount::VT_REQUESTS, requests, 0);
+  }
+  explicit UsageCountBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageCount> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageCount>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageCount> CreateUsageCount(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t window = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    int64_t requests = 0) {
+  UsageCountBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  builder_.add_window(window);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<UsageCount> CreateUsageCountDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t window = 0,
+    const char *tenant = nullptr,
+    int64_t requests = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return saltquay::gateway::wire::CreateUsageCount(
+      _fbb,
+      window,
+      tenant__,
+      requests);
+}
+
 struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -445,7 +603,11 @@
     VT_KEPT = 32,
     VT_ZONE = 34,
     VT_LINK_MBPS = 36,
-    VT_RECORDS = 38
+    VT_RECORDS = 38,
+    VT_LEASE = 40,
+    VT_WALL_MS = 42,
+    VT_CLOSED_THROUGH = 44,
+    VT_USAGE = 46
   };
   uint8_t format() const {
     return GetField<uint8_t>(VT_FORMAT, 0);
@@ -501,6 +663,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>> *>(VT_RECORDS);
   }
+  const saltquay::gateway::wire::LeaseMark *lease() const {
+    return GetPointer<const saltquay::gateway::wire::LeaseMark *>(VT_LEASE);
+  }
+  int64_t wall_ms() const {
+    return GetField<int64_t>(VT_WALL_MS, 0);
+  }
+  int64_t closed_through() const {
+    return GetField<int64_t>(VT_CLOSED_THROUGH, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *usage() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *>(VT_USAGE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FORMAT, 1) &&
@@ -534,6 +708,13 @@
            VerifyOffset(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
+           VerifyOffset(verifier, VT_LEASE) &&
+           verifier.VerifyTable(lease()) &&
+           VerifyField<int64_t>(verifier, VT_WALL_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_CLOSED_THROUGH, 8) &&
+           VerifyOffset(verifier, VT_USAGE) &&
+           verifier.VerifyVector(usage()) &&
+           verifier.VerifyVectorOfTables(usage()) &&
            verifier.EndTable();
   }
 };
@@ -596,6 +777,18 @@
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>>> records) {
     fbb_.AddOffset(Report::VT_RECORDS, records);
   }
+  void add_lease(flatbuffers::Offset<saltquay::gateway::wire::LeaseMark> lease) {
+    fbb_.AddOffset(Report::VT_LEASE, lease);
+  }
+  void add_wall_ms(int64_t wall_ms) {
+    fbb_.AddElement<int64_t>(Report::VT_WALL_MS, wall_ms, 0);
+  }
+  void add_closed_through(int64_t closed_through) {
+    fbb_.AddElement<int64_t>(Report::VT_CLOSED_THROUGH, closed_through, 0);
+  }
+  void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>> usage) {
+    fbb_.AddOffset(Report::VT_USAGE, usage);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -626,10 +819,18 @@
     flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::KeptPart *>> kept = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     int32_t link_mbps = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>>> records = 0,
+    flatbuffers::Offset<saltquay::gateway::wire::LeaseMark> lease = 0,
+    int64_t wall_ms = 0,
+    int64_t closed_through = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>> usage = 0) {
   ReportBuilder builder_(_fbb);
+  builder_.add_closed_through(closed_through);
+  builder_.add_wall_ms(wall_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_usage(usage);
+  builder_.add_lease(lease);
   builder_.add_records(records);
   builder_.add_link_mbps(link_mbps);
   builder_.add_zone(zone);
@@ -668,7 +869,11 @@
     const std::vector<saltquay::gateway::wire::KeptPart> *kept = nullptr,
     const char *zone = nullptr,
     int32_t link_mbps = 0,
-    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>> *records = nullptr) {
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>> *records = nullptr,
+    flatbuffers::Offset<saltquay::gateway::wire::LeaseMark> lease = 0,
+    int64_t wall_ms = 0,
+    int64_t closed_through = 0,
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *usage = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::EngineWork>(*work) : 0;
@@ -678,6 +883,7 @@
   auto kept__ = kept ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::KeptPart>(*kept) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>>(*records) : 0;
+  auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>(*usage) : 0;
   return saltquay::gateway::wire::CreateReport(
       _fbb,
       format,
@@ -697,7 +903,11 @@
       kept__,
       zone__,
       link_mbps,
-      records__);
+      records__,
+      lease,
+      wall_ms,
+      closed_through,
+      usage__);
 }
 
 inline const saltquay::gateway::wire::Report *GetReport(const void *buf) {
--- a/tests/core/serving/roles_test.cc
+++ b/tests/core/serving/roles_test.cc
@@ -57,8 +57,8 @@
 
 class LeaseTest : public ::testing::Test {
  protected:
-  RoleLeaseTimes times_;
-  RoleLease lease_{"me", times_, 100};
+  DutyLeaseTimes times_;
+  DutyLease lease_{"me", "1.1.1.1:1", times_, 100, Time{0s}};
   Time now_{10s};
 };
 
@@ -75,7 +75,7 @@
 
 TEST_F(LeaseTest, AnothersLeaseIsTakenOnlyAfterItWasSeenUnchangedLongEnough) {
   lease_.Next(now_, 0s);
-  lease_.OnRead(LeaseRecord{"other", 7, 30}, now_);
+  lease_.OnRead(LeaseRecord{"other", "2.2.2.2:1", 7, 0, 30}, now_);
   for (Duration waited = 0s; waited < times_.lease + times_.window; waited += 500ms) {
     EXPECT_EQ(lease_.Next(now_ + waited, 0s), LeaseStep::kNone) << waited.count();
   }
@@ -84,7 +84,7 @@
   lease_.OnWriteFailed(true, now_ + 6s);  // It was renewed meanwhile: the wait starts anew.
   EXPECT_FALSE(lease_.MayOrder(now_ + 6s));
   EXPECT_EQ(lease_.Next(now_ + 7s, 0s), LeaseStep::kRead);
-  lease_.OnRead(LeaseRecord{"other", 8, 31}, now_ + 7s);
+  lease_.OnRead(LeaseRecord{"other", "2.2.2.2:1", 8, 0, 31}, now_ + 7s);
   EXPECT_EQ(lease_.Next(now_ + 8s, 0s), LeaseStep::kNone);
 }
 
@@ -96,51 +96,147 @@
   lease_.OnWriteFailed(false, now_);
   EXPECT_FALSE(lease_.MayOrder(now_));
   EXPECT_EQ(lease_.Next(now_ + 600ms, 0s), LeaseStep::kRead);
-  lease_.OnRead(LeaseRecord{"me", draft.nonce, 50}, now_ + 600ms);
+  lease_.OnRead(LeaseRecord{"me", "1.1.1.1:1", draft.nonce, 0, 50}, now_ + 600ms);
   EXPECT_TRUE(lease_.MayOrder(now_ + 700ms));
   EXPECT_FALSE(lease_.MayOrder(now_ + 1100ms));  // Counted from before the write.
   EXPECT_EQ(lease_.token(), 50);
 }
 
-// Two nodes, one object, any losses: orders of different holders are a lease apart.
-RC_GTEST_PROP(LeaseProperty, OrdersOfTwoHoldersAreALeaseApart, ()) {
-  const RoleLeaseTimes times;
-  std::vector<RoleLease> nodes;
-  nodes.emplace_back("a", times, 1000);
-  nodes.emplace_back("b", times, 2000);
-  LeaseRecord object;
-  std::int64_t revision = 10;
+TEST_F(LeaseTest, ARenewedLeaseKeepsItsToken) {
+  lease_.Next(now_, 0s);
+  lease_.OnRead(LeaseRecord{}, now_);
+  lease_.Next(now_, 0s);
+  lease_.OnWritten(41);
+  EXPECT_EQ(lease_.Next(now_ + 800ms, 400ms), LeaseStep::kWrite);
+  EXPECT_EQ(lease_.draft().token, 41);
+  lease_.OnWritten(57);
+  EXPECT_EQ(lease_.token(), 41);
+  EXPECT_EQ(lease_.known().revision, 57);
+}
+
+TEST_F(LeaseTest, TheSameMachineGoesOnInItsNextLifeWithANewToken) {
+  lease_.Next(now_, 0s);
+  lease_.OnRead(LeaseRecord{"me", "1.1.1.1:1", 3, 20, 30}, now_);
+  EXPECT_EQ(lease_.Next(now_, 0s), LeaseStep::kWrite);
+  lease_.OnWritten(44);
+  EXPECT_EQ(lease_.token(), 44);
+}
+
+TEST_F(LeaseTest, AnotherMachineOfThatNameWaits) {
+  lease_.Next(now_, 0s);
+  lease_.OnRead(LeaseRecord{"me", "9.9.9.9:1", 3, 20, 30}, now_);
+  EXPECT_EQ(lease_.Next(now_ + 4s, 0s), LeaseStep::kNone);
+  EXPECT_EQ(lease_.Next(now_ + 5s, 0s), LeaseStep::kWrite);
+}
+
+TEST_F(LeaseTest, NodesTryByTheirRank) {
+  EXPECT_EQ(lease_.Next(Time{100ms}, 0s, 3), LeaseStep::kNone);
+  lease_.OnHeard(LeaseRecord{"other", "2.2.2.2:1", 0, 0, 30}, now_);
+  EXPECT_EQ(lease_.Next(now_ + 4500ms, 0s, 3), LeaseStep::kNone);
+  EXPECT_EQ(lease_.Next(now_ + 4500ms, 0s, 0), LeaseStep::kWrite);
+}
+
+TEST_F(LeaseTest, ALeaseHeardToBeRenewedIsNotTaken) {
+  for (int i = 0; i < 20; ++i) {
+    now_ += 700ms;
+    lease_.OnHeard(LeaseRecord{"other", "2.2.2.2:1", 0, 0, 30 + i}, now_);
+    EXPECT_EQ(lease_.Next(now_ + 600ms, 0s), LeaseStep::kNone);
+  }
+}
+
+TEST_F(LeaseTest, AHolderThatHearsOfAnotherActsNoMore) {
+  lease_.Next(now_, 0s);
+  lease_.OnRead(LeaseRecord{}, now_);
+  lease_.Next(now_, 0s);
+  lease_.OnWritten(41);
+  lease_.OnHeard(LeaseRecord{"me", "1.1.1.1:1", 0, 0, 41}, now_);  // Its own word.
+  EXPECT_TRUE(lease_.MayOrder(now_ + 10ms));
+  lease_.OnHeard(LeaseRecord{"other", "2.2.2.2:1", 0, 0, 50}, now_);
+  EXPECT_FALSE(lease_.MayOrder(now_ + 10ms));
+}
+
+TEST_F(LeaseTest, ALeaseThatWasGivenUpIsTakenAtOnceButNotByWhoMayHaveHeldItBefore) {
+  DutyLease fresh{"you", "3.3.3.3:1", times_, 300, now_ - 1s};
+  for (DutyLease* lease : {&lease_, &fresh}) lease->OnHeard(LeaseRecord{"", "", 0, 0, 60}, now_);
+  EXPECT_EQ(lease_.Next(now_, 0s), LeaseStep::kWrite);
+  EXPECT_EQ(fresh.Next(now_, 0s), LeaseStep::kNone);
+  EXPECT_EQ(fresh.Next(now_ + 3s, 0s), LeaseStep::kWrite);
+}
+
+TEST_F(LeaseTest, WhoStopsActsNoMoreAndTellsIt) {
+  lease_.Next(now_, 0s);
+  lease_.OnRead(LeaseRecord{}, now_);
+  lease_.Next(now_, 0s);
+  lease_.OnWritten(41);
+  const auto record = lease_.GiveUp();
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record->holder, "");
+  EXPECT_EQ(record->revision, 41);
+  EXPECT_FALSE(lease_.MayOrder(now_));
+  EXPECT_EQ(lease_.Next(now_ + 60s, 0s), LeaseStep::kNone);
+}
+
+// Several machines, one object, any losses, lives that end, what is heard late, holders that stop: what different
+// holders do is a lease apart, and under tokens that rise.
+RC_GTEST_PROP(LeaseProperty, ActsOfTwoHoldersAreALeaseApart, ()) {
+  constexpr int kNodes = 3;
+  const DutyLeaseTimes times;
+  std::uint64_t seed = 1000;
+  const auto begin = [&](int index, Time now) {
+    const std::string name(1, static_cast<char>('a' + index));
+    return DutyLease(name, name + ":1", times, seed += 1000, now);
+  };
   Time now{1s};
+  std::vector<DutyLease> nodes;
+  nodes.reserve(kNodes);
+  for (int i = 0; i < kNodes; ++i) nodes.push_back(begin(i, now));
+  std::vector<LeaseRecord> history = {LeaseRecord{}};
+  std::int64_t revision = 10;
   int last_holder = -1;
-  Time last_order{};
+  bool given_up = false;  // By the last holder.
+  std::map<int, Time> last_acts;
   std::int64_t last_token = 0;
-  for (int step = 0; step < 300; ++step) {
-    now += std::chrono::milliseconds(*rc::gen::inRange(10, 400));
-    const int index = *rc::gen::inRange(0, 2);
-    RoleLease& lease = nodes[static_cast<std::size_t>(index)];
-    const LeaseStep next = lease.Next(now, 300ms);
-    const int luck = *rc::gen::inRange(0, 5);
-    if (next == LeaseStep::kRead) luck == 0 ? lease.OnReadFailed(now) : lease.OnRead(object, now);
+  for (int step = 0; step < 400; ++step) {
+    now += std::chrono::milliseconds(*rc::gen::inRange(5, 400));
+    const int index = *rc::gen::inRange(0, kNodes);
+    DutyLease& lease = nodes[static_cast<std::size_t>(index)];
+    const int luck = *rc::gen::inRange(0, 12);
+    const auto write = [&](LeaseRecord record) {
+      if (record.revision != history.back().revision) return false;
+      record.revision = ++revision;
+      history.push_back(record);
+      return true;
+    };
+    if (luck == 11) lease = begin(index, now);
+    if (luck == 10) {
+      const auto record = lease.GiveUp();
+      given_up = given_up || (record && write(*record));
+      lease = begin(index, now);
+    }
+    if (luck >= 8) {
+      const auto age = *rc::gen::inRange<std::size_t>(0, std::min<std::size_t>(3, history.size()));
+      lease.OnHeard(history[history.size() - 1 - age], now);
+    }
+    const LeaseStep next = lease.Next(now, 300ms, *rc::gen::inRange(0, 4));
+    if (next == LeaseStep::kRead) luck == 0 ? lease.OnReadFailed(now) : lease.OnRead(history.back(), now);
     if (next == LeaseStep::kWrite) {
-      const LeaseRecord draft = lease.draft();
-      const bool done = draft.revision == object.revision && luck != 1;
-      if (done) {
-        object = draft;
-        object.revision = ++revision;
-      }
-      const bool answered = luck > 1;
-      if (done && answered) lease.OnWritten(object.revision);
+      const bool done = luck != 1 && write(lease.draft());
+      const bool answered = luck > 2;
+      if (done && answered) lease.OnWritten(revision);
       if (!done && answered) lease.OnWriteFailed(true, now);
       if (!answered) lease.OnWriteFailed(false, now);
     }
     if (!lease.MayOrder(now)) continue;
+    RC_ASSERT(lease.token() >= last_token);
     if (last_holder >= 0 && last_holder != index) {
-      RC_ASSERT(now - last_order >= times.lease);
       RC_ASSERT(lease.token() > last_token);
+      // Who follows a holder that did not give up waits; nobody comes back within a lease in any case.
+      if (!given_up) RC_ASSERT(now - last_acts[last_holder] >= times.lease);
+      if (last_acts.contains(index)) RC_ASSERT(now - last_acts[index] >= times.lease);
+      given_up = false;
     }
-    RC_ASSERT(lease.token() >= last_token);
     last_holder = index;
-    last_order = now;
+    last_acts[index] = now;
     last_token = lease.token();
   }
 }
@@ -171,9 +267,10 @@
       controller_.OnTick(now_, true, config_, demand_, engines_, actions);
       for (const RoleAction& action : actions) {
         if (const T* typed = std::get_if<T>(&action)) return *typed;
-        if (std::holds_alternative<ReadLease>(action)) controller_.OnLeaseRead(now_, LeaseRecord{});
-        if (std::holds_alternative<WriteLease>(action)) controller_.OnLeaseWritten(++revision_);
       }
+      const LeaseStep step = lease_.wanted(now_) ? lease_.Next(now_, 300ms) : LeaseStep::kNone;
+      if (step == LeaseStep::kRead) lease_.OnRead(LeaseRecord{}, now_);
+      if (step == LeaseStep::kWrite) lease_.OnWritten(++revision_);
       now_ += 50ms;
     }
     return std::nullopt;
@@ -191,7 +288,8 @@
   ServingConfig config_;
   EngineDirectory engines_{EjectionPolicy{}};
   std::map<std::string, ServiceDemand> demand_;
-  RoleController controller_{RoleControllerKnobs{}, "me", 5, Time{0s}};
+  DutyLease lease_{"me", "1.1.1.1:1", DutyLeaseTimes{}, 5, Time{0s}};
+  RoleController controller_{RoleControllerKnobs{}, lease_, Time{0s}};
   std::int64_t revision_ = 20;
 };
 
@@ -231,6 +329,18 @@
   EXPECT_LE(controller_.Holds(now_).size(), 63U / 3);
 }
 
+TEST_F(ControllerTest, BeforeAnyDemandAnAcceptedOrderDoesNotHoldTheNextBack) {
+  // Engines that come while nothing is asked are put to their stage at once, not after the pause between changes.
+  const auto first = TickUntil<ReadEngineState>(5s);
+  ASSERT_TRUE(first);
+  std::vector<RoleAction> actions;
+  controller_.OnEngineState(now_, first->engine_id, EngineStateReport{EngineStage::kDecode, false, 0}, engines_,
+                            actions);
+  controller_.OnOrderAnswered(now_, first->engine_id, OrderOutcome::kAccepted, engines_, actions);
+  for (int i = 6; i < 20; ++i) Add("d" + std::to_string(i), EngineStage::kDecode);
+  EXPECT_TRUE(TickUntil<ReadEngineState>(2s));
+}
+
 TEST_F(ControllerTest, NoOrderOnceTheLeaseHasRunOut) {
   const auto read = TickUntil<ReadEngineState>(5s);
   ASSERT_TRUE(read);
--- /dev/null
+++ b/tests/core/serving/tenancy_test.cc
@@ -0,0 +1,140 @@
+// Keys and tenants: who is served, and what becomes of the key.
+#include "tests/support/serving_fixture.h"
+
+namespace saltquay::serving {
+namespace {
+
+constexpr int kUnauthorized = 401;
+constexpr int kUnavailable = 503;
+
+class TenancyTest : public ServingFixture {
+ protected:
+  TenancyTest() { Configure(WithTenants(2, {{"t1", {"key-a", "key-b"}, 1}, {"t2", {"key-c"}, std::nullopt}})); }
+
+  static ServingConfig WithTenants(std::uint64_t version, std::vector<Tenant> tenants) {
+    ServingConfig config = MakeConfig();
+    config.version = version;
+    config.requires_keys = true;
+    config.tenants = std::move(tenants);
+    config.routes.push_back(MakeRoute("open", RouteKind::kRepeatable, "plain", 2));
+    config.routes.back().allows_anonymous = true;
+    return config;
+  }
+  void ArriveWithKey(const std::string& route, const std::string& key,
+                     std::optional<PromptFacts> prompt = std::nullopt) {
+    RequestArrived arrived;
+    arrived.flow = ++last_flow_;
+    arrived.facts.request_id = "r" + std::to_string(last_flow_);
+    arrived.facts.host = "h.example";
+    arrived.facts.path = "/" + route + "/x";
+    arrived.facts.api_key = key;
+    arrived.facts.prompt = std::move(prompt);
+    Send(arrived);
+  }
+  std::string Log() const {
+    std::string text;
+    for (const LogDecision& line : All<LogDecision>()) text += line.details + "\n";
+    return text;
+  }
+};
+
+TEST_F(TenancyTest, AKeyNamesItsTenantToTheEngine) {
+  ArriveWithKey("safe", "key-b");
+  EXPECT_EQ(One<StartAttempt>().tenant, "t1");
+  ArriveWithKey("once", "key-c");
+  EXPECT_EQ(One<StartAttempt>().tenant, "t2");
+}
+
+TEST_F(TenancyTest, ReadingsHandOversAndRetriesAreTheTenantsToo) {
+  ArriveWithKey("chat", "key-a", LongPrompt());
+  const auto reading = One<StartAttempt>();
+  EXPECT_EQ(reading.mode, AttemptMode::kPrefill);
+  EXPECT_EQ(reading.tenant, "t1");
+  Answer(reading, 200, false, "handle");
+  const auto answer = One<StartAttempt>();
+  EXPECT_EQ(answer.mode, AttemptMode::kContinue);
+  EXPECT_EQ(answer.tenant, "t1");
+  Answer(answer, 503, true);
+  EXPECT_EQ(One<StartAttempt>().tenant, "t1");
+}
+
+TEST_F(TenancyTest, WhoHasNoGoodKeyIsRejectedBeforeAnyEngine) {
+  for (const char* key : {"", "key", "key-a ", "KEY-A", "t1"}) {
+    ArriveWithKey("safe", key);
+    EXPECT_EQ(One<AnswerOwn>().status, kUnauthorized) << key;
+    EXPECT_TRUE(All<StartAttempt>().empty());
+  }
+  EXPECT_EQ(core_.flows(), 0U);
+}
+
+TEST_F(TenancyTest, AnonymousRoutesNeedNoKeyButTakeNoWrongOne) {
+  ArriveWithKey("open", "");
+  EXPECT_EQ(One<StartAttempt>().tenant, "");
+  ArriveWithKey("open", "key-c");
+  EXPECT_EQ(One<StartAttempt>().tenant, "t2");
+  ArriveWithKey("open", "wrong");
+  EXPECT_EQ(One<AnswerOwn>().status, kUnauthorized);
+}
+
+TEST_F(TenancyTest, KeysAreTakenAwayAndAddedWithTheVersion) {
+  Configure(WithTenants(3, {{"t1", {"key-a"}, 1}, {"t2", {"key-d"}, std::nullopt}, {"t3", {}, std::nullopt}}));
+  ArriveWithKey("safe", "key-b");
+  EXPECT_EQ(One<AnswerOwn>().status, kUnauthorized);
+  ArriveWithKey("safe", "key-d");
+  EXPECT_EQ(One<StartAttempt>().tenant, "t2");
+  Configure(WithTenants(2, {{"t1", {"key-b"}, 1}}));  // Older: it changes nothing.
+  ArriveWithKey("safe", "key-b");
+  EXPECT_EQ(One<AnswerOwn>().status, kUnauthorized);
+}
+
+// A key that this node has not heard of may be new: that is no reason for an answer that callers take as final.
+TEST_F(TenancyTest, AnUnknownKeyIsNoVerdictWhileTheStoreIsNotHeard) {
+  Send(StoreContactChanged{false});
+  ArriveWithKey("safe", "new-key");
+  const auto answer = One<AnswerOwn>();
+  EXPECT_EQ(answer.status, kUnavailable);
+  EXPECT_TRUE(answer.retry_after);
+  ArriveWithKey("safe", "");
+  EXPECT_EQ(One<AnswerOwn>().status, kUnauthorized);
+  ArriveWithKey("safe", "key-a");
+  EXPECT_EQ(All<StartAttempt>().size(), 1U);
+}
+
+TEST_F(TenancyTest, WithoutTenantsEverybodyIsServed) {
+  ServingConfig config = MakeConfig();
+  config.version = 3;
+  Configure(config);
+  ArriveWithKey("safe", "any");
+  EXPECT_EQ(One<StartAttempt>().tenant, "");
+}
+
+TEST_F(TenancyTest, ATenantWithoutAnyTenantListedIsRejected) {
+  Configure(WithTenants(3, {}));
+  ArriveWithKey("safe", "key-a");
+  EXPECT_EQ(One<AnswerOwn>().status, kUnauthorized);
+}
+
+TEST_F(TenancyTest, ATenantsPriorityGoesBeforeTheRoutes) {
+  ArriveWithKey("safe", "key-a");
+  EXPECT_EQ(One<StartAttempt>().priority, 1);
+  ArriveWithKey("safe", "key-c");
+  EXPECT_EQ(One<StartAttempt>().priority, 5);
+}
+
+TEST_F(TenancyTest, NoLogLineHoldsAKey) {
+  std::string log = Log();
+  for (const char* key : {"key-a", "key-c", "secret-and-wrong"}) {
+    ArriveWithKey("safe", key);
+    log += Log();
+    if (!All<StartAttempt>().empty()) {
+      Answer(One<StartAttempt>(), 200);
+      log += Log();
+    }
+  }
+  Configure(WithTenants(3, {{"t1", {"key-z"}, 1}}));
+  log += Log();
+  for (const char* key : {"key-a", "key-c", "key-z", "secret-and-wrong"}) EXPECT_EQ(log.find(key), std::string::npos);
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- /dev/null
+++ b/tests/duties/capacity_test.cc
@@ -0,0 +1,240 @@
+// How many engines are ordered, and in which order they come and go.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "saltquay/duties/capacity_controller.h"
+
+namespace saltquay::duties {
+
+namespace {
+
+serving::ScalingTraits scaling(std::optional<double> spot_price)
+{
+    return { 1, 94, 4s, spot_price, { { "a", 0.85 }, { "b", 1.2 }, { "c", 1.0 } } };
+}
+
+TEST(CapacityPlannerTest, MoreDemandWantsMoreEnginesAndSpotOnesMoreToSpare)
+{
+    CapacityKnobs const knobs;
+    auto const some = engines_wanted(knobs, { "s", 30, 10 }, scaling(0.2), 3);
+    EXPECT_GT(engines_wanted(knobs, { "s", 60, 10 }, scaling(0.2), 3), some);
+    EXPECT_LT(engines_wanted(knobs, { "s", 30, 10 }, scaling(std::nullopt), 3), some);
+    // What is left when a zone's spot engines are gone and a fifth of the others fails is enough.
+    EXPECT_GE(some * (1 - 1.0 / 3 - knobs.failing_share), 40);
+}
+
+RC_GTEST_PROP(CapacityPlannerProperty, SharesKeepTheLimits, ())
+{
+    auto const limits = scaling(*rc::gen::element<std::optional<double>>(std::nullopt, 0.18));
+    auto const wanted = *rc::gen::inRange(0, 400);
+    auto sum = 0;
+    for (auto const& [zone, engines] : share_out(CapacityKnobs {}, limits, wanted)) {
+        RC_ASSERT(engines.all() >= limits.min);
+        RC_ASSERT(engines.all() <= limits.max);
+        RC_ASSERT(limits.spot_price || engines.spot == 0);
+        sum += engines.all();
+    }
+    RC_ASSERT(sum >= std::min(wanted, 3 * limits.max));
+}
+
+// A platform with three zones that carries orders out after the boot time.
+class CapacityControllerTest : public ::testing::Test {
+protected:
+    CapacityControllerTest()
+    {
+        serving::Service service;
+        service.name = "s";
+        service.scaling = scaling(0.2);
+        config_.services = { service };
+        for (auto const* zone : { "a", "b", "c" }) {
+            for (auto i = 0; i < 40; ++i)
+                add(zone, false);
+        }
+    }
+    void add(std::string const& zone, bool spot)
+    {
+        serving::EngineRecord record;
+        record.id = "e" + std::to_string(++last_id_);
+        record.service = "s";
+        record.zone = zone;
+        record.spot = spot;
+        engines_.Update(record);
+    }
+    int count(std::string const& zone, bool spot) const
+    {
+        auto sum = 0;
+        for (auto const& [id, engine] : engines_.all())
+            sum += !engine.gone && engine.record.zone == zone && engine.record.spot == spot ? 1 : 0;
+        return sum;
+    }
+    int ordinary_share_of(std::string const& zone) const
+    {
+        return static_cast<int>(std::ceil(CapacityKnobs {}.ordinary_share * (count(zone, false) + count(zone, true))));
+    }
+    int total() const
+    {
+        auto sum = 0;
+        for (auto const* zone : { "a", "b", "c" })
+            sum += count(zone, false) + count(zone, true);
+        return sum;
+    }
+    void shrink(std::string const& zone, bool spot, int to)
+    {
+        std::vector<std::string> gone;
+        for (auto const& [id, engine] : engines_.all()) {
+            if (engine.record.zone == zone && engine.record.spot == spot
+                && count(zone, spot) - static_cast<int>(gone.size()) > to)
+                gone.push_back(id);
+        }
+        for (auto const& id : gone)
+            engines_.Remove(id);
+    }
+    void carry_out(EngineOrder const& order)
+    {
+        ++orders_;
+        ordinary_orders_ += order.spot ? 0 : 1;
+        if (order.spot && dry_) {
+            controller_.on_ordered(now_, order, DutyOutcome::Refused);
+            return;
+        }
+        controller_.on_ordered(now_, order, DutyOutcome::Done);
+        EXPECT_LE(order.engines, 94);
+        if (order.engines < count(order.zone, order.spot))
+            shrink(order.zone, order.spot, order.engines);
+        for (auto i = count(order.zone, order.spot) + booting(order); i < order.engines; ++i)
+            booting_.push_back({ now_ + 4s, order.zone, order.spot });
+    }
+    int booting(EngineOrder const& order) const
+    {
+        return static_cast<int>(std::count_if(booting_.begin(), booting_.end(),
+            [&](auto const& engine) { return engine.zone == order.zone && engine.spot == order.spot; }));
+    }
+    void run(Duration time, bool holds = true)
+    {
+        auto const end = now_ + time;
+        for (; now_ < end; now_ += 100ms) {
+            std::erase_if(booting_, [&](auto const& engine) {
+                if (engine.at > now_)
+                    return false;
+                add(engine.zone, engine.spot);
+                return true;
+            });
+            std::vector<CapacityAction> actions;
+            controller_.step(now_, holds, 1, config_, demand_, engines_, actions);
+            for (auto const& action : actions) {
+                if (auto const* order = std::get_if<EngineOrder>(&action))
+                    carry_out(*order);
+            }
+            least_ = std::min(least_, total());
+        }
+    }
+
+    struct Booting {
+        Time at {};
+        std::string zone;
+        bool spot = false;
+    };
+
+    Time now_ { 10s };
+    serving::ServingConfig config_;
+    serving::EngineDirectory engines_ { serving::EjectionPolicy {} };
+    std::map<std::string, serving::ServiceDemand> demand_;
+    CapacityController controller_ { CapacityControllerKnobs {} };
+    std::vector<Booting> booting_;
+    bool dry_ = false;
+    int last_id_ = 0;
+    int orders_ = 0;
+    int ordinary_orders_ = 0;
+    int least_ = 1000;
+};
+
+TEST_F(CapacityControllerTest, BeforeTrafficOrdinaryEnginesAreExchangedOnceSpotOnesServe)
+{
+    run(20s);
+    EXPECT_EQ(total(), static_cast<int>(std::ceil(120 * CapacityKnobs {}.cold_factor)));
+    EXPECT_GE(least_, 120); // Never fewer on the way.
+    for (auto const* zone : { "a", "b", "c" })
+        EXPECT_EQ(count(zone, false), ordinary_share_of(zone));
+    auto const before = orders_;
+    run(60s);
+    EXPECT_EQ(orders_, before); // It rests.
+}
+
+TEST_F(CapacityControllerTest, EnginesThatMakeThemselvesKnownLateCountAndNoneGoesBeforeAllAreKnown)
+{
+    // Where engines register over three seconds, an order planned with the first two sends all others away.
+    for (auto const* zone : { "a", "b", "c" })
+        shrink(zone, false, 0);
+    add("a", false);
+    run(2s);
+    EXPECT_EQ(ordinary_orders_, 0);
+    shrink("a", false, 0);
+    for (auto const* zone : { "a", "b", "c" }) {
+        for (auto i = 0; i < 40; ++i)
+            add(zone, false);
+    }
+    run(2s);
+    EXPECT_EQ(count("a", false), 40);
+    run(20s);
+    EXPECT_GE(total(), 120);
+}
+
+TEST_F(CapacityControllerTest, UnderLoadEnginesAreExchangedLittleByLittle)
+{
+    demand_["s"] = { "s", 25, 5 };
+    run(8s); // Rest, boot, and the first step.
+    EXPECT_GE(count("a", false), 30);
+    run(60s);
+    EXPECT_EQ(count("a", false), ordinary_share_of("a"));
+    EXPECT_GE(least_, 120);
+}
+
+TEST_F(CapacityControllerTest, DemandThatGrowsBringsEnginesWithinABootTime)
+{
+    run(20s);
+    demand_["s"] = { "s", 70, 10 };
+    run(5s);
+    EXPECT_GE(total(), 200);
+}
+
+TEST_F(CapacityControllerTest, ShortLullsSendNothingAway)
+{
+    demand_["s"] = { "s", 40, 10 };
+    run(30s);
+    auto const before = total();
+    for (auto i = 0; i < 10; ++i) {
+        demand_["s"] = { "s", 5, 1 };
+        run(20s);
+        demand_["s"] = { "s", 40, 10 };
+        run(5s);
+    }
+    EXPECT_EQ(total(), before);
+    demand_["s"] = { "s", 5, 1 };
+    run(300s);
+    EXPECT_LT(total(), before / 2);
+}
+
+TEST_F(CapacityControllerTest, WhereNoSpotEnginesAreToBeHadOrdinaryOnesFillWhatIsNeeded)
+{
+    run(20s);
+    demand_["s"] = { "s", 55, 5 };
+    run(6s);
+    dry_ = true;
+    for (auto const* zone : { "a", "b" })
+        shrink(zone, true, 0);
+    run(12s);
+    EXPECT_GE(total(), 78); // Headroom times what is kept busy.
+    EXPECT_GT(count("a", false) + count("b", false), 12);
+    dry_ = false;
+    run(120s);
+    EXPECT_EQ(count("a", false), ordinary_share_of("a"));
+}
+
+TEST_F(CapacityControllerTest, NothingIsOrderedWithoutTheLease)
+{
+    run(30s, false);
+    EXPECT_EQ(orders_, 0);
+}
+
+}
+}
--- /dev/null
+++ b/tests/duties/usage_test.cc
@@ -0,0 +1,295 @@
+// Usage by tenant and window: counted, merged, sealed once, sent until taken.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "saltquay/duties/usage_reporter.h"
+
+namespace saltquay::duties {
+
+namespace {
+
+UsageWindows const windows(5000ms);
+
+WallTime wall(std::int64_t milliseconds) { return WallTime(std::chrono::milliseconds(milliseconds)); }
+
+serving::PeerReport usage(
+    std::string const& node, std::uint64_t life, std::int64_t closed, std::vector<UsageCount> counts)
+{
+    serving::PeerReport report;
+    report.scope = serving::ReportScope::kUsage;
+    report.node = node;
+    report.boot = life;
+    report.closed_through = closed;
+    report.usage = std::move(counts);
+    return report;
+}
+
+TEST(UsageWindowsTest, AreNumberedFrom1970)
+{
+    EXPECT_EQ(windows.number_at(wall(0)), 0);
+    EXPECT_EQ(windows.number_at(wall(4999)), 0);
+    EXPECT_EQ(windows.number_at(wall(5000)), 1);
+    EXPECT_EQ(windows.end_of(1), wall(10000));
+}
+
+TEST(UsageCounterTest, TellsWhatChangedAndForgetsWhatIsOld)
+{
+    UsageCounter counter(windows);
+    counter.note("a", wall(4000), Time { 1s });
+    counter.note("b", wall(5000), Time { 2s });
+    counter.note("b", wall(6000), Time { 3s });
+    EXPECT_EQ(counter.all(), (std::vector<UsageCount> { { 0, "a", 1 }, { 1, "b", 2 } }));
+    EXPECT_EQ(counter.changed_since(Time { 2500ms }), (std::vector<UsageCount> { { 1, "b", 2 } }));
+    counter.forget_before(1);
+    EXPECT_EQ(counter.all(), (std::vector<UsageCount> { { 1, "b", 2 } }));
+}
+
+class UsageTableTest : public ::testing::Test {
+protected:
+    UsageTable table_ { UsageTableKnobs {}, Time { 0s } };
+    Time now_ { 10s };
+};
+
+TEST_F(UsageTableTest, LivesAddUpAndMessagesMayComeAgainOrLate)
+{
+    table_.note(usage("n1", 1, 0, { { 7, "a", 5 } }), now_);
+    table_.note(usage("n1", 1, 0, { { 7, "a", 3 } }), now_);
+    table_.note(usage("n1", 1, 0, { { 7, "a", 5 } }), now_);
+    table_.note(usage("n1", 2, 0, { { 7, "a", 1 } }), now_);
+    table_.note(usage("n2", 1, 0, { { 7, "a", 2 }, { 8, "b", 9 } }), now_);
+    EXPECT_EQ(table_.counts(7), (TenantCounts { { "a", 8 } }));
+    EXPECT_EQ(table_.counts(8), (TenantCounts { { "b", 9 } }));
+}
+
+TEST_F(UsageTableTest, IsCompleteOnceAllWhoAreHeardHaveClosedTheWindow)
+{
+    table_.note(usage("n1", 1, 7, {}), now_);
+    table_.note(usage("n2", 1, 6, {}), now_);
+    EXPECT_FALSE(table_.is_complete(7, now_));
+    EXPECT_TRUE(table_.is_complete(6, now_));
+    table_.note(usage("n2", 2, 7, {}), now_); // It was started again.
+    EXPECT_TRUE(table_.is_complete(7, now_));
+    table_.note(usage("n3", 1, 6, {}), now_);
+    EXPECT_FALSE(table_.is_complete(7, now_ + 5s));
+    EXPECT_TRUE(table_.is_complete(7, now_ + 7s)); // It is gone.
+    table_.begin_round(now_ + 7s);
+    EXPECT_FALSE(table_.is_complete(7, now_ + 7s));
+}
+
+TEST_F(UsageTableTest, WhatWasHeardIsPassedOnWhole)
+{
+    table_.note(usage("n1", 1, 7, { { 7, "a", 5 }, { 7, "b", 6 }, { 8, "a", 1 } }), now_);
+    table_.note(usage("me", 1, 7, { { 7, "a", 5 } }), now_);
+    UsageTable other { UsageTableKnobs {}, Time { 0s } };
+    auto const messages = table_.contributions("me", 2);
+    EXPECT_EQ(messages.size(), 2U);
+    for (auto const& message : messages)
+        other.note(message, now_);
+    EXPECT_EQ(other.counts(7), (TenantCounts { { "a", 5 }, { "b", 6 } }));
+    EXPECT_EQ(other.counts(8), (TenantCounts { { "a", 1 } }));
+}
+
+class UsageReporterTest : public ::testing::Test {
+protected:
+    UsageReporterTest() { table_.note(usage("n1", 1, 1000, { { 7, "a", 5 } }), Time { 0s }); }
+    UsageActions step(std::int64_t wall_ms, bool holds = true)
+    {
+        UsageActions actions;
+        now_ = Time { std::chrono::milliseconds(wall_ms) };
+        reporter_.step(now_, wall(wall_ms), holds, 1, 7, table_, actions);
+        return actions;
+    }
+    template<typename T> static std::vector<T> all(UsageActions const& actions)
+    {
+        std::vector<T> found;
+        for (auto const& action : actions) {
+            if (auto const* typed = std::get_if<T>(&action))
+                found.push_back(*typed);
+        }
+        return found;
+    }
+
+    UsageTable table_ { UsageTableKnobs {}, Time { 0s } };
+    UsageReporter reporter_ { UsageReporterKnobs {}, windows };
+    Time now_ {};
+};
+
+TEST_F(UsageReporterTest, SealsBeforeItSendsAndSendsUntilItIsTaken)
+{
+    EXPECT_EQ(all<ReadSealedUsage>(step(36000)).size(), 1U);
+    reporter_.on_read(now_, SealedUsage {});
+    EXPECT_TRUE(step(40500).empty()); // Window 7 ends at 40 s; stragglers come.
+    auto const sealing = all<WriteSealedUsage>(step(40800));
+    ASSERT_EQ(sealing.size(), 1U);
+    EXPECT_EQ(sealing[0].object.reports, (std::vector<UsageReport> { { 7, { { "a", 5 } } } }));
+    EXPECT_TRUE(all<SendUsageReport>(step(40900)).empty());
+    reporter_.on_written(now_, 12);
+    EXPECT_EQ(all<SendUsageReport>(step(41000)).size(), 1U);
+    table_.note(usage("n1", 1, 1000, { { 7, "a", 6 } }), now_); // Too late: the report is sealed.
+    reporter_.on_sent(now_, 7, DutyOutcome::Unknown);
+    auto const again = all<SendUsageReport>(step(41300));
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].report.counts, (TenantCounts { { "a", 5 } }));
+    reporter_.on_sent(now_, 7, DutyOutcome::Done);
+    EXPECT_TRUE(all<SendUsageReport>(step(43000)).empty());
+    EXPECT_EQ(reporter_.sealed_through(), 7);
+}
+
+TEST_F(UsageReporterTest, NodesThatAreSilentAreWaitedForButNotTooLong)
+{
+    step(36000);
+    reporter_.on_read(now_, SealedUsage {});
+    table_.note(usage("n2", 1, 6, {}), Time { 39s });
+    EXPECT_TRUE(all<WriteSealedUsage>(step(44000)).empty());
+    table_.note(usage("n2", 1, 6, {}), Time { 45s });
+    EXPECT_EQ(all<WriteSealedUsage>(step(46600)).size(), 1U);
+}
+
+TEST_F(UsageReporterTest, AWriteThatFailedIsReadBackBeforeAnythingIsSent)
+{
+    step(36000);
+    reporter_.on_read(now_, SealedUsage {});
+    step(41000);
+    reporter_.on_write_failed(now_);
+    auto const actions = step(41500);
+    EXPECT_EQ(all<ReadSealedUsage>(actions).size(), 1U);
+    EXPECT_TRUE(all<SendUsageReport>(actions).empty());
+    reporter_.on_read(now_, SealedUsage { 30, { { 7, { { "a", 4 } } } } }); // Another had sealed it.
+    auto const sent = all<SendUsageReport>(step(41600));
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].report.counts, (TenantCounts { { "a", 4 } }));
+}
+
+TEST_F(UsageReporterTest, NothingIsDoneByWhoDoesNotHoldTheLease)
+{
+    EXPECT_TRUE(step(60000, false).empty());
+    step(61000);
+    reporter_.on_read(now_, SealedUsage { 30, { { 7, { { "a", 4 } } } } });
+    EXPECT_TRUE(step(62000, false).empty());
+}
+
+TEST_F(UsageReporterTest, AWindowOfWhichNobodyIsLeftIsNotMadeUp)
+{
+    UsageTable fresh { UsageTableKnobs {}, Time { 0s } };
+    fresh.note(usage("n1", 52000, 1000, {}), Time { 52s }); // All began in the middle of window 10.
+    UsageActions actions;
+    reporter_.step(Time { 52s }, wall(52000), true, 1, 10, fresh, actions);
+    reporter_.on_read(Time { 52s }, SealedUsage { 30, { { 9, { { "a", 4 } } } } });
+    actions.clear();
+    UsageReporter& reporter = reporter_;
+    reporter.step(Time { 57s }, wall(57000), true, 1, 9, fresh, actions);
+    ASSERT_EQ(all<LogUsage>(actions).size(), 1U);
+    EXPECT_EQ(all<LogUsage>(actions)[0].event, EventId::kUsageNotReported);
+    actions.clear();
+    reporter.step(Time { 61s }, wall(61000), true, 1, 9, fresh, actions);
+    EXPECT_EQ(all<WriteSealedUsage>(actions).size(), 1U); // Window 11 is whole.
+}
+
+// Holders that race, writes that are answered late or never, calls that are carried out later: the platform never
+// takes two different reports of one window.
+class RacingHolders {
+public:
+    // `seals_first`: false is the mutant that sends what it has not sealed.
+    explicit RacingHolders(bool seals_first)
+        : seals_first_(seals_first)
+    {
+    }
+
+    void run()
+    {
+        for (auto step = 0; step < 400; ++step) {
+            now_ms_ += *rc::gen::inRange(20, 400);
+            // Two may think that they hold the lease.
+            this->step(static_cast<std::size_t>(*rc::gen::inRange(0, nodes)), step / 50);
+        }
+    }
+    std::size_t windows_reported() const { return taken_.size(); }
+
+private:
+    static constexpr int nodes = 3;
+
+    Time now() const { return Time { std::chrono::milliseconds(now_ms_) }; }
+
+    void step(std::size_t index, std::int64_t tenure)
+    {
+        luck_ = *rc::gen::inRange(0, 10);
+        hear(tables_[index]);
+        if (luck_ == 9 && !late_writes_.empty()) {
+            write(late_writes_.back());
+            late_writes_.pop_back();
+        }
+        UsageActions actions;
+        auto& reporter = reporters_[index];
+        reporter.step(now(), wall(now_ms_), luck_ != 8, tenure, 7, tables_[index], actions);
+        for (auto const& action : actions) {
+            if (std::holds_alternative<ReadSealedUsage>(action))
+                reporter.on_read(now(), luck_ == 7 ? std::nullopt : std::optional(stored_));
+            if (auto const* sealing = std::get_if<WriteSealedUsage>(&action))
+                seal(reporter, sealing->object);
+            if (auto const* sending = std::get_if<SendUsageReport>(&action)) {
+                take(sending->report);
+                auto const outcome = luck_ > 4 ? DutyOutcome::Done : DutyOutcome::Unknown;
+                reporter.on_sent(now(), sending->report.window, outcome);
+            }
+        }
+    }
+    // Each knows something else.
+    void hear(UsageTable& table) const
+    {
+        auto const window = now_ms_ / 5000;
+        table.note(usage("n" + std::to_string(*rc::gen::inRange(0, 4)), 1, window - *rc::gen::inRange(0, 2),
+                       { { window, "a", *rc::gen::inRange(1, 50) } }),
+            now());
+    }
+    void seal(UsageReporter& reporter, SealedUsage const& object)
+    {
+        if (!seals_first_)
+            take(object.reports.back());
+        if (luck_ == 1)
+            late_writes_.push_back(object);
+        auto const done = luck_ != 1 && write(object);
+        if (done && luck_ > 2)
+            reporter.on_written(now(), revision_);
+        else
+            reporter.on_write_failed(now());
+    }
+    bool write(SealedUsage object)
+    {
+        if (object.revision != stored_.revision)
+            return false;
+        object.revision = ++revision_;
+        stored_ = std::move(object);
+        return true;
+    }
+    void take(UsageReport const& report)
+    {
+        auto const [entry, first] = taken_.emplace(report.window, report.counts);
+        RC_ASSERT(first || entry->second == report.counts);
+    }
+
+    bool seals_first_;
+    std::vector<UsageReporter> reporters_ { nodes, UsageReporter(UsageReporterKnobs {}, windows) };
+    std::vector<UsageTable> tables_ { nodes, UsageTable(UsageTableKnobs {}, Time { 0s }) };
+    SealedUsage stored_;
+    std::int64_t revision_ = 10;
+    std::vector<SealedUsage> late_writes_;
+    std::map<std::int64_t, TenantCounts> taken_;
+    std::int64_t now_ms_ = 35000;
+    int luck_ = 0;
+};
+
+RC_GTEST_PROP(UsageReporterProperty, APlatformNeverSeesTwoReportsOfOneWindow, ())
+{
+    RacingHolders holders(true);
+    holders.run();
+    RC_CLASSIFY(holders.windows_reported() > 2, "three windows and more were reported");
+}
+
+// The same with reports that go out before they are sealed: the property must see it.
+TEST(UsageReporterMutantTest, ReportsThatAreSentBeforeTheyAreSealedAreSeen)
+{
+    EXPECT_FALSE(rc::check("mutant", [] { RacingHolders(false).run(); }));
+}
+
+}
+}
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -62,7 +62,7 @@
     route.objective = 400ms;
     route.max_attempts = kind == serving::RouteKind::kRepeatable ? 2 : 1;
     config.routes = {route};
-    config.services = {serving::Service{"s", "/health", 0, std::nullopt}};
+    config.services = {serving::Service{"s", "/health", 0, std::nullopt, std::nullopt}};
     serving::EnginesReplaced replaced;
     for (std::size_t i = 0; i < engines.size(); ++i) {
       serving::EngineRecord record;
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -14,6 +14,7 @@
 #include "src/gateway/gateway_settings.h"
 #include "src/gateway/peer_codec.h"
 #include "src/gateway/stop_schedule.h"
+#include "src/gateway/usage_codec.h"
 
 namespace saltquay::gateway {
 namespace {
@@ -217,6 +218,35 @@
   EXPECT_FALSE(StopSchedule(milliseconds(2000)).Accepts(milliseconds(1000)));
 }
 
+TEST(UsageCodecTest, SealedReportsSurviveAndOthersAreTypedErrors) {
+  const duties::SealedUsage sealed{12, {{7, {{"t1", 5}, {"t2", 6}}}, {8, {}}}};
+  const auto decoded = DecodeSealedUsage({"reports", 12, EncodeSealedUsage(sealed)});
+  ASSERT_TRUE(decoded.ok()) << decoded.status();
+  EXPECT_EQ(decoded->revision, 12);
+  EXPECT_EQ(decoded->reports, sealed.reports);
+  for (const char* text : {"", "{}", R"({"reports":[{}]})", R"({"reports":[{"window":1,"counts":[]}]})"}) {
+    EXPECT_EQ(KindOf(DecodeSealedUsage({"reports", 1, text}).status()), ErrorKind::kCorrupt) << text;
+  }
+}
+
+TEST(PeerCodecTest, UsageAndLeaseSurvive) {
+  serving::PeerReport report;
+  report.scope = serving::ReportScope::kUsage;
+  report.node = "n1";
+  report.lease = {"n2", "1.2.3.4:5", 99};
+  report.wall_ms = 1234567890123;
+  report.closed_through = 77;
+  report.usage = {{78, "t1", 5}, {78, "t2", 6}};
+  const auto decoded = DecodeReport(EncodeReport(report));
+  ASSERT_TRUE(decoded.ok());
+  EXPECT_EQ(decoded->scope, serving::ReportScope::kUsage);
+  EXPECT_EQ(decoded->lease.address, "1.2.3.4:5");
+  EXPECT_EQ(decoded->lease.revision, 99);
+  EXPECT_EQ(decoded->wall_ms, 1234567890123);
+  EXPECT_EQ(decoded->closed_through, 77);
+  EXPECT_EQ(decoded->usage, report.usage);
+}
+
 TEST(PeerCodecTest, ReportsSurviveAndGarbageIsRefused) {
   serving::PeerReport report;
   report.node = "n1";
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -34,9 +34,25 @@
   EXPECT_EQ(config->limits.head_bytes, 99U);
 }
 
+TEST(RecordsTest, TenantsDecode) {
+  const auto config = ParseConfig({"main", 3, R"({"version":7,"services":[],"routes":[
+    {"host":"h","path_prefix":"/a/","service":"s","allow_anonymous":true},{"host":"h","path_prefix":"/b/","service":"s"}],
+    "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},{"name":"t2","api_keys":[]}]})"});
+  ASSERT_TRUE(config.ok()) << config.status();
+  EXPECT_TRUE(config->requires_keys);
+  EXPECT_TRUE(config->routes[0].allows_anonymous);
+  EXPECT_FALSE(config->routes[1].allows_anonymous);
+  ASSERT_EQ(config->tenants.size(), 2U);
+  EXPECT_EQ(config->tenants[0].api_keys, (std::vector<std::string>{"k1", "k2"}));
+  EXPECT_EQ(config->tenants[0].priority, 1);
+  EXPECT_EQ(config->tenants[1].priority, std::nullopt);
+  EXPECT_FALSE(ParseConfig({"main", 3, R"({"version":7,"services":[],"routes":[]})"})->requires_keys);
+}
+
 TEST(RecordsTest, WhatDoesNotDecodeIsATypedError) {
-  for (const char* text : {"", "[]", "{}", R"({"version":"x","routes":[],"services":[]})",
-                           R"({"version":1,"routes":[{}],"services":[]})"}) {
+  for (const char* text :
+       {"", "[]", "{}", R"({"version":"x","routes":[],"services":[]})", R"({"version":1,"routes":[{}],"services":[]})",
+        R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"t"}]})"}) {
     const auto config = ParseConfig({"main", 1, text});
     ASSERT_FALSE(config.ok()) << text;
     EXPECT_EQ(KindOf(config.status()), ErrorKind::kCorrupt);
@@ -44,6 +60,43 @@
   }
 }
 
+// What the platform says is the system's to set, and what is for the system alone.
+class SystemFieldTest : public ::testing::TestWithParam<const char*> {};
+
+TEST_P(SystemFieldTest, NeverPassesFromAClient) {
+  const gateway::EngineProtocol protocol(EngineNames());
+  http::RequestHead client;
+  client.method = "POST";
+  client.target = "/a/b";
+  client.fields.Add("Host", "h");
+  client.fields.Add(GetParam(), "the-clients-own");
+  client.fields.Add(GetParam(), "the-clients-own");
+  for (const auto mode :
+       {serving::AttemptMode::kWhole, serving::AttemptMode::kPrefill, serving::AttemptMode::kContinue}) {
+    serving::StartAttempt attempt;
+    attempt.mode = mode;
+    attempt.engine_id = "e";
+    attempt.tenant = "t";
+    if (mode == serving::AttemptMode::kContinue) attempt.memory = {"e", "1.1.1.1:1", "handle"};
+    const std::string bytes = http::SerializeRequest(protocol.MakeRequest(client, attempt), "");
+    EXPECT_EQ(bytes.find("the-clients-own"), std::string::npos) << bytes;
+    EXPECT_NE(bytes.find("X-Tenant: t\r\n"), std::string::npos) << bytes;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(EachField, SystemFieldTest,
+                         ::testing::Values("X-Credential", "x-credential", "X-Tenant", "X-Stage", "X-Kv-Source",
+                                           "X-Kv-Backup", "X-Kv-Hold", "X-Pin-Ms", "Kv-Fetch", "X-Expect-Instance",
+                                           "X-Expect-Version", "X-Request-Priority", "X-Duty-Holder",
+                                           "X-Fencing-Token"));
+
+TEST(EngineNamesTest, TheKeyIsReadAndTheTenantTold) {
+  const gateway::EngineProtocol protocol(EngineNames());
+  http::RequestHead client;
+  client.fields.Add("X-Credential", "k1");
+  EXPECT_EQ(protocol.ReadRequest(client).api_key, "k1");
+}
+
 TEST(RecordsTest, AnEngineDecodes) {
   const auto engine = ParseEngine({"i-1", 1, R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":64,
     "state":"draining","stage":"decode","sequence":4,"cold_remaining_ms":0,"version":"v1"})"});
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -36,7 +36,7 @@
     Service model;
     model.name = "model";
     model.language = LanguageEngineTraits{64, 400000, 18432, 370000, 5s, 2300ms};
-    config.services = {Service{"plain", "/health", 100, std::nullopt}, model};
+    config.services = {Service{"plain", "/health", 100, std::nullopt, std::nullopt}, model};
     return config;
   }
   static EngineRecord MakeEngine(const std::string& id, const std::string& service, EngineStage stage) {
