Soak: tenants, keys, a stand-in for the duties' API

The stand-in store publishes tenants, callers carry keys (some that nobody holds), engines check what they are told, and a platform takes usage reports: it refuses some and leaves some unanswered. Checked: no key at an engine, the right tenant, no run for a wrong key, no two reports of one window, no token of two holders.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -7,7 +7,9 @@
 answers or leave, gateways stopped, paused, killed and started again. Promises, from what callers and engines see: an
 answer is the own one, whole and signed; what may run once ran at most once; what was refused never ran; a stream that
 ends well has each event once, in order; no two holders of one fencing token; within one life of its process a gateway
-never goes back to an older configuration; once all faults are over, each gateway serves the newest one. Every gateway
+never goes back to an older configuration; once all faults are over, each gateway serves the newest one; engines are told
+the tenant that holds the caller's key and never the key, and run nothing for keys that nobody holds; no two reports of
+one window's usage differ, and some are made. Every gateway
 reaches the store through a proxy of its own, so that single ones are cut off from it. Exit 1 and a line for each breach.
 """
 
@@ -24,10 +26,12 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from soak_world import Engine, Proxy, Store  # noqa: E402
+from soak_world import DutyPlatform, Engine, Proxy, Store  # noqa: E402
 
 ROUTES = {"once": ("unsafe", "plain", 1), "safe": ("safe", "plain", 2), "chat": ("streaming", "model", 2),
           "lone": ("streaming", "model", 1)}
+TENANTS = {f"tenant-{index}": f"secret-of-{index}" for index in range(4)}
+WRONG_KEY = "secret-of-nobody"
 
 
 def free_port():
@@ -42,6 +46,7 @@
     def __init__(self):
         self.runs, self.told, self.breaks, self.counts = {}, {}, [], {}
         self.restage = None
+        self.tenants = {}  # request -> tenant that holds its caller's key; nothing where none does.
         self.newest = {}  # (gateway, life) -> newest generation seen in force there.
 
     def ran(self, request, body):
@@ -49,6 +54,13 @@
         if body != f"ask {request}".encode():
             self.breaks.append(f"{request}: ran with another body")
 
+    def named(self, request, headers):
+        """What the engine was told of whose request it is."""
+        if any("secret-of" in value for value in headers.values()):
+            self.breaks.append(f"{request}: the key went on to an engine")
+        if request in self.tenants and headers.get("x-tenant") != self.tenants[request]:
+            self.breaks.append(f"{request}: run for {headers.get('x-tenant')}, is of {self.tenants[request]}")
+
     async def restaged(self, engine):
         await asyncio.sleep(0.5)
         await self.restage(engine)
@@ -72,12 +84,13 @@
 
 
 class Gateway:
-    def __init__(self, program, folder, index, store_port, seeds):
+    def __init__(self, program, folder, index, store_port, duties_port, seeds):
         self.program, self.name = program, f"node-{index}"
         self.client, self.ready, self.peer = free_port(), free_port(), free_port()
         self.path = os.path.join(folder, f"{self.name}.toml")
         self.log = open(os.path.join(folder, f"{self.name}.log"), "ab")
-        self.store_port, self.process, self.seeds, self.life = store_port, None, seeds, 0
+        self.store_port, self.duties_port = store_port, duties_port
+        self.process, self.seeds, self.life = None, seeds, 0
 
     def start(self):
         self.life += 1
@@ -85,7 +98,8 @@
             file.write(f'node_name = "{self.name}"\nzone = "a"\nclient_listen = "127.0.0.1:{self.client}"\n'
                        f'ready_listen = "127.0.0.1:{self.ready}"\npeer_listen = "127.0.0.1:{self.peer}"\n'
                        f'peer_seeds = {json.dumps(self.seeds)}\nstore_address = "127.0.0.1:{self.store_port}"\n'
-                       "[bounds]\ngrace_s = 4\nlease_ms = 1000\nretry_budget_slack = 50\n")
+                       "[bounds]\ngrace_s = 4\nlease_ms = 1000\nretry_budget_slack = 50\n"
+                       f'[duties]\naddress = "127.0.0.1:{self.duties_port}"\ncalls = ["usage"]\nreport_window_s = 2\n')
         self.process = subprocess.Popen([self.program, "--settings", self.path], stdout=self.log, stderr=self.log)
 
     def send(self, number):
@@ -97,11 +111,13 @@
     def __init__(self, arguments, folder):
         self.arguments, self.folder = arguments, folder
         self.luck, self.truth, self.store = random.Random(arguments.seed), Truth(), Store()
+        self.duties = DutyPlatform(self.truth, self.luck)
         self.engines, self.proxies, self.gateways, self.number = [], {}, [], 0
         self.routes, self.generation = [], 0
 
     async def build(self):
         await self.store.start()
+        await self.duties.start()
         stages = [(f"u{i}", "plain", None) for i in range(3)]
         stages += [(f"m{i}", "model", "prefill" if i < 2 else "decode") for i in range(6)]
         for identity, service, stage in stages:
@@ -116,7 +132,8 @@
             store_proxy = Proxy(self.store.port)
             await store_proxy.start()
             self.proxies[f"store of {index}"] = store_proxy
-            gateway = Gateway(self.arguments.program, self.folder, index, store_proxy.port, list(seeds))
+            gateway = Gateway(self.arguments.program, self.folder, index, store_proxy.port, self.duties.port,
+                              list(seeds))
             seeds.append(f"127.0.0.1:{gateway.peer}")
             gateway.start()
             self.gateways.append(gateway)
@@ -128,7 +145,8 @@
                             "kind": "safe", "timeout_ms": 2000, "target_latency_ms": 400, "service": "plain",
                             "max_attempts": 2})
         model = {"name": "model", "engine": {"slots": 8, "kv_capacity_tokens": 400000, "stage_switch_s": 0.5}}
-        spec = {"version": self.generation, "routes": list(self.routes), "services": [{"name": "plain"}, model]}
+        spec = {"version": self.generation, "routes": list(self.routes), "services": [{"name": "plain"}, model],
+                "tenants": [{"name": name, "api_keys": [key]} for name, key in TENANTS.items()]}
         await self.store.put("config", "main", spec)
 
     async def change_configuration(self, until):
@@ -148,7 +166,7 @@
         """The status of one request; nothing where none came."""
         body = f"ask {request}"
         text = (f"POST /{route}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\nConnection: close\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n{body}")
+                f"X-Credential: {TENANTS['tenant-0']}\r\nContent-Length: {len(body)}\r\n\r\n{body}")
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", gateway.client), 1)
         except (OSError, asyncio.TimeoutError):
@@ -203,13 +221,18 @@
             self.number += 1
             route = luck.choice(list(ROUTES))
             request = f"{route}-{self.arguments.seed}-{self.number}"
-            outcome = await self.ask(luck.choice(self.gateways), route, request)
+            tenant = luck.choice([*TENANTS, None]) if luck.random() < 0.2 else luck.choice(list(TENANTS))
+            self.truth.tenants[request] = tenant
+            outcome = await self.ask(luck.choice(self.gateways), route, request, TENANTS.get(tenant, WRONG_KEY))
+            if tenant is None and outcome == "served":
+                self.truth.breaks.append(f"{request}: served with a key that nobody holds")
             self.truth.told[request] = (route, outcome)
             self.truth.counts[outcome] = self.truth.counts.get(outcome, 0) + 1
             await asyncio.sleep(luck.uniform(0, 0.08))
 
-    async def ask(self, gateway, route, request):
-        headers = f"Host: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\n"
+    async def ask(self, gateway, route, request, key):
+        headers = (f"Host: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\n"
+                   f"X-Credential: {key}\r\nX-Tenant: forged\r\n")
         if ROUTES[route][1] == "model":
             headers += "X-Model: m\r\nX-Token-Count: 3000,64\r\nX-Prompt-Prefix: aa:2000,bb:1000\r\n"
         body = f"ask {request}"
@@ -307,6 +330,8 @@
         for gateway in self.gateways:
             await asyncio.get_running_loop().run_in_executor(None, gateway.process.wait)
         self.truth.check()
+        if self.arguments.seconds >= 10 and not self.duties.reports:
+            self.truth.breaks.append("no usage was ever reported")
         return self.truth
 
 
--- a/tests/platform/soak_check_test.py
+++ b/tests/platform/soak_check_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 from soak import Soak, Truth
-from soak_world import Engine
+from soak_world import DutyPlatform, Engine
 
 
 def soak():
@@ -72,6 +72,28 @@
         engine._order({"fencing_token": 5, "holder": "b", "expect_revision": 9, "stage": "prefill"})
         self.assertEqual(len(truth.breaks), 1)
 
+    def test_a_key_that_goes_on_and_a_wrong_tenant(self):
+        truth = Truth()
+        truth.tenants["r"] = "tenant-1"
+        truth.named("r", {"x-tenant": "tenant-1"})
+        self.assertEqual(truth.breaks, [])
+        truth.named("r", {"x-tenant": "tenant-1", "x-other": "secret-of-1"})
+        truth.named("r", {"x-tenant": "tenant-2"})
+        truth.named("r", {})
+        self.assertEqual(len(truth.breaks), 3)
+
+    def test_two_reports_of_one_window_and_two_holders_of_one_duty_token(self):
+        truth = Truth()
+        platform = DutyPlatform(truth, random.Random(1))
+        head = {"x-fencing-token": "5", "x-duty-holder": "a"}
+        self.assertEqual(platform.take(head, {"window_number": 7, "counts": {"t": 1}}), 200)
+        self.assertEqual(platform.take(head, {"window_number": 7, "counts": {"t": 1}}), 200)
+        self.assertEqual(truth.breaks, [])
+        platform.take(head, {"window_number": 7, "counts": {"t": 2}})
+        platform.take({**head, "x-duty-holder": "b"}, {"window_number": 8, "counts": {}})
+        self.assertEqual(len(truth.breaks), 2)
+        self.assertEqual(platform.take({**head, "x-fencing-token": "4"}, {"window_number": 9, "counts": {}}), 409)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/soak_world.py
+++ b/tests/platform/soak_world.py
@@ -176,6 +176,7 @@
             writer.write(answer(503, headers={**common, "X-Not-Executed": "1"}))
             return True
         self.truth.ran(request, body)
+        self.truth.named(request, headers)
         self.running += 1
         try:
             return await self._run(request, headers, common, writer)
@@ -207,6 +208,38 @@
         return True
 
 
+class DutyPlatform(Server):
+    """Takes usage reports; refuses some, leaves some unanswered, and checks fencing tokens and contents."""
+
+    def __init__(self, truth, luck):
+        self.truth, self.luck, self.holders, self.highest, self.reports = truth, luck, {}, 0, {}
+
+    async def handle(self, line, headers, body, writer):
+        chance = self.luck.random()
+        if chance < 0.1:
+            writer.write(answer(429))
+            return True
+        status = self.take(headers, json.loads(body))
+        if chance < 0.2:
+            await asyncio.sleep(2)  # It was taken, and is not answered.
+            return False
+        writer.write(answer(status))
+        return True
+
+    def take(self, headers, report):
+        """Takes one report; returns the status of its answer."""
+        token, holder = int(headers["x-fencing-token"]), headers["x-duty-holder"]
+        if self.holders.setdefault(token, holder) != holder:
+            self.truth.breaks.append(f"two holders of token {token}: {self.holders[token]}, {holder}")
+        if token < self.highest:
+            return 409
+        self.highest = token
+        window, counts = report["window_number"], report["counts"]
+        if self.reports.setdefault(window, counts) != counts:
+            self.truth.breaks.append(f"window {window}: reported {self.reports[window]}, then {counts}")
+        return 200
+
+
 class Proxy:
     """Passes bytes to a port of ours, and hurts them: delay, reset, one way, silence."""
 
