Shared parts are copied from engines that leave, too

Cause: when a zone's spot engines are withdrawn they serve on for 2.5 to 3 s, but were no source of copies, so that what they alone kept was read again at once. Other sites: not measured yet.

--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -68,12 +68,18 @@
   return entry == engines_.end() ? nullptr : &entry->second;
 }
 
-void EngineDirectory::ForEachServing(const std::string& service, const std::function<void(EngineState&)>& visit) {
+void EngineDirectory::ForEachPresent(const std::string& service, const std::function<void(EngineState&)>& visit) {
   for (auto& [id, engine] : engines_) {
-    if (engine.record.service == service && !engine.gone && !engine.record.leaving) visit(engine);
+    if (engine.record.service == service && !engine.gone) visit(engine);
   }
 }
 
+void EngineDirectory::ForEachServing(const std::string& service, const std::function<void(EngineState&)>& visit) {
+  ForEachPresent(service, [&](EngineState& engine) {
+    if (!engine.record.leaving) visit(engine);
+  });
+}
+
 void EngineDirectory::NoteLoad(const std::string& id, const EngineLoad& load, Time now) {
   EngineState* engine = Find(id);
   if (engine == nullptr) return;
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -159,6 +159,9 @@
   // Calls `visit` for each engine of the service that is neither gone nor leaving.
   void ForEachServing(const std::string& service, const std::function<void(EngineState&)>& visit);
 
+  // The same, with those that are leaving: they get no work, but what they keep can be copied until they are gone.
+  void ForEachPresent(const std::string& service, const std::function<void(EngineState&)>& visit);
+
   void NoteLoad(const std::string& id, const EngineLoad& load, Time now);
   // An answer of the engine's own; `failed`: an error of its own making.
   std::optional<StandingChange> NoteAnswer(const std::string& id, bool failed, Time now);
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -147,11 +147,16 @@
                                               const PromptFacts& prompt, Time now) const {
   const EngineState* best = nullptr;
   int least = prompt.tokens;
-  engines.ForEachServing(service, [&](EngineState& engine) {
+  // One that leaves still serves as a source: what it alone keeps would have to be read again. Of equal ones another is
+  // better, for it will be there when the copy begins.
+  engines.ForEachPresent(service, [&](EngineState& engine) {
     if (now < engine.ejected_until) return;
     const int tokens = TokensToRead(engine.key, prompt, now);
-    const bool nearer = best != nullptr && tokens == least && best->record.zone != zone_ && engine.record.zone == zone_;
-    if (tokens >= least && !nearer) return;
+    const bool equal = best != nullptr && tokens == least;
+    const bool stays = equal && best->record.leaving && !engine.record.leaving;
+    const bool leaves = equal && !best->record.leaving && engine.record.leaving;
+    const bool nearer = equal && !leaves && best->record.zone != zone_ && engine.record.zone == zone_;
+    if (tokens >= least && !nearer && !stays) return;
     best = &engine;
     least = tokens;
   });
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -235,6 +235,19 @@
   EXPECT_EQ(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{1s}), nullptr);
 }
 
+TEST_F(SelectorTest, WhatOnlyALeavingEngineKeepsIsCopiedWhileItLasts) {
+  for (int i = 0; i < 3; ++i) engines_.Update(Record("p" + std::to_string(i), EngineStage::kPrefill));
+  selector_.NotePrompt("p0", Prompt("x"), Time{1s});
+  EngineRecord leaving = engines_.Find("p0")->record;
+  leaving.leaving = true;
+  engines_.Update(leaving);
+  EXPECT_EQ(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{1s}), engines_.Find("p0"));
+  selector_.NotePrompt("p2", Prompt("x"), Time{1s});
+  EXPECT_EQ(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{1s}), engines_.Find("p2"));
+  engines_.Remove("p0");
+  EXPECT_NE(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{1s}), engines_.Find("p0"));
+}
+
 TEST_F(SelectorTest, EnginesThatAreOutAreTheLastResort) {
   engines_.Update(Record("d1", EngineStage::kDecode));
   engines_.Update(Record("d2", EngineStage::kDecode));
