--- a/include/saltquay/duties/capacity_controller.h
+++ b/include/saltquay/duties/capacity_controller.h
@@ -82,7 +82,8 @@
         bool idle = false;         // Nothing is being asked.
         bool settled = false;      // All engines that were there at first are known.
         bool may_exchange = false; // Ordinary engines may go now.
-        int missing = 0;           // Of all zones, for the demand itself.
+        int missing = 0;           // In each zone where there are no spot engines to be had.
+        int least = 0;             // Engines that serve here whatever is exchanged.
     };
     struct ServiceState {
         int wanted = 0;       // All zones together.
@@ -104,6 +105,7 @@
     int update_wanted(Time now, serving::Service const&, serving::ServiceDemand const&, EnginesByZone const& present);
     void plan_zone(Time now, ZonePlan const&, std::vector<CapacityAction>&);
     void order(Time now, EngineOrder const&, ZonePlan const&, std::vector<CapacityAction>&);
+    int missing_in_dry_zones(serving::Service const&, serving::ServiceDemand const&, EnginesByZone const& present);
     bool is_idle(serving::ServiceDemand const&) const;
     bool is_unavailable(Lot const&) const;
 
--- a/include/saltquay/duties/capacity_planner.h
+++ b/include/saltquay/duties/capacity_planner.h
@@ -24,11 +24,12 @@
     double headroom = 1.3;
     // Of all engines, that may be silent or broken at the same time as a zone's spot engines are taken away.
     double failing_share = 0.2;
-    // Of a zone's engines that are ordinary where spot engines are to be had: what is left if all those go.
-    double ordinary_share = 0.15;
+    // Of a zone's engines that are ordinary where spot engines are to be had: what reads and answers on if those of all
+    // zones go at once. Spot engines are spread over the zones because only one zone's are expected to go.
+    double ordinary_share = 0.05;
     // Engines wanted for each that was there before anything was asked. Memories are empty then, and shared parts of
-    // prompts are all read once.
-    double cold_factor = 1.0;
+    // prompts are all read once: twice as much was read in the first ten seconds as later.
+    double cold_factor = 2.0;
     // Fewer are ordered only when so much less than what there is has been enough for so long: what a new engine
     // must read again costs more than it saves in less.
     double shrink_below = 0.75;
@@ -55,6 +56,9 @@
 int engines_wanted(
     CapacityKnobs const&, serving::ServiceDemand const&, serving::ScalingTraits const&, std::size_t zones);
 
+// Returns how many engines that demand needs now, some of which fail, with nothing to spare for a zone's loss.
+int engines_needed_now(CapacityKnobs const&, serving::ServiceDemand const&);
+
 // Shares `engines` out among the service's zones, cheaper ones first where they do not come out even.
 EnginesByZone share_out(CapacityKnobs const&, serving::ScalingTraits const&, int engines);
 
--- a/src/duties/capacity_controller.cc
+++ b/src/duties/capacity_controller.cc
@@ -117,9 +117,7 @@
     auto& state = services_[service.name];
     auto const target = share_out(knobs_.planner, *service.scaling, state.wanted);
     auto const idle = is_idle(asked);
-    // Until spot engines come back, ordinary ones fill what the demand itself needs.
-    auto const busy = asked.prefill_engines + asked.decode_engines;
-    auto const missing = static_cast<int>(std::ceil(knobs_.planner.headroom * busy)) - total(present);
+    auto const missing = missing_in_dry_zones(service, asked, present);
     if (now >= state.next_log) {
         state.next_log = now + knobs_.log_interval;
         actions.push_back(LogCapacity { EventId::kCapacityPlan,
@@ -130,10 +128,14 @@
     auto const may_exchange = state.settled && (idle || now >= state.next_exchange);
     if (may_exchange)
         state.next_exchange = now + knobs_.planner.exchange_pause;
+    // As many as there were, or as many as the demand wants.
+    auto const zones = static_cast<int>(target.size());
+    auto const least = (std::max(state.seen, needed) + zones - 1) / zones;
     for (auto const& [zone, engines] : target) {
         auto const there = present.find(zone);
         auto const now_there = there == present.end() ? ZoneEngines {} : there->second;
-        plan_zone(now, { service, zone, engines, now_there, idle, state.settled, may_exchange, missing }, actions);
+        plan_zone(
+            now, { service, zone, engines, now_there, idle, state.settled, may_exchange, missing, least }, actions);
     }
 }
 
@@ -155,8 +157,9 @@
     if (ordinary < plan.present.ordinary) {
         if (!plan.may_exchange)
             return;
-        // Only what others serve for may go, and under load little at a time.
-        auto const spare = std::max(0, plan.present.all() - plan.target.all());
+        // Only what others serve for may go, and under load little at a time. Where the limit leaves no room to order
+        // the others first, they come after.
+        auto const spare = std::max(0, plan.present.all() - std::min(plan.target.all(), plan.least));
         auto const step = std::max(1, static_cast<int>(knobs_.planner.exchange_share * plan.present.all()));
         auto const leaving = std::min(spare, plan.idle ? spare : step);
         ordinary = std::max(ordinary, plan.present.ordinary - leaving);
@@ -164,6 +167,20 @@
     order(now, { name, plan.zone, ordinary, false }, plan, actions);
 }
 
+// Until spot engines come back, ordinary ones fill what the demand needs, or what the service had at first: parts that
+// went with the others are read again now.
+int CapacityController::missing_in_dry_zones(
+    serving::Service const& service, serving::ServiceDemand const& asked, EnginesByZone const& present)
+{
+    auto dry = 0;
+    for (auto const& [zone, engines] : present)
+        dry += is_unavailable({ service.name, zone, true }) ? 1 : 0;
+    if (dry == 0)
+        return 0;
+    auto const needed = std::max(services_[service.name].seen, engines_needed_now(knobs_.planner, asked));
+    return (std::max(0, needed - total(present)) + dry - 1) / dry;
+}
+
 bool CapacityController::is_unavailable(Lot const& lot) const
 {
     auto const entry = orders_.find(lot);
--- a/src/duties/capacity_planner.cc
+++ b/src/duties/capacity_planner.cc
@@ -15,6 +15,12 @@
     return static_cast<int>(std::ceil(knobs.headroom * busy / left));
 }
 
+int engines_needed_now(CapacityKnobs const& knobs, serving::ServiceDemand const& demand)
+{
+    auto const busy = demand.prefill_engines + demand.decode_engines;
+    return static_cast<int>(std::ceil(knobs.headroom * busy / (1 - knobs.failing_share)));
+}
+
 EnginesByZone share_out(CapacityKnobs const& knobs, serving::ScalingTraits const& scaling, int engines)
 {
     std::vector<std::pair<double, std::string>> zones;
--- a/src/gateway/duties.cc
+++ b/src/gateway/duties.cc
@@ -38,6 +38,12 @@
   return "unknown";
 }
 
+duties::CapacityControllerKnobs CapacityKnobs(const GatewaySettings& settings) {
+  duties::CapacityControllerKnobs knobs;
+  knobs.planner = settings.capacity;
+  return knobs;
+}
+
 }  // namespace
 
 Duties::Duties(const GatewaySettings& settings, Gateway& gateway, ObjectStore& store, DutyApi* api,
@@ -52,7 +58,7 @@
       counter_(windows_),
       table_(duties::UsageTableKnobs{}, gateway.Now()),
       reporter_(duties::UsageReporterKnobs{}, windows_),
-      capacity_(duties::CapacityControllerKnobs{}) {}
+      capacity_(CapacityKnobs(settings)) {}
 
 void Duties::OnRunBegan(const serving::RunBegan& run) {
   if (!any() || run.tenant.empty()) return;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -46,6 +46,19 @@
   return admission::OrderPolicy::Worth;
 }
 
+void ReadPolicies(ConfigReader& policy, GatewaySettings& settings) {
+  settings.knobs.policy = ReadPolicy(policy);
+  settings.changes_roles = policy.Boolean("change_roles", true);
+  settings.knobs.reading_order = ReadOrder(policy);
+  settings.knobs.refuses_excess = policy.Boolean("refuse_excess", true);
+  settings.knobs.overflows = policy.Boolean("overflow", true);
+  settings.knobs.copies_parts = policy.Boolean("copy_parts", true);
+  settings.knobs.guesses_unseen = policy.Boolean("guess_unseen", true);
+  settings.initial_prefill_share = policy.Number("initial_prefill_share", 0, 1, settings.initial_prefill_share);
+  settings.knobs.whole_prompt_tokens =
+      static_cast<int>(policy.Integer("whole_prompt_tokens", 0, 1000000, settings.knobs.whole_prompt_tokens));
+}
+
 void ReadBounds(ConfigReader& bounds, GatewaySettings& settings) {
   constexpr double kMillisecondsPerSecond = 1000;
   constexpr double kMostSlack = 1e6;
@@ -71,6 +84,16 @@
   return duties;
 }
 
+void ReadCapacity(ConfigReader& table, GatewaySettings& settings) {
+  duties::CapacityKnobs& knobs = settings.capacity;
+  knobs.headroom = table.Number("headroom", 1, 100, knobs.headroom);
+  knobs.failing_share = table.Number("failing_share", 0, 0.9, knobs.failing_share);
+  knobs.ordinary_share = table.Number("ordinary_share", 0, 1, knobs.ordinary_share);
+  knobs.cold_factor = table.Number("cold_factor", 1, 10, knobs.cold_factor);
+  // Engines stay as they are, whatever the platform asks for.
+  if (!table.Boolean("order_engines", true)) settings.duties.orders_engines = false;
+}
+
 }  // namespace
 
 absl::StatusOr<GatewaySettings> ParseGatewaySettings(const std::string& text, const std::string& source) {
@@ -96,17 +119,11 @@
   ConfigReader duties = root.Table("duties");
   settings.duties = ReadDuties(duties);
   duties.RejectUnreadKeys();
+  ConfigReader capacity = root.Table("capacity");
+  ReadCapacity(capacity, settings);
+  capacity.RejectUnreadKeys();
   ConfigReader policy = root.Table("policy");
-  settings.knobs.policy = ReadPolicy(policy);
-  settings.changes_roles = policy.Boolean("change_roles", true);
-  settings.knobs.reading_order = ReadOrder(policy);
-  settings.knobs.refuses_excess = policy.Boolean("refuse_excess", true);
-  settings.knobs.overflows = policy.Boolean("overflow", true);
-  settings.knobs.copies_parts = policy.Boolean("copy_parts", true);
-  settings.knobs.guesses_unseen = policy.Boolean("guess_unseen", true);
-  settings.initial_prefill_share = policy.Number("initial_prefill_share", 0, 1, settings.initial_prefill_share);
-  settings.knobs.whole_prompt_tokens =
-      static_cast<int>(policy.Integer("whole_prompt_tokens", 0, 1000000, settings.knobs.whole_prompt_tokens));
+  ReadPolicies(policy, settings);
   policy.RejectUnreadKeys();
   root.RejectUnreadKeys();
   if (!root.status().ok()) return root.status();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "saltquay/duties/capacity_planner.h"
 #include "src/base/status.h"
 #include "src/core/serving/knobs.h"
 
@@ -34,6 +35,7 @@
   bool changes_roles = true;
   double initial_prefill_share = 0.67;  // Of a service's engines, before demand is known.
   DutySettings duties;
+  duties::CapacityKnobs capacity;
   int log_lines_per_second = 2000;
   serving::ServingKnobs knobs;
 };
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -144,6 +144,35 @@
   EXPECT_FALSE(none->knobs.refuses_excess);
 }
 
+TEST(GatewaySettingsTest, DutiesAndCapacityAreRead) {
+  const std::string base = R"(node_name = "n"
+zone = "z"
+client_listen = "127.0.0.1:1"
+ready_listen = "127.0.0.1:2"
+store_address = "127.0.0.1:3"
+)";
+  const auto none = ParseGatewaySettings(base, "f");
+  ASSERT_TRUE(none.ok()) << none.status();
+  EXPECT_TRUE(none->duties.address.empty());
+  EXPECT_FALSE(none->duties.reports_usage);
+  const std::string duties = R"([duties]
+address = "127.0.0.1:4"
+calls = ["usage", "scaling", "something newer"]
+report_window_s = 2.5
+)";
+  const auto all = ParseGatewaySettings(base + duties, "f");
+  ASSERT_TRUE(all.ok()) << all.status();
+  EXPECT_TRUE(all->duties.reports_usage && all->duties.orders_engines);
+  EXPECT_EQ(all->duties.report_window, std::chrono::milliseconds(2500));
+  const auto stopped =
+      ParseGatewaySettings(base + duties + "[capacity]\norder_engines = false\ncold_factor = 2\n", "f");
+  ASSERT_TRUE(stopped.ok()) << stopped.status();
+  EXPECT_TRUE(stopped->duties.reports_usage);
+  EXPECT_FALSE(stopped->duties.orders_engines);
+  EXPECT_EQ(stopped->capacity.cold_factor, 2);
+  EXPECT_FALSE(ParseGatewaySettings(base + "[capacity]\nordinary_share = 2\n", "f").ok());
+}
+
 TEST(GatewaySettingsTest, ErrorsNameFileLineKeyAndRemedy) {
   struct Case {
     std::string text;
