Engines: what a service usually has is told from what an earlier holder planned

Change: where spot engines were there at first, the cold factor is taken off; what lost engines kept is counted into the need up to that number. Test: failed before.

--- a/include/saltquay/duties/capacity_controller.h
+++ b/include/saltquay/duties/capacity_controller.h
@@ -105,6 +105,7 @@
     int update_wanted(Time now, serving::Service const&, serving::ServiceDemand const&, EnginesByZone const& present);
     void plan_zone(Time now, ZonePlan const&, std::vector<CapacityAction>&);
     void order(Time now, EngineOrder const&, ZonePlan const&, std::vector<CapacityAction>&);
+    int usual_engines(ServiceState const&) const;
     int missing_in_dry_zones(serving::Service const&, serving::ServiceDemand const&, EnginesByZone const& present);
     bool is_idle(serving::ServiceDemand const&) const;
     bool is_unavailable(Lot const&) const;
--- a/src/duties/capacity_controller.cc
+++ b/src/duties/capacity_controller.cc
@@ -130,7 +130,7 @@
         state.next_exchange = now + knobs_.planner.exchange_pause;
     // As many as there were, or as many as the demand wants.
     auto const zones = static_cast<int>(target.size());
-    auto const least = (std::max(state.seen, needed) + zones - 1) / zones;
+    auto const least = (std::max(usual_engines(state), needed) + zones - 1) / zones;
     for (auto const& [zone, engines] : target) {
         auto const there = present.find(zone);
         auto const now_there = there == present.end() ? ZoneEngines {} : there->second;
@@ -167,8 +167,16 @@
     order(now, { name, plan.zone, ordinary, false }, plan, actions);
 }
 
-// Until spot engines come back, ordinary ones fill what the demand needs, or what the service had at first: parts that
-// went with the others are read again now.
+// What the service was set up with. Where spot engines were there at first, an earlier holder of the lease has planned
+// already, perhaps for a cold start.
+int CapacityController::usual_engines(ServiceState const& state) const
+{
+    auto const factor = state.first_spot > 0 ? knobs_.planner.cold_factor : 1.0;
+    return static_cast<int>(std::ceil(state.seen / factor));
+}
+
+// Until spot engines come back, ordinary ones fill what the demand needs. What the lost ones kept is read again now,
+// and shows in the demand only later: up to the usual number, that is counted in.
 int CapacityController::missing_in_dry_zones(
     serving::Service const& service, serving::ServiceDemand const& asked, EnginesByZone const& present)
 {
@@ -177,8 +185,11 @@
         dry += is_unavailable({ service.name, zone, true }) ? 1 : 0;
     if (dry == 0)
         return 0;
-    auto const needed = std::max(services_[service.name].seen, engines_needed_now(knobs_.planner, asked));
-    return (std::max(0, needed - total(present)) + dry - 1) / dry;
+    auto const& state = services_[service.name];
+    auto const needed = engines_needed_now(knobs_.planner, asked);
+    auto const left = std::max(1, total(present)) / static_cast<double>(std::max(1, state.wanted));
+    auto const with_rereading = std::min(static_cast<int>(needed / left), usual_engines(state));
+    return (std::max(0, std::max(needed, with_rereading) - total(present)) + dry - 1) / dry;
 }
 
 bool CapacityController::is_unavailable(Lot const& lot) const
--- a/tests/duties/capacity_test.cc
+++ b/tests/duties/capacity_test.cc
@@ -246,6 +246,26 @@
     EXPECT_EQ(count("a", false), ordinary_share_of("a"));
 }
 
+TEST_F(CapacityControllerTest, ANewHolderOrdersNoOrdinaryEnginesWhileEnoughAreLeftAndSendsThemAwayLater)
+{
+    // On a day of three zones the holder changed; the next took all that it saw for the least that must serve, ordered
+    // 94 ordinary engines for a zone's loss, and kept them.
+    run(20s);
+    demand_["s"] = { "s", 55, 5 };
+    controller_ = CapacityController(CapacityControllerKnobs {});
+    run(10s);
+    dry_ = true;
+    shrink("a", true, 0);
+    ordinary_orders_ = 0;
+    run(8s);
+    EXPECT_EQ(ordinary_orders_, 0);
+    for (auto i = 0; i < 60; ++i)
+        add("a", false);
+    dry_ = false;
+    run(60s);
+    EXPECT_LE(count("a", false), ordinary_share_of("a") + 1);
+}
+
 TEST_F(CapacityControllerTest, NothingIsOrderedWithoutTheLease)
 {
     run(30s, false);
