--- a/src/gateway/log_explainer.cc
+++ b/src/gateway/log_explainer.cc
@@ -86,6 +86,23 @@
   return beliefs;
 }
 
+std::vector<LogLine> LogExplainer::UsageWindow(std::int64_t window) const {
+  std::vector<LogLine> lines;
+  std::vector<LogLine> holders;  // Since the last line of the window.
+  for (const LogLine& line : lines_) {
+    if (line.name == "lease_acquired" || line.name == "lease_lost") holders.push_back(line);
+    if (!line.name.starts_with("usage_")) continue;
+    const json members = json::parse(line.text, nullptr, false);
+    if (!members.is_object() || members.value("window", std::int64_t{-1}) != window) continue;
+    // Before the first line only the last holder matters.
+    const std::size_t first = lines.empty() && !holders.empty() ? holders.size() - 1 : 0;
+    lines.insert(lines.end(), holders.begin() + static_cast<std::ptrdiff_t>(first), holders.end());
+    holders.clear();
+    lines.push_back(line);
+  }
+  return lines;
+}
+
 std::string FormatLogLine(const LogLine& line) {
   json members = json::parse(line.text, nullptr, false);
   for (const char* key : {"time_ms", "process", "name", "event", "level", "request"}) members.erase(key);
--- a/src/programs/saltquayctl.cc
+++ b/src/programs/saltquayctl.cc
@@ -38,7 +38,8 @@
     "  bundle diff NAME NAME           lines that differ\n"
     "  status                          nodes, engines, roles, lease, generation\n"
     "  explain --request ID FILE...    a request's life, from the gateways' logs; --json: the lines themselves\n"
-    "  explain --engine ID FILE...     what the gateways believed of an engine\n";
+    "  explain --engine ID FILE...     what the gateways believed of an engine\n"
+    "  explain --window N FILE...      what became of the usage report of a window\n";
 
 struct NodeAnswer {
   bool answered = false;
@@ -220,9 +221,21 @@
   return control.Command("roll", body);
 }
 
-int Explain(const std::vector<std::string>& files, const cxxopts::ParseResult& arguments) {
+// The lines that the arguments ask for, and by what name.
+std::pair<std::string, std::vector<gateway::LogLine>> FindLines(const gateway::LogExplainer& explainer,
+                                                                const cxxopts::ParseResult& arguments) {
+  if (arguments.count("window") > 0) {
+    const auto window = arguments["window"].as<std::int64_t>();
+    return {std::to_string(window), explainer.UsageWindow(window)};
+  }
   const bool by_request = arguments.count("request") > 0;
-  if (files.empty() || by_request == (arguments.count("engine") > 0)) return kExitUsage;
+  const std::string id = arguments[by_request ? "request" : "engine"].as<std::string>();
+  return {id, by_request ? explainer.Request(id) : explainer.Engine(id)};
+}
+
+int Explain(const std::vector<std::string>& files, const cxxopts::ParseResult& arguments) {
+  const std::size_t subjects = arguments.count("request") + arguments.count("engine") + arguments.count("window");
+  if (files.empty() || subjects != 1) return kExitUsage;
   gateway::LogExplainer explainer;
   for (const std::string& path : files) {
     std::ifstream file(path);
@@ -232,8 +245,7 @@
     }
     explainer.Read(file, path);
   }
-  const std::string id = arguments[by_request ? "request" : "engine"].as<std::string>();
-  const std::vector<gateway::LogLine> lines = by_request ? explainer.Request(id) : explainer.Engine(id);
+  const auto [id, lines] = FindLines(explainer, arguments);
   for (const gateway::LogLine& line : lines) {
     std::cout << (arguments.count("json") > 0 ? line.text : gateway::FormatLogLine(line)) << "\n";
   }
@@ -250,8 +262,9 @@
   options.add_options()("node", "A node's URL", cxxopts::value<std::string>()->default_value("http://127.0.0.1:8100"))(
       "operator", "Who you are", cxxopts::value<std::string>()->default_value(""))(
       "expect", "Generation that must be in force", cxxopts::value<std::uint64_t>())("json", "Answer as JSON")(
-      "request", "A request's id", cxxopts::value<std::string>())("engine", "An engine's id",
-                                                                  cxxopts::value<std::string>())(
+      "request", "A request's id", cxxopts::value<std::string>())(
+      "engine", "An engine's id", cxxopts::value<std::string>())("window", "The number of a usage report's window",
+                                                                 cxxopts::value<std::int64_t>())(
       "words", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
   options.parse_positional({"words"});
   options.positional_help("COMMAND");
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -191,6 +191,28 @@
   for (int i = 0; i < 4; ++i) EXPECT_NE(Ask("r" + std::to_string(i)).find("200 OK"), std::string::npos);
 }
 
+TEST(LogExplainerTest, AUsageWindowIsToldWithItsHolders) {
+  std::istringstream log(
+      R"({"time_ms":1,"process":"a","name":"lease_acquired","token":3}
+{"time_ms":2,"process":"a","name":"lease_acquired","token":5}
+{"time_ms":3,"process":"a","name":"usage_sealed","window":6,"requests":9}
+{"time_ms":4,"process":"a","name":"usage_sealed","window":7,"requests":8}
+{"time_ms":5,"process":"a","name":"usage_reported","window":7,"outcome":"unknown"}
+{"time_ms":6,"process":"a","name":"lease_lost","cause":"given up"}
+{"time_ms":7,"process":"b","name":"lease_acquired","token":9}
+{"time_ms":8,"process":"b","name":"usage_reported","window":7,"outcome":"done"}
+)");
+  LogExplainer explainer;
+  explainer.Read(log, "f");
+  std::string all;
+  for (const LogLine& line : explainer.UsageWindow(7)) all += FormatLogLine(line) + "\n";
+  EXPECT_EQ(all,
+            "2 a lease_acquired: token=5\n4 a usage_sealed: requests=8 window=7\n"
+            "5 a usage_reported: outcome=unknown window=7\n6 a lease_lost: cause=given up\n"
+            "7 b lease_acquired: token=9\n8 b usage_reported: outcome=done window=7\n");
+  EXPECT_TRUE(explainer.UsageWindow(99).empty());
+}
+
 TEST(LogExplainerTest, BadLinesAreCountedWithTheirNumber) {
   std::istringstream log(
       "noise\n{\"time_ms\":2,\"name\":\"request_routed\",\"request\":\"r\",\"process\":\"n\"}\n{\"cut\":\n");
