--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -72,6 +72,7 @@
   EngineRecord record;
   EngineKey key;  // Of the record's id.
   bool gone = false;
+  std::optional<Time> leaving_since;  // When this node learnt that it leaves.
 
   // This node's own work there.
   int outstanding = 0;
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -150,7 +150,9 @@
   // One that leaves still serves as a source: what it alone keeps would have to be read again. Of equal ones another is
   // better, for it will be there when the copy begins.
   engines.ForEachPresent(service, [&](EngineState& engine) {
-    if (now < engine.ejected_until) return;
+    const bool ends =
+        engine.record.leaving && (!engine.leaving_since || now - *engine.leaving_since > knobs_.leaving_source);
+    if (now < engine.ejected_until || ends) return;
     const int tokens = TokensToRead(engine.key, prompt, now);
     const bool equal = best != nullptr && tokens == least;
     const bool stays = equal && best->record.leaving && !engine.record.leaving;
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -49,6 +49,9 @@
 
   // Whether engines are told to copy shared parts of a prompt from one that keeps them.
   bool copies_parts = true;
+  // Parts are copied from an engine that leaves for so long after it was known to. Engines serve on for two seconds
+  // at least; a copy from one that has ended holds up the prompt.
+  Duration leaving_source = 1500ms;
   // Fewer tokens are not worth a copy.
   int least_copied_tokens = 256;
 
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -39,17 +39,26 @@
 
 void ServingCore::On(const EnginesReplaced& event) {
   engines_.Replace(event.records);
+  for (const EngineRecord& record : event.records) NoteLeaving(record.id);
   heard_engines_ = true;
   Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engines":{},"cause":"listed")", event.records.size()));
 }
 
 void ServingCore::On(const EngineChanged& event) {
   if (!engines_.Update(event.record)) return;
+  NoteLeaving(event.record.id);
   Log(EventId::kEngineRecord, nullptr,
       fmt::format(R"("engine":"{}","service":"{}","zone":"{}","leaving":{},"stage":{})", event.record.id,
                   event.record.service, event.record.zone, event.record.leaving, static_cast<int>(event.record.stage)));
 }
 
+void ServingCore::NoteLeaving(const std::string& engine_id) {
+  EngineState* engine = engines_.Find(engine_id);
+  if (engine == nullptr) return;
+  if (!engine->record.leaving) engine->leaving_since.reset();
+  if (engine->record.leaving && !engine->leaving_since) engine->leaving_since = now_;
+}
+
 void ServingCore::On(const EngineRemoved& event) {
   engines_.Remove(event.id);
   Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engine":"{}","cause":"gone")", event.id));
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -189,6 +189,8 @@
   void EndAttempt(Flow& flow, AttemptId id);
 
   Flow* FindFlow(FlowId id);
+  // Remembers since when the engine is known to leave.
+  void NoteLeaving(const std::string& engine_id);
   void Arm(Flow& flow);
   void Log(EventId event, const Flow* flow, std::string details);
   bool CopiesParts(const Flow& flow) const;
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -119,8 +119,10 @@
   report.zone = settings_.zone;
   report.link_mbps = settings_.link_mbps;
   report.records = store_.marks();
-  report.lease = OwnLeaseMark();
-  report.wall_ms = UnixMilliseconds();
+  if (duties_.any()) {
+    report.lease = OwnLeaseMark();
+    report.wall_ms = UnixMilliseconds();
+  }
 }
 
 std::vector<serving::PeerNode> Coordination::Members() const {
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -241,7 +241,9 @@
   EngineRecord leaving = engines_.Find("p0")->record;
   leaving.leaving = true;
   engines_.Update(leaving);
+  engines_.Find("p0")->leaving_since = Time{1s};
   EXPECT_EQ(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{1s}), engines_.Find("p0"));
+  EXPECT_NE(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{3s}), engines_.Find("p0"));
   selector_.NotePrompt("p2", Prompt("x"), Time{1s});
   EXPECT_EQ(selector_.FindCopySource(engines_, *engines_.Find("p1"), Prompt("x"), Time{1s}), engines_.Find("p2"));
   engines_.Remove("p0");
--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -218,6 +218,20 @@
   EXPECT_EQ(One<StartAttempt>().memory->handle, "handle");
 }
 
+TEST_F(FlowTest, SinceWhenAnEngineLeavesIsRemembered) {
+  EngineRecord record = MakeEngine("p1", "model", EngineStage::kPrefill);
+  record.leaving = true;
+  Send(EngineChanged{record});
+  const Time learnt = now_;
+  now_ += 1s;
+  record.order_sequence = 3;
+  Send(EngineChanged{record});
+  EXPECT_EQ(core_.engines().Find("p1")->leaving_since, learnt);
+  record.leaving = false;
+  Send(EngineChanged{record});
+  EXPECT_FALSE(core_.engines().Find("p1")->leaving_since);
+}
+
 TEST_F(FlowTest, ASilentEngineIsTakenOutAndTheRequestStays) {
   Arrive("once");
   const auto first = One<StartAttempt>();
--- a/tests/core/serving/roles_test.cc
+++ b/tests/core/serving/roles_test.cc
@@ -155,6 +155,19 @@
   EXPECT_FALSE(lease_.MayOrder(now_ + 10ms));
 }
 
+TEST_F(LeaseTest, WhoWasFencedLooksAgainBeforeItActs) {
+  lease_.Next(now_, 0s);
+  lease_.OnRead(LeaseRecord{}, now_);
+  lease_.Next(now_, 0s);
+  lease_.OnWritten(41);
+  lease_.OnFenced();
+  EXPECT_FALSE(lease_.MayOrder(now_ + 10ms));
+  EXPECT_EQ(lease_.Next(now_ + 20ms, 0s), LeaseStep::kRead);
+  lease_.OnRead(LeaseRecord{"other", "2.2.2.2:1", 9, 0, 55}, now_ + 20ms);
+  EXPECT_EQ(lease_.Next(now_ + 1s, 0s), LeaseStep::kNone);
+  EXPECT_FALSE(lease_.MayOrder(now_ + 1s));
+}
+
 TEST_F(LeaseTest, ALeaseThatWasGivenUpIsTakenAtOnceButNotByWhoMayHaveHeldItBefore) {
   DutyLease fresh{"you", "3.3.3.3:1", times_, 300, now_ - 1s};
   for (DutyLease* lease : {&lease_, &fresh}) lease->OnHeard(LeaseRecord{"", "", 0, 0, 60}, now_);
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -270,6 +270,7 @@
   ASSERT_TRUE(decoded.ok());
   EXPECT_EQ(decoded->scope, serving::ReportScope::kUsage);
   EXPECT_EQ(decoded->lease.address, "1.2.3.4:5");
+  EXPECT_EQ(DecodeReport(EncodeReport(serving::PeerReport{}))->lease.revision, 0);
   EXPECT_EQ(decoded->lease.revision, 99);
   EXPECT_EQ(decoded->wall_ms, 1234567890123);
   EXPECT_EQ(decoded->closed_through, 77);
