--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -49,12 +49,24 @@
     accepted_cooldown_[service.name] = knobs_.planner.IsIdle(asked) ? knobs_.idle_cooldown : knobs_.cooldown;
     LogPlan(now, asked, counts, actions);
     const bool empty_stage = (counts.prefill == 0) != (counts.decode == 0);
-    if (!empty_stage && now < cooled_at_[service.name]) continue;
     const std::optional<StageChangePlan> plan = PlanStageChange(knobs_.planner, asked, counts);
+    const bool persists = Persists(now, service.name, plan, knobs_.planner.IsIdle(asked));
+    if (!empty_stage && now < cooled_at_[service.name]) continue;
     if (!plan || PickEngine(engines, service.name, OtherStage(plan->stage), now) == nullptr) continue;
     if (!lease_.MayOrder(now, knobs_.order_time)) return lease_.Want(now);
-    BeginChanges(now, service, *plan, engines, actions);
+    if (persists) BeginChanges(now, service, *plan, engines, actions);
+  }
+}
+
+bool RoleController::Persists(Time now, const std::string& service, const std::optional<StageChangePlan>& plan,
+                              bool idle) {
+  if (!plan) {
+    wishes_.erase(service);
+    return false;
   }
+  Wish& wish = wishes_[service];
+  if (wish.stage != plan->stage) wish = {plan->stage, now};
+  return idle || now - wish.since >= knobs_.persistence;
 }
 
 StageCounts RoleController::CountStages(Time now, EngineDirectory& engines, const std::string& service) const {
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -28,6 +28,9 @@
   Duration settle_in = 1500ms;  // After a start, before the first plan.
   Duration plan_interval = 250ms;
   Duration plan_log_interval = 2s;
+  // Under load a change must be wanted for so long: engines that are out come back in a second or two, a change takes
+  // one away for longer.
+  Duration persistence = 600ms;
   Duration cooldown = 4s;          // Between changes of one service under load.
   Duration idle_cooldown = 300ms;  // The same before any demand is known.
   Duration shortest_hold = 60ms;
@@ -116,6 +119,14 @@
   Time next_plan_log_{};
   std::map<std::string, Change> changes_;  // Engine -> the change that is on the way to its order.
   std::map<std::string, Time> cooled_at_;  // Service -> when it may change again.
+  struct Wish {
+    EngineStage stage = EngineStage::kUniform;
+    Time since{};
+  };
+  // Whether the plan has been the same for long enough to be carried out.
+  bool Persists(Time now, const std::string& service, const std::optional<StageChangePlan>& plan, bool idle);
+
+  std::map<std::string, Wish> wishes_;  // By service.
   // Service -> the pause after an accepted order: changes cost nobody anything while nothing is asked.
   std::map<std::string, Duration> accepted_cooldown_;
   std::map<std::string, Away> away_;        // By engine.
