--- a/tests/core/serving/roles_test.cc
+++ b/tests/core/serving/roles_test.cc
@@ -144,7 +144,7 @@
 }
 
 TEST_F(ControllerTest, UnderLoadEnginesThatAreOutForAMomentChangeNothing) {
-  // rcr-roster trouble-1, seed 13: two readers were turned while the engines that answer were out for a second.
+  // Two readers were turned while the engines that answer were out for a second, and both stages were short then.
   demand_["s"] = ServiceDemand{"s", 2.0, 3.0};
   ASSERT_FALSE(TickUntil<ReadEngineState>(4s));
   for (int round = 0; round < 3; ++round) {
