Usage: windows of which no node is left are passed over at once, the one in which all were killed among them

Cause (by reading): after a restart of all nodes the window of the restart was reported with what was counted after it, and after a long outage each window since was sealed and written with nothing in it, ten a second. Change: a window that began before every life that is heard is not reported, one line names all of them; only the system's very first window is. Tests: both fail before.

--- a/include/saltquay/duties/usage_reporter.h
+++ b/include/saltquay/duties/usage_reporter.h
@@ -111,6 +111,7 @@
     void lose();
     void seal(Time now, WallTime wall, std::int64_t first_window, UsageTable const&, UsageActions&);
     void send(Time now, WallTime wall, UsageActions&);
+    void pass_over(std::int64_t first, WallTime, UsageTable const&, UsageActions&);
     std::int64_t next_window(std::int64_t first_window) const;
     void back_off(Time now);
 
--- a/src/duties/usage_reporter.cc
+++ b/src/duties/usage_reporter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <string>
 
 namespace saltquay::duties {
 
@@ -59,13 +60,9 @@
     auto const complete = table.is_complete(window, now);
     if (!complete && wall < ended + knobs_.patience)
         return;
-    // Nodes that counted then are gone, all of them: a report would be made up.
-    if (!table.reaches_back_to(windows_.start_of(window)) && window > first_window) {
-        passed_over_ = window;
-        actions.push_back(
-            LogUsage { EventId::kUsageNotReported, window, "no node that ran then is left", 0, 0, false });
-        return;
-    }
+    auto const is_the_systems_first = sealed_->reports.empty() && window == first_window;
+    if (!is_the_systems_first && !table.reaches_back_to(windows_.start_of(window)))
+        return pass_over(window, wall, table, actions);
     UsageReport const report { window, table.counts(window) };
     draft_ = *sealed_;
     draft_->reports.push_back(report);
@@ -77,6 +74,16 @@
         total(report.counts), report.counts.size(), complete });
 }
 
+// Nodes that counted then are gone, all of them: a report would be made up. After a long outage these are many.
+void UsageReporter::pass_over(std::int64_t first, WallTime wall, UsageTable const& table, UsageActions& actions)
+{
+    passed_over_ = first;
+    while (windows_.end_of(passed_over_ + 1) <= wall && !table.reaches_back_to(windows_.start_of(passed_over_ + 1)))
+        ++passed_over_;
+    auto const cause = "no node that ran then is left, through window " + std::to_string(passed_over_);
+    actions.push_back(LogUsage { EventId::kUsageNotReported, first, cause, 0, 0, false });
+}
+
 void UsageReporter::send(Time now, WallTime wall, UsageActions& actions)
 {
     for (auto const& report : sealed_->reports) {
--- a/tests/duties/usage_test.cc
+++ b/tests/duties/usage_test.cc
@@ -168,21 +168,44 @@
     EXPECT_TRUE(step(62000, false).empty());
 }
 
-TEST_F(UsageReporterTest, AWindowOfWhichNobodyIsLeftIsNotMadeUp)
+// All nodes began anew in the middle of window 10, at 52 s.
+class AfterARestartOfAllTest : public UsageReporterTest {
+protected:
+    AfterARestartOfAllTest() { fresh_.note(usage("n1", 52000, 1000, {}), Time { 52s }); }
+
+    UsageActions step_at(std::int64_t wall_ms)
+    {
+        UsageActions actions;
+        reporter_.step(Time { std::chrono::milliseconds(wall_ms) }, wall(wall_ms), true, 1, 10, fresh_, actions);
+        return actions;
+    }
+
+    UsageTable fresh_ { UsageTableKnobs {}, Time { 0s } };
+};
+
+TEST_F(AfterARestartOfAllTest, AWindowOfWhichNobodyIsLeftIsNotMadeUp)
 {
-    UsageTable fresh { UsageTableKnobs {}, Time { 0s } };
-    fresh.note(usage("n1", 52000, 1000, {}), Time { 52s }); // All began in the middle of window 10.
-    UsageActions actions;
-    reporter_.step(Time { 52s }, wall(52000), true, 1, 10, fresh, actions);
+    step_at(52000);
     reporter_.on_read(Time { 52s }, SealedUsage { 30, { { 9, { { "a", 4 } } } } });
-    actions.clear();
-    UsageReporter& reporter = reporter_;
-    reporter.step(Time { 57s }, wall(57000), true, 1, 9, fresh, actions);
-    ASSERT_EQ(all<LogUsage>(actions).size(), 1U);
-    EXPECT_EQ(all<LogUsage>(actions)[0].event, EventId::kUsageNotReported);
-    actions.clear();
-    reporter.step(Time { 61s }, wall(61000), true, 1, 9, fresh, actions);
-    EXPECT_EQ(all<WriteSealedUsage>(actions).size(), 1U); // Window 11 is whole.
+    auto const skipped = all<LogUsage>(step_at(57000));
+    ASSERT_EQ(skipped.size(), 1U);
+    EXPECT_EQ(skipped[0].event, EventId::kUsageNotReported);
+    EXPECT_EQ(skipped[0].window, 10);
+    auto const sealing = all<WriteSealedUsage>(step_at(61000));
+    ASSERT_EQ(sealing.size(), 1U);
+    EXPECT_EQ(sealing[0].object.reports.back().window, 11); // It is whole.
+}
+
+TEST_F(AfterARestartOfAllTest, ALongOutageIsPassedOverAtOnce)
+{
+    step_at(52000);
+    reporter_.on_read(Time { 52s }, SealedUsage { 30, { { 2, { { "a", 4 } } } } });
+    auto const actions = step_at(57000);
+    EXPECT_EQ(all<LogUsage>(actions).size(), 1U);
+    EXPECT_TRUE(all<WriteSealedUsage>(actions).empty());
+    auto const sealing = all<WriteSealedUsage>(step_at(61000));
+    ASSERT_EQ(sealing.size(), 1U);
+    EXPECT_EQ(sealing[0].object.reports.back().window, 11);
 }
 
 // Holders that race, writes that are answered late or never, calls that are carried out later: the platform never
