Soak: the stand-in store's watches wait without a condition's lock

Not the gateway: its work was over. Change: watches wait for a future each. The hang itself was not brought about again.

--- a/tests/platform/soak_world.py
+++ b/tests/platform/soak_world.py
@@ -58,7 +58,7 @@
         self.revision = 1
         self.objects = {}
         self.events = []
-        self.changed = asyncio.Condition()
+        self.waiting = set()  # Futures of the watches. A condition's lock is not left clean by tasks that are cancelled.
         self.available = True
 
     async def put(self, kind, name, spec, revision=None):
@@ -79,8 +79,9 @@
 
     async def _note(self, kind, item, gone):
         self.events.append((self.revision, kind, {"gone": gone, "object": item}))
-        async with self.changed:
-            self.changed.notify_all()
+        for future in self.waiting:
+            if not future.done():
+                future.set_result(None)
 
     async def handle(self, line, headers, body, writer):
         method, target, _ = line.split(" ")
@@ -109,11 +110,13 @@
         def found():
             return [event for revision, event_kind, event in self.events if event_kind == kind and revision > since]
 
-        async with self.changed:
-            try:
-                await asyncio.wait_for(self.changed.wait_for(found), wait)
-            except asyncio.TimeoutError:
-                pass
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait
+        while not found() and loop.time() < until:
+            future = loop.create_future()
+            self.waiting.add(future)
+            await asyncio.wait([future], timeout=until - loop.time())
+            self.waiting.discard(future)
         writer.write(answer(200, json.dumps({"events": found(), "at": self.revision}).encode()))
 
 
