--- a/include/saltquay/duties/capacity_controller.h
+++ b/include/saltquay/duties/capacity_controller.h
@@ -7,10 +7,10 @@
 // engines that it sees.
 #pragma once
 
+#include <compare>
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -66,7 +66,14 @@
     void on_ordered(Time now, EngineOrder const&, DutyOutcome);
 
 private:
-    using Lot = std::tuple<std::string, std::string, bool>; // Service, zone, whether spot.
+    // What one number at the platform is kept for.
+    struct OrderKey {
+        std::string service;
+        std::string zone;
+        bool spot = false;
+
+        auto operator<=>(OrderKey const&) const = default;
+    };
     struct Order {
         int engines = 0;
         Time at {};
@@ -92,7 +99,7 @@
         int seen = 0;
         Time first_seen {};
         Time seen_since {};
-        double peak = 0;
+        double peak = 0; // Of what was needed since then.
         Time low_since {};
         Time next_exchange {};
         Time next_log {};
@@ -106,16 +113,16 @@
     void plan_zone(Time now, ZonePlan const&, std::vector<CapacityAction>&);
     void order(Time now, EngineOrder const&, ZonePlan const&, std::vector<CapacityAction>&);
     int usual_engines(ServiceState const&) const;
-    int missing_in_dry_zones(serving::Service const&, serving::ServiceDemand const&, EnginesByZone const& present);
+    int missing_without_spot(serving::Service const&, serving::ServiceDemand const&, EnginesByZone const& present);
     bool is_idle(serving::ServiceDemand const&) const;
-    bool is_unavailable(Lot const&) const;
+    bool is_unavailable(OrderKey const&) const;
 
     CapacityControllerKnobs knobs_;
     Time next_step_ {};
     int orders_left_ = 0;
     std::int64_t tenure_ = 0;
     std::map<std::string, ServiceState> services_;
-    std::map<Lot, Order> orders_;
+    std::map<OrderKey, Order> orders_;
 };
 
 }
--- a/include/saltquay/duties/capacity_planner.h
+++ b/include/saltquay/duties/capacity_planner.h
@@ -34,6 +34,7 @@
     // must read again costs more than it saves in less.
     double shrink_below = 0.75;
     Duration shrink_after = 120s;
+    Duration shrink_pause = 10s; // Then between two steps: time for parts to be read elsewhere.
     // Demand below which nothing is being asked: engines may be exchanged all at once.
     double idle_demand = 0.15;
     // Otherwise at most this share of a zone's engines in one step.
--- a/include/saltquay/duties/usage_table.h
+++ b/include/saltquay/duties/usage_table.h
@@ -18,7 +18,8 @@
 using TenantCounts = std::map<std::string, std::int64_t>;
 
 struct UsageTableKnobs {
-    // A node that is silent for so long is not waited for; links are cut for five seconds and heal.
+    // A node that is silent for so long is not waited for: longer than most cuts of a link last, and short enough for
+    // a report within ten seconds of its window.
     Duration silence = 6s;
     // Whoever just began to merge has heard of all nodes after this time: each tells everything once a second.
     Duration first_round = 1300ms;
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,7 +8,7 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 52> kCatalogue = {{
+constexpr std::array<EventDescription, 53> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
@@ -51,6 +51,9 @@
      "None; if it is never taken: check the platform's API."},
     {kUsageNotReported, kWarning, "usage_not_reported", "A window goes unreported: what was counted is lost.",
      "Settle that window by the engines' own records."},
+    {kUsageStoreFailed, kInfo, "usage_store_failed",
+     "The store did not read or take the fixed usage reports; it is tried again.",
+     "If it lasts: look at the store; where it says that they do not decode, delete the object it names."},
     {kCapacityPlan, kInfo, "capacity_plan", "Engines that a service has, wants and needs now; every five seconds.",
      "None."},
     {kEnginesOrdered, kInfo, "engines_ordered", "A number of engines was ordered in a zone, and what came of it.",
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -40,6 +40,7 @@
   kUsageSealed = 520,
   kUsageReported = 521,
   kUsageNotReported = 522,
+  kUsageStoreFailed = 523,
   kCapacityPlan = 530,
   kEnginesOrdered = 531,
   kRequestRefused = 600,
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -317,6 +317,7 @@
     return BreakOffFlow(flow, "time is up");
   }
   const bool may_have_run = flow.runs > 0;
+  CountUnanswered(flow);
   CancelAttempts(flow, 0);
   if (may_have_run) return Fail(flow, kGatewayTimeout, "time is up; it may have run");
   Refuse(flow, "time is up; not run");
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -217,9 +217,15 @@
   actions_->push_back(RunBegan{flow.tenant, flow.language ? now_ : attempt.sent_at});
 }
 
+void ServingCore::CountUnanswered(Flow& flow) {
+  if (flow.language) return;
+  for (const auto& [id, attempt] : flow.attempts) CountRun(flow, attempt);
+}
+
 void ServingCore::On(const ClientLeft& event) {
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr) return;
+  CountUnanswered(*flow);
   Log(EventId::kClientLeft, flow, fmt::format(R"("attempts":{})", flow->attempts.size()));
   const bool lets_run = flow->route.kind == RouteKind::kAtMostOnce;
   if (!lets_run) CancelAttempts(*flow, 0);
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -205,6 +205,8 @@
   bool Authenticate(Flow& flow);
   // The attempt has run, or may have: the request counts as its tenant's usage, once.
   void CountRun(Flow& flow, const Attempt& attempt);
+  // Nobody waits for the flow's attempts any more: plain engines have begun with them.
+  void CountUnanswered(Flow& flow);
   void MeterStart(Flow& flow, const Attempt& attempt);
   void MeterEnd(const Flow& flow, const Attempt& attempt);
 
--- a/src/duties/capacity_controller.cc
+++ b/src/duties/capacity_controller.cc
@@ -93,14 +93,18 @@
     if (needed > knobs_.planner.shrink_below * state.wanted) {
         state.low_since = now;
         state.peak = 0;
+    } else {
+        state.peak = std::max(state.peak, static_cast<double>(needed));
     }
-    state.peak = std::max(state.peak, static_cast<double>(needed));
+    auto const most = service.scaling->max * static_cast<int>(service.scaling->zone_prices.size());
     if (needed > knobs_.growth_step * state.wanted)
         state.wanted = needed;
+    state.wanted = std::min(state.wanted, most);
     if (now - state.low_since >= knobs_.planner.shrink_after) {
-        state.wanted = std::max(1, static_cast<int>(state.peak));
-        state.low_since = now;
-        state.peak = 0;
+        // Little by little: what the engines keep would have to be read again by the others at once.
+        auto const step = std::max(1, static_cast<int>(knobs_.planner.exchange_share * state.wanted));
+        state.wanted = std::max({ 1, static_cast<int>(state.peak), state.wanted - step });
+        state.low_since += knobs_.planner.shrink_pause;
     }
     return needed;
 }
@@ -117,7 +121,7 @@
     auto& state = services_[service.name];
     auto const target = share_out(knobs_.planner, *service.scaling, state.wanted);
     auto const idle = is_idle(asked);
-    auto const missing = missing_in_dry_zones(service, asked, present);
+    auto const missing = missing_without_spot(service, asked, present);
     if (now >= state.next_log) {
         state.next_log = now + knobs_.log_interval;
         actions.push_back(LogCapacity { EventId::kCapacityPlan,
@@ -145,7 +149,9 @@
     auto const most = plan.service.scaling->max;
     if (plan.service.scaling->spot_price) {
         auto const room = std::max(0, most - plan.present.ordinary);
-        order(now, { name, plan.zone, std::min(plan.target.spot, room), true }, plan, actions);
+        // For want of room nothing is taken back that waits to come.
+        if (room > 0)
+            order(now, { name, plan.zone, std::min(plan.target.spot, room), true }, plan, actions);
     }
     // An order replaces the number that the platform keeps: one for some more than are known yet would send the others
     // away.
@@ -177,24 +183,24 @@
 
 // Until spot engines come back, ordinary ones fill what the demand needs. What the lost ones kept is read again now,
 // and shows in the demand only later: up to the usual number, that is counted in.
-int CapacityController::missing_in_dry_zones(
+int CapacityController::missing_without_spot(
     serving::Service const& service, serving::ServiceDemand const& asked, EnginesByZone const& present)
 {
-    auto dry = 0;
+    auto zones = 0; // Where there are none to be had.
     for (auto const& [zone, engines] : present)
-        dry += is_unavailable({ service.name, zone, true }) ? 1 : 0;
-    if (dry == 0)
+        zones += is_unavailable({ service.name, zone, true }) ? 1 : 0;
+    if (zones == 0)
         return 0;
     auto const& state = services_[service.name];
     auto const needed = engines_needed_now(knobs_.planner, asked);
     auto const left = std::max(1, total(present)) / static_cast<double>(std::max(1, state.wanted));
     auto const with_rereading = std::min(static_cast<int>(needed / left), usual_engines(state));
-    return (std::max(0, std::max(needed, with_rereading) - total(present)) + dry - 1) / dry;
+    return (std::max(0, std::max(needed, with_rereading) - total(present)) + zones - 1) / zones;
 }
 
-bool CapacityController::is_unavailable(Lot const& lot) const
+bool CapacityController::is_unavailable(OrderKey const& key) const
 {
-    auto const entry = orders_.find(lot);
+    auto const entry = orders_.find(key);
     return entry != orders_.end() && entry->second.unavailable;
 }
 
@@ -202,16 +208,18 @@
     Time now, EngineOrder const& order, ZonePlan const& plan, std::vector<CapacityAction>& actions)
 {
     auto const present = order.spot ? plan.present.spot : plan.present.ordinary;
-    Lot const lot { order.service, order.zone, order.spot };
-    auto entry = orders_.find(lot);
+    OrderKey const key { order.service, order.zone, order.spot };
+    auto entry = orders_.find(key);
     if (entry == orders_.end()) {
         if (order.engines == present)
             return;
-        entry = orders_.emplace(lot, Order { present, Time {}, false, Time {}, false }).first;
+        entry = orders_.emplace(key, Order { present, Time {}, false, Time {}, false }).first;
     }
     auto& last = entry->second;
     auto const same = order.engines == last.engines && now < last.at + plan.service.scaling->boot + knobs_.order_slack;
     auto const satisfied = order.engines == last.engines && order.engines == present;
+    if (satisfied)
+        last.unavailable = false; // They came after all.
     if (last.under_way || now < last.not_before || same || satisfied || orders_left_ <= 0)
         return;
     --orders_left_;
@@ -223,7 +231,7 @@
 
 void CapacityController::on_ordered(Time now, EngineOrder const& order, DutyOutcome outcome)
 {
-    auto const entry = orders_.find(Lot { order.service, order.zone, order.spot });
+    auto const entry = orders_.find(OrderKey { order.service, order.zone, order.spot });
     if (entry == orders_.end())
         return;
     auto& last = entry->second;
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -228,13 +228,13 @@
   if (config) demand = TotalDemand(gateway_.Now());
   if (config && settings_.changes_roles) {
     std::vector<serving::RoleAction> actions;
-    roles_.OnTick(gateway_.Now(), IsCandidate(), *config, demand, gateway_.core().engines(), actions);
+    roles_.OnTick(gateway_.Now(), IsCandidate(members), *config, demand, gateway_.core().engines(), actions);
     Carry(actions);
   }
   duties_.Tick(members, demand, [this](const std::vector<serving::FleetMessage>& messages) {
     if (exchange_ != nullptr) exchange_->Send(messages);
   });
-  StepLease(members);
+  StepLease();
   gateway_.metrics().SetLeader(lease_.MayOrder(gateway_.Now()));
   timer_.expires_after(kTick);
   timer_.async_wait([this](boost::system::error_code error) {
@@ -244,13 +244,13 @@
 
 // Where there are duties, who holds the lease also plans the engines' roles; elsewhere the lease is only taken for
 // orders, by one node that all agree on.
-bool Coordination::IsCandidate() {
+bool Coordination::IsCandidate(const std::vector<serving::PeerNode>& members) {
   const bool may_plan = !stopping_ && store_contact_ && gateway_.core().ready();
   if (!may_plan) return false;
-  return duties_.any() ? lease_.MayOrder(gateway_.Now()) : peers_.OwnNameIsLeast(Members());
+  return duties_.any() ? lease_.MayOrder(gateway_.Now()) : peers_.OwnNameIsLeast(members);
 }
 
-void Coordination::StepLease(const std::vector<serving::PeerNode>& members) {
+void Coordination::StepLease() {
   const Time now = gateway_.Now();
   if (!duties_.any()) {
     if (lease_.wanted(now)) lease_client_.Step(kLeaseMargin, 0);
@@ -258,7 +258,7 @@
   }
   // Who hears no peers gets no counts from them: in a fleet of many, it leaves the duties to others.
   const bool hears_peers = !fleet_.IsLarge(peers_.Nodes()) || fleet_.View(now) != nullptr;
-  if (!stopping_ && store_contact_ && hears_peers) lease_client_.Step(kLeaseMargin, duties_.RankOf(members));
+  if (!stopping_ && store_contact_ && hears_peers) lease_client_.Step(kLeaseMargin, duties_.own_rank());
 }
 
 serving::LeaseMark Coordination::OwnLeaseMark() const {
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -46,8 +46,8 @@
   std::vector<serving::PeerNode> Members() const;
   std::map<std::string, serving::ServiceDemand> TotalDemand(Time now);
   // Whether this node may be the one that acts for all.
-  bool IsCandidate();
-  void StepLease(const std::vector<serving::PeerNode>& members);
+  bool IsCandidate(const std::vector<serving::PeerNode>& members);
+  void StepLease();
   serving::LeaseMark OwnLeaseMark() const;
   void NoteLease(const serving::LeaseMark& mark);
   void Carry(const std::vector<serving::RoleAction>& actions);
--- a/src/gateway/duties.cc
+++ b/src/gateway/duties.cc
@@ -53,6 +53,7 @@
       store_(store),
       api_(api),
       lease_(lease),
+      self_{settings.node_name, settings.peer_listen, settings.zone, settings.link_mbps, false},
       boot_(boot),
       windows_(settings.duties.report_window),
       counter_(windows_),
@@ -76,12 +77,16 @@
   }
 }
 
-int Duties::RankOf(const std::vector<serving::PeerNode>& members) const {
-  const serving::PeerNode self{settings_.node_name, settings_.peer_listen, settings_.zone, settings_.link_mbps, false};
-  const std::vector<serving::RankedNode> ranked = serving::RankNodes(self, members);
-  const auto own = std::find_if(ranked.begin(), ranked.end(),
-                                [&](const serving::RankedNode& node) { return node.node->node == self.node; });
-  return static_cast<int>(own - ranked.begin());
+// Who would take the lease next: the widest links first, the same order on all nodes that know the same ones.
+void Duties::Rank(const std::vector<serving::PeerNode>& members) {
+  const std::vector<serving::RankedNode> ranked = serving::RankNodes(self_, members);
+  const auto own =
+      std::find_if(ranked.begin(), ranked.end(), [&](const serving::RankedNode& node) { return node.node == &self_; });
+  own_rank_ = static_cast<int>(own - ranked.begin());
+  const std::string holder = lease_.known().holder;
+  const auto next = std::find_if(ranked.begin(), ranked.end(),
+                                 [&](const serving::RankedNode& node) { return node.node->node != holder; });
+  next_holder_ = next == ranked.end() || next->node == &self_ ? "" : next->node->address;
 }
 
 void Duties::Tick(const std::vector<serving::PeerNode>& members,
@@ -89,12 +94,13 @@
   const Time now = gateway_.Now();
   clock_.note_own(now, duties::WallTime(std::chrono::milliseconds(UnixMilliseconds())));
   if (!any()) return;
+  Rank(members);
   const std::int64_t window = windows_.number_at(clock_.at(now));
   if (first_window_ == 0) first_window_ = window;
   counter_.forget_before(window - kKeptWindows);
   table_.forget(now, window - kKeptWindows);
   if (settings_.duties.reports_usage) {
-    TellUsage(members, send);
+    TellUsage(send);
     StepUsage();
   }
   if (settings_.duties.orders_engines) StepCapacity(demand);
@@ -105,7 +111,7 @@
 
 std::int64_t Duties::ClosedThrough() const { return windows_.number_at(clock_.at(gateway_.Now()) - kStragglers) - 1; }
 
-std::vector<serving::PeerReport> Duties::OwnUsage(std::vector<duties::UsageCount> counts) const {
+std::vector<serving::PeerReport> Duties::OwnUsage(const std::vector<duties::UsageCount>& counts) const {
   std::vector<serving::PeerReport> reports;
   serving::PeerReport report;
   report.scope = serving::ReportScope::kUsage;
@@ -113,46 +119,39 @@
   report.address = settings_.peer_listen;
   report.boot = boot_;
   report.wall_ms = UnixMilliseconds();
-  report.closed_through = ClosedThrough();
   std::size_t first = 0;
   do {
     const std::size_t last = std::min(counts.size(), first + kCountsInMessage);
-    report.usage.assign(counts.begin() + static_cast<std::ptrdiff_t>(first),
-                        counts.begin() + static_cast<std::ptrdiff_t>(last));
+    serving::PeerReport& part = reports.emplace_back(report);
+    part.usage.assign(counts.begin() + static_cast<std::ptrdiff_t>(first),
+                      counts.begin() + static_cast<std::ptrdiff_t>(last));
     // Only the last message says that nothing is missing.
-    serving::PeerReport part = report;
-    if (last < counts.size()) part.closed_through = 0;
-    reports.push_back(std::move(part));
+    part.closed_through = last < counts.size() ? 0 : ClosedThrough();
     first = last;
   } while (first < counts.size());
   return reports;
 }
 
 // The holder, and the first node that would take its place.
-std::vector<std::string> Duties::Receivers(const std::vector<serving::PeerNode>& members) const {
+std::vector<std::string> Duties::Receivers() const {
   std::vector<std::string> addresses;
-  const serving::LeaseRecord& holder = lease_.known();
-  if (!holder.address.empty() && holder.address != settings_.peer_listen) addresses.push_back(holder.address);
-  const serving::PeerNode self{settings_.node_name, settings_.peer_listen, settings_.zone, settings_.link_mbps, false};
-  for (const serving::RankedNode& next : serving::RankNodes(self, members)) {
-    if (next.node->node == holder.holder) continue;
-    if (next.node->node != self.node) addresses.push_back(next.node->address);
-    break;
-  }
+  const std::string holder = lease_.known().address;
+  if (!holder.empty() && holder != settings_.peer_listen) addresses.push_back(holder);
+  if (!next_holder_.empty()) addresses.push_back(next_holder_);
   return addresses;
 }
 
-void Duties::TellUsage(const std::vector<serving::PeerNode>& members, const SendMessages& send) {
+void Duties::TellUsage(const SendMessages& send) {
   const Time now = gateway_.Now();
   const std::string holder = lease_.known().address;
   const bool new_holder = !holder.empty() && holder != told_holder_;
   const bool full = new_holder || now >= next_full_;
   if (full) next_full_ = now + kFullInterval;
-  std::vector<duties::UsageCount> counts = full ? counter_.all() : counter_.changed_since(now - kChangeTold);
+  const std::vector<duties::UsageCount> counts = full ? counter_.all() : counter_.changed_since(now - kChangeTold);
   if (counts.empty() && !full) return;
   std::vector<serving::FleetMessage> messages;
-  const std::vector<std::string> receivers = Receivers(members);
-  for (serving::PeerReport& report : OwnUsage(std::move(counts))) {
+  const std::vector<std::string> receivers = Receivers();
+  for (serving::PeerReport& report : OwnUsage(counts)) {
     table_.note(report, now);
     messages.push_back({receivers, std::move(report)});
   }
@@ -193,6 +192,11 @@
   }
 }
 
+void Duties::LogStoreFailure(std::string_view call, const absl::Status& cause) {
+  gateway_.Log(EventId::kUsageStoreFailed, "",
+               fmt::format(R"("call":"{}","cause":"{}")", call, EscapeJson(MessageOf(cause))));
+}
+
 void Duties::Carry(const duties::ReadSealedUsage& /*action*/) {
   store_.Read(std::string(kUsageKind), std::string(kUsageName), [this](const absl::StatusOr<StoredObject>& object) {
     const Time now = gateway_.Now();
@@ -200,8 +204,7 @@
     const absl::StatusOr<duties::SealedUsage> sealed =
         object.ok() ? DecodeSealedUsage(*object) : absl::StatusOr<duties::SealedUsage>(object.status());
     if (sealed.ok()) return reporter_.on_read(now, *sealed);
-    gateway_.Log(EventId::kUsageNotReported, "",
-                 fmt::format(R"("cause":"{}")", EscapeJson(MessageOf(sealed.status()))));
+    LogStoreFailure("read", sealed.status());
     reporter_.on_read(now, std::nullopt);
   });
 }
@@ -211,8 +214,7 @@
   store_.Write(std::string(kUsageKind), object, [this](const absl::StatusOr<StoredObject>& written) {
     const Time now = gateway_.Now();
     if (written.ok()) return reporter_.on_written(now, written->revision);
-    gateway_.Log(EventId::kUsageNotReported, "",
-                 fmt::format(R"("cause":"not sealed: {}")", EscapeJson(MessageOf(written.status()))));
+    LogStoreFailure("write", written.status());
     reporter_.on_write_failed(now);
   });
 }
--- a/src/gateway/duties.h
+++ b/src/gateway/duties.h
@@ -40,13 +40,15 @@
   void OnUsage(const serving::PeerReport& report);
   // Any other report: what the peer's clock says.
   void OnClock(const serving::PeerReport& report);
-  // Which nodes go before this one when the lease is to be taken.
-  int RankOf(const std::vector<serving::PeerNode>& members) const;
+  // How many nodes go before this one when the lease is to be taken; as of the last tick.
+  int own_rank() const { return own_rank_; }
 
  private:
-  void TellUsage(const std::vector<serving::PeerNode>& members, const SendMessages& send);
-  std::vector<std::string> Receivers(const std::vector<serving::PeerNode>& members) const;
-  std::vector<serving::PeerReport> OwnUsage(std::vector<duties::UsageCount> counts) const;
+  void Rank(const std::vector<serving::PeerNode>& members);
+  void TellUsage(const SendMessages& send);
+  std::vector<std::string> Receivers() const;
+  std::vector<serving::PeerReport> OwnUsage(const std::vector<duties::UsageCount>& counts) const;
+  void LogStoreFailure(std::string_view call, const absl::Status& cause);
   std::int64_t ClosedThrough() const;
   void StepUsage();
   void StepCapacity(const std::map<std::string, serving::ServiceDemand>& demand);
@@ -65,6 +67,7 @@
   ObjectStore& store_;
   DutyApi* api_;
   serving::DutyLease& lease_;
+  serving::PeerNode self_;
   std::uint64_t boot_;
   duties::FleetClock clock_;
   duties::UsageWindows windows_;
@@ -73,6 +76,8 @@
   duties::UsageReporter reporter_;
   duties::CapacityController capacity_;
   std::int64_t first_window_ = 0;
+  int own_rank_ = 0;
+  std::string next_holder_;  // Address of the node that would take the lease next; empty: this one.
   std::string told_holder_;  // Address to which everything was told since it holds the lease.
   bool held_ = false;
   Time next_full_{};
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -35,7 +35,7 @@
 
 flatbuffers::Offset<wire::LeaseMark> LeaseToWire(flatbuffers::FlatBufferBuilder& builder,
                                                  const serving::LeaseMark& lease) {
-  if (lease.revision == 0) return 0;  // Nothing is known: 30 bytes less in each report.
+  if (lease.revision == 0) return 0;  // Nothing is known: it takes no room.
   return wire::CreateLeaseMark(builder, builder.CreateString(lease.holder), builder.CreateString(lease.address),
                                lease.revision);
 }
--- a/tests/core/serving/tenancy_test.cc
+++ b/tests/core/serving/tenancy_test.cc
@@ -121,6 +121,41 @@
   EXPECT_EQ(One<StartAttempt>().priority, 5);
 }
 
+// Whose usage it is when no answer comes: a plain engine begins at once, a language engine with its first token.
+TEST_F(TenancyTest, UsageCountsWhatBeganAndOnce) {
+  ArriveWithKey("once", "key-a");
+  const auto answered = One<StartAttempt>();
+  Answer(answered, 200);
+  EXPECT_EQ(One<RunBegan>().tenant, "t1");
+  ArriveWithKey("once", "key-c");
+  Answer(One<StartAttempt>(), 503, true);
+  EXPECT_TRUE(All<RunBegan>().empty());  // Refused: it did not run.
+  ArriveWithKey("safe", "key-c");
+  const auto first = One<StartAttempt>();
+  Head(first, 500);
+  EXPECT_EQ(All<RunBegan>().size(), 1U);
+  Send(AttemptCompleted{first.flow, first.attempt, ""});
+  Answer(One<StartAttempt>(), 200);
+  EXPECT_TRUE(All<RunBegan>().empty());  // It ran again, and is one request.
+}
+
+TEST_F(TenancyTest, UsageCountsPlainRequestsThatNobodyWaitsForAnyMore) {
+  for (const char* route : {"once", "safe"}) {
+    ArriveWithKey(route, "key-a");
+    const Time sent = now_;
+    const FlowId flow = One<StartAttempt>().flow;
+    now_ += 20ms;
+    Send(ClientLeft{flow});
+    EXPECT_EQ(One<RunBegan>().began, sent) << route;
+  }
+  ArriveWithKey("once", "key-c");
+  Pass(5s);
+  EXPECT_EQ(One<RunBegan>().tenant, "t2");
+  ArriveWithKey("chat", "key-a", LongPrompt());
+  Send(ClientLeft{One<StartAttempt>().flow});
+  EXPECT_TRUE(All<RunBegan>().empty());
+}
+
 TEST_F(TenancyTest, NoLogLineHoldsAKey) {
   std::string log = Log();
   for (const char* key : {"key-a", "key-c", "secret-and-wrong"}) {
--- a/tests/duties/capacity_test.cc
+++ b/tests/duties/capacity_test.cc
@@ -93,7 +93,9 @@
     {
         ++orders_;
         ordinary_orders_ += order.spot ? 0 : 1;
-        if (order.spot && dry_) {
+        if (order.spot)
+            least_spot_order_ = std::min(least_spot_order_, order.engines);
+        if (order.spot && no_spot_) {
             controller_.on_ordered(now_, order, DutyOutcome::Refused);
             return;
         }
@@ -141,10 +143,11 @@
     std::map<std::string, serving::ServiceDemand> demand_;
     CapacityController controller_ { CapacityControllerKnobs {} };
     std::vector<Booting> booting_;
-    bool dry_ = false;
+    bool no_spot_ = false;
     int last_id_ = 0;
     int orders_ = 0;
     int ordinary_orders_ = 0;
+    int least_spot_order_ = 1000;
     int least_ = 1000;
 };
 
@@ -234,14 +237,14 @@
     run(20s);
     demand_["s"] = { "s", 55, 5 };
     run(6s);
-    dry_ = true;
+    no_spot_ = true;
     for (auto const* zone : { "a", "b" })
         shrink(zone, true, 0);
     run(12s);
     EXPECT_GE(total(), 120); // As many as there were at first.
     EXPECT_LT(total(), 135);
     EXPECT_GT(count("a", false) + count("b", false), 12);
-    dry_ = false;
+    no_spot_ = false;
     run(120s);
     EXPECT_EQ(count("a", false), ordinary_share_of("a"));
 }
@@ -254,18 +257,60 @@
     demand_["s"] = { "s", 55, 5 };
     controller_ = CapacityController(CapacityControllerKnobs {});
     run(10s);
-    dry_ = true;
+    no_spot_ = true;
     shrink("a", true, 0);
     ordinary_orders_ = 0;
     run(8s);
     EXPECT_EQ(ordinary_orders_, 0);
     for (auto i = 0; i < 60; ++i)
         add("a", false);
-    dry_ = false;
+    no_spot_ = false;
     run(60s);
     EXPECT_LE(count("a", false), ordinary_share_of("a") + 1);
 }
 
+TEST_F(CapacityControllerTest, EnginesGoLittleByLittleAfterALongLull)
+{
+    demand_["s"] = { "s", 40, 10 };
+    run(60s);
+    auto const before = total();
+    demand_["s"] = { "s", 5, 1 };
+    run(118s);
+    EXPECT_EQ(total(), before);
+    auto last = before;
+    for (auto i = 0; i < 6; ++i) {
+        run(10s);
+        EXPECT_GE(total(), last - before / 8) << i; // What they keep is not lost all at once.
+        last = total();
+    }
+    EXPECT_LT(total(), before);
+}
+
+TEST_F(CapacityControllerTest, NoMoreAreWantedThanTheLimitsAllow)
+{
+    run(20s);
+    demand_["s"] = { "s", 300, 50 };
+    run(20s);
+    EXPECT_EQ(total(), 3 * 94);
+    demand_["s"] = { "s", 5, 1 };
+    run(130s);
+    EXPECT_LT(total(), 3 * 94); // The first step is one of what there is, not of what was asked for in vain.
+}
+
+TEST_F(CapacityControllerTest, WhereOrdinaryEnginesFillTheLimitNoneAreOrderedInsteadOfSpotOnes)
+{
+    run(20s);
+    demand_["s"] = { "s", 150, 20 };
+    run(6s);
+    no_spot_ = true;
+    for (auto const* zone : { "a", "b" })
+        shrink(zone, true, 0);
+    least_spot_order_ = 1000;
+    run(20s);
+    EXPECT_GT(least_spot_order_, 0);
+    EXPECT_GE(total(), 200);
+}
+
 TEST_F(CapacityControllerTest, NothingIsOrderedWithoutTheLease)
 {
     run(30s, false);
