A change of stage waits for engines that are out as long as it would take itself

The holder of the lease is killed at 3 s; its next life takes the lease at once (before: after 4.4 s), sees both engines that answer out for two seconds, and turns three readers, each away for three. Change: where as many engines of the wanted stage are out as the plan would add, the wish must last as long as a change takes; else 0.6 s as before. Tests: engines that are back in 2.2 s change nothing (failed before), engines that are gone are replaced in 1.5 s.

--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -50,7 +50,9 @@
     LogPlan(now, asked, counts, actions);
     const bool empty_stage = (counts.prefill == 0) != (counts.decode == 0);
     const std::optional<StageChangePlan> plan = PlanStageChange(knobs_.planner, asked, counts);
-    const bool persists = Persists(now, service.name, plan, knobs_.planner.IsIdle(asked));
+    const bool idle = knobs_.planner.IsIdle(asked);
+    if (idle) wishes_.erase(service.name);
+    const bool persists = idle || Persists(now, service, plan, counts);
     if (!empty_stage && now < cooled_at_[service.name]) continue;
     if (!plan || PickEngine(engines, service.name, OtherStage(plan->stage), now) == nullptr) continue;
     if (!lease_.MayOrder(now, knobs_.order_time)) return lease_.Want(now);
@@ -58,15 +60,18 @@
   }
 }
 
-bool RoleController::Persists(Time now, const std::string& service, const std::optional<StageChangePlan>& plan,
-                              bool idle) {
+bool RoleController::Persists(Time now, const Service& service, const std::optional<StageChangePlan>& plan,
+                              const StageCounts& counts) {
   if (!plan) {
-    wishes_.erase(service);
+    wishes_.erase(service.name);
     return false;
   }
-  Wish& wish = wishes_[service];
+  Wish& wish = wishes_[service.name];
   if (wish.stage != plan->stage) wish = {plan->stage, now};
-  return idle || now - wish.since >= knobs_.persistence;
+  // Engines that come back would do as well, and sooner than any that are turned now.
+  const int out = plan->stage == EngineStage::kPrefill ? counts.prefill_out : counts.decode_out;
+  const Duration needed = out >= plan->engines ? service.language->role_change : knobs_.persistence;
+  return now - wish.since >= needed;
 }
 
 StageCounts RoleController::CountStages(Time now, EngineDirectory& engines, const std::string& service) const {
@@ -84,9 +89,9 @@
       return;
     }
     // One that is out serves nobody: it must not count as what is kept.
-    if (now < engine.ejected_until) return;
-    if (engine.record.stage == EngineStage::kPrefill) ++counts.prefill;
-    if (engine.record.stage == EngineStage::kDecode) ++counts.decode;
+    const bool out = now < engine.ejected_until;
+    if (engine.record.stage == EngineStage::kPrefill) ++(out ? counts.prefill_out : counts.prefill);
+    if (engine.record.stage == EngineStage::kDecode) ++(out ? counts.decode_out : counts.decode);
   });
   return counts;
 }
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -28,8 +28,8 @@
   Duration settle_in = 1500ms;  // After a start, before the first plan.
   Duration plan_interval = 250ms;
   Duration plan_log_interval = 2s;
-  // Under load a change must be wanted for so long: engines that are out come back in a second or two, a change takes
-  // one away for longer.
+  // Under load a change must be wanted for so long; as long as a change takes, where as many engines as are wanted are
+  // only out: they may be back before.
   Duration persistence = 600ms;
   Duration cooldown = 4s;          // Between changes of one service under load.
   Duration idle_cooldown = 300ms;  // The same before any demand is known.
@@ -124,7 +124,8 @@
     Time since{};
   };
   // Whether the plan has been the same for long enough to be carried out.
-  bool Persists(Time now, const std::string& service, const std::optional<StageChangePlan>& plan, bool idle);
+  bool Persists(Time now, const Service& service, const std::optional<StageChangePlan>& plan,
+                const StageCounts& counts);
 
   std::map<std::string, Wish> wishes_;  // By service.
   // Service -> the pause after an accepted order: changes cost nobody anything while nothing is asked.
--- a/src/core/serving/role_planner.h
+++ b/src/core/serving/role_planner.h
@@ -39,6 +39,8 @@
   int to_prefill = 0;  // On the way to that stage: held for the change, or away.
   int to_decode = 0;
   int known = 0;  // All of these, and those that are out.
+  int prefill_out = 0;
+  int decode_out = 0;
 };
 
 struct StageChangePlan {
