Sight: a request's fingerprint over flows and nodes, and engines whose process ended

Cause: no line of any node named a request across its repeats, nor told an engine's end from a connection that broke. Ruled out: the request id (each attempt of a caller has its own), the body itself in logs, a non-cryptographic hash (a caller could aim at another's fingerprint), taking each broken answer for an end (engines also spoil single answers), waiting for the record to go (3.6 s, longer than contact_ms). Conclusion: a fingerprint tells requests apart; no decision changes by it.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,7 +8,7 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 53> kCatalogue = {{
+constexpr std::array<EventDescription, 54> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
@@ -45,6 +45,8 @@
     {kEngineReadmitted, kInfo, "engine_readmitted", "An ejected engine gets work again.", "None."},
     {kEngineRecord, kInfo, "engine_record", "What the platform records of an engine changed.", "None."},
     {kRolePlan, kInfo, "role_plan", "What the planning node knows of demand and stages; every two seconds.", "None."},
+    {kEngineEnded, kWarning, "engine_ended", "An engine's process ended while requests of this node were at it.",
+     "Look at the engine's own logs; a fingerprint that recurs at several ends is a request that ends engines."},
     {kUsageSealed, kInfo, "usage_sealed", "A window's usage report is fixed: only these counts are ever sent.",
      "None; where it says that nodes were not heard: look at their links."},
     {kUsageReported, kInfo, "usage_reported", "The platform answered a usage report, or did not.",
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -37,6 +37,7 @@
   kEngineReadmitted = 505,
   kEngineRecord = 506,
   kRolePlan = 507,
+  kEngineEnded = 508,
   kUsageSealed = 520,
   kUsageReported = 521,
   kUsageNotReported = 522,
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -14,6 +14,7 @@
 #include "src/base/event_catalogue.h"
 #include "src/base/time.h"
 #include "src/core/serving/engine_directory.h"
+#include "src/core/serving/engine_end_watch.h"
 #include "src/core/serving/peer_table.h"
 #include "src/core/serving/serving_config.h"
 
@@ -48,6 +49,8 @@
   std::string last_event_id;  // Of a client that resumes a stream.
   // The caller's secret, empty where it sent none. It stands in no log line and goes to no engine.
   std::string api_key;
+  // What it is, over all its attempts, nodes and connections; 0: not told.
+  std::uint64_t fingerprint = 0;
 };
 
 // What an engine's answer head says.
@@ -118,11 +121,16 @@
   AttemptId attempt = 0;
   AttemptFailure failure = AttemptFailure::kBroken;
 };
+// The answer to CheckEngine.
+struct EngineChecked {
+  std::string engine_id;
+  EngineCheckOutcome outcome = EngineCheckOutcome::kUnknown;
+};
 struct TimePassed {};
 
-using Event =
-    std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, StoreContactChanged, PeersChanged,
-                 RequestArrived, ClientLeft, AttemptHead, AttemptEvents, AttemptCompleted, AttemptFailed, TimePassed>;
+using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, StoreContactChanged,
+                           PeersChanged, RequestArrived, ClientLeft, AttemptHead, AttemptEvents, AttemptCompleted,
+                           AttemptFailed, EngineChecked, TimePassed>;
 
 struct MemorySource {
   std::string engine_id;
@@ -178,6 +186,11 @@
   std::string tenant;
   Time began{};
 };
+// Whether anybody listens at the engine's address.
+struct CheckEngine {
+  std::string engine_id;
+  std::string address;
+};
 // One line of the decision log.
 struct LogDecision {
   EventId event = EventId::kRequestRouted;
@@ -186,6 +199,6 @@
 };
 
 using Action = std::variant<StartAttempt, CancelAttempt, RelayAnswer, BeginRelay, EndRelay, AnswerOwn, BreakOff,
-                            ReleaseMemory, RunBegan, LogDecision>;
+                            ReleaseMemory, RunBegan, CheckEngine, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -18,6 +18,7 @@
   now_ = now;
   actions_ = &actions;
   std::visit([this](const auto& typed) { On(typed); }, event);
+  if (!end_watch_.empty()) NoteEndedEngines();
   if (dispatch_wanted_ || (next_dispatch_ && now_ >= *next_dispatch_)) DispatchAll();
   actions_ = nullptr;
 }
@@ -174,6 +175,7 @@
   }
   flow.route = *route;
   if (!Authenticate(flow)) return;
+  if (flow.facts.fingerprint != 0) flow.fingerprint = HashPair(flow.facts.fingerprint, HashText(flow.tenant));
   flow.service = ChooseService(*route);
   const Service* service = config_->FindService(flow.service);
   flow.language = service != nullptr && service->language && flow.facts.prompt;
@@ -242,6 +244,7 @@
   Attempt& attempt = flow->attempts[event.attempt];
   attempt.head_seen = true;
   attempt.answer = event.answer;
+  end_watch_.NoteHeard(attempt.engine_id, attempt.sent_at, now_);
   if (event.answer.load) engines_.NoteLoad(attempt.engine_id, *event.answer.load, now_);
   if (!event.answer.not_executed) {
     // An engine that stops at the request's end was late, not sick.
@@ -266,6 +269,7 @@
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr || flow->relayed_attempt != event.attempt) return;
   flow->last_event_id = event.last_event_id;
+  end_watch_.NoteHeard(flow->attempts.at(event.attempt).engine_id, Time{}, now_);
 }
 
 void ServingCore::On(const AttemptCompleted& event) {
@@ -273,6 +277,7 @@
   if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
   const Attempt attempt = flow->attempts[event.attempt];
   EndAttempt(*flow, event.attempt);
+  end_watch_.NoteHeard(attempt.engine_id, attempt.sent_at, now_);
   if (attempt.answer.not_executed) return OnRefusal(*flow, attempt);
   if (attempt.mode == AttemptMode::kPrefill) return FinishPrefill(*flow, attempt, event.handle);
   FinishRun(*flow, attempt);
@@ -285,6 +290,7 @@
   // An answer that was lost had mostly been made; a prompt that is lost had mostly not come to its first token.
   if (event.failure != AttemptFailure::kNotSent && !flow->language) CountRun(*flow, attempt);
   EndAttempt(*flow, event.attempt);
+  if (event.failure == AttemptFailure::kBroken) NoteBroken(*flow, attempt);
   const EngineState* engine = engines_.Find(attempt.engine_id);
   const bool unreached = event.failure == AttemptFailure::kNotSent;
   // One that has answered others since only turns connections away.
@@ -351,6 +357,9 @@
 }
 
 void ServingCore::Log(EventId event, const Flow* flow, std::string details) {
+  if (flow != nullptr && flow->fingerprint != 0) {
+    details += fmt::format(R"(,"fingerprint":"{:016x}")", flow->fingerprint);
+  }
   actions_->push_back(LogDecision{event, flow == nullptr ? "" : flow->facts.request_id, std::move(details)});
 }
 
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -19,6 +19,7 @@
 #include "saltquay/admission/adaptive_window.h"
 #include "saltquay/admission/reading_order.h"
 #include "src/core/serving/demand_meter.h"
+#include "src/core/serving/engine_end_watch.h"
 #include "src/core/serving/engine_selector.h"
 #include "src/core/serving/events.h"
 #include "src/core/serving/knobs.h"
@@ -49,6 +50,8 @@
   Route route;  // As it was when the request came.
   std::string service;
   std::string tenant;  // Empty: an anonymous caller's.
+  // Of the request and whose it is: two tenants that ask the same are two. 0: not known.
+  std::uint64_t fingerprint = 0;
   bool language = false;
   Time arrived{};
   Time ends{};
@@ -135,6 +138,7 @@
   void On(const AttemptEvents& event);
   void On(const AttemptCompleted& event);
   void On(const AttemptFailed& event);
+  void On(const EngineChecked& event);
   void On(const TimePassed& event);
 
   // Flow steps (flow_steps.cc).
@@ -179,6 +183,10 @@
   Duration PatienceFor(const Attempt& attempt, const EngineState& engine) const;
   void HurryAttempts(const std::string& engine_id);
 
+  // Engines that ended under requests (crash_steps.cc).
+  void NoteBroken(const Flow& flow, const Attempt& attempt);
+  void NoteEndedEngines();
+
   // Ends of a flow.
   void Refuse(Flow& flow, std::string_view cause);
   void Refuse(Flow& flow, std::string_view cause, Duration retry_after);
@@ -216,6 +224,7 @@
   RetryAllowance allowance_;
   Random random_;
   std::optional<ServingConfig> config_;
+  EngineEndWatch end_watch_;
   TenantDirectory tenants_;                    // Of config_.
   std::map<std::string, DemandMeter> demand_;  // By service.
   bool heard_engines_ = false;
--- /dev/null
+++ b/src/gateway/engine_probe.cc
@@ -0,0 +1,63 @@
+#include "src/gateway/engine_probe.h"
+
+#include <boost/asio/post.hpp>
+
+#include "src/http/socket.h"
+
+namespace saltquay::gateway {
+namespace {
+
+using serving::EngineCheckOutcome;
+
+// Far longer than a reset takes to come back within a region; a machine that says nothing for so long is cut off or
+// dark.
+constexpr std::chrono::milliseconds kPatience{300};
+
+EngineCheckOutcome ToOutcome(const boost::system::error_code& error) {
+  if (!error) return EngineCheckOutcome::kAccepted;
+  const bool refused = error == boost::asio::error::connection_refused || error == boost::asio::error::connection_reset;
+  return refused ? EngineCheckOutcome::kRefused : EngineCheckOutcome::kUnknown;
+}
+
+}  // namespace
+
+struct EngineProbe::Probe {
+  explicit Probe(boost::asio::io_context& loop) : socket(loop), timer(loop) {}
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+  Handler done;
+};
+
+void EngineProbe::Check(const std::string& address, Handler done) {
+  const std::uint64_t id = ++last_;
+  const auto probe = std::make_shared<Probe>(loop_);
+  probe->done = std::move(done);
+  probes_[id] = probe;
+  const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(address);
+  if (!endpoint.ok()) {
+    boost::asio::post(loop_, [this, id, alive = std::weak_ptr<Probe>(probe)] {
+      if (!alive.expired()) End(id, EngineCheckOutcome::kUnknown);
+    });
+    return;
+  }
+  // A probe that is gone has closed its socket and timer: their handlers then hold none.
+  const std::weak_ptr<Probe> alive = probe;
+  probe->timer.expires_after(kPatience);
+  probe->timer.async_wait([this, id, alive](boost::system::error_code error) {
+    if (!error && !alive.expired()) End(id, EngineCheckOutcome::kUnknown);
+  });
+  probe->socket.async_connect(*endpoint, [this, id, alive](boost::system::error_code error) {
+    if (!alive.expired()) End(id, ToOutcome(error));
+  });
+}
+
+void EngineProbe::End(std::uint64_t id, EngineCheckOutcome outcome) {
+  const auto entry = probes_.find(id);
+  if (entry == probes_.end()) return;
+  const Handler done = std::move(entry->second->done);
+  probes_.erase(entry);
+  done(outcome);
+}
+
+}  // namespace saltquay::gateway
--- /dev/null
+++ b/src/gateway/engine_probe.h
@@ -0,0 +1,38 @@
+// One connection to an engine's address, to learn whether anybody listens there.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <utility>  // Boost 1.74's Asio needs it first under C++20.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/core/serving/engine_end_watch.h"
+
+namespace saltquay::gateway {
+
+class EngineProbe {
+ public:
+  using Handler = std::function<void(serving::EngineCheckOutcome)>;
+
+  explicit EngineProbe(boost::asio::io_context& loop) : loop_(loop) {}
+
+  // `done` is called once, later, unless the probe goes first. An address that does not parse is kUnknown.
+  void Check(const std::string& address, Handler done);
+
+ private:
+  struct Probe;
+
+  void End(std::uint64_t id, serving::EngineCheckOutcome outcome);
+
+  boost::asio::io_context& loop_;
+  std::map<std::uint64_t, std::shared_ptr<Probe>> probes_;
+  std::uint64_t last_ = 0;
+};
+
+}  // namespace saltquay::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <boost/asio/post.hpp>
 
+#include "src/gateway/request_fingerprint.h"
+
 namespace saltquay::gateway {
 namespace {
 
@@ -40,9 +42,11 @@
                  LogStream& log, std::uint64_t seed)
     : loop_(loop),
       protocol_(std::move(protocol)),
+      fingerprint_key_(settings.fingerprint_key),
       log_(log),
       core_(settings.knobs, settings.zone, seed),
       client_(loop),
+      probe_(loop),
       metrics_(settings.node_name),
       timer_(loop),
       flush_timer_(loop) {}
@@ -101,6 +105,7 @@
   serving::RequestArrived arrived;
   arrived.flow = id;
   arrived.facts = protocol_.ReadRequest(exchange->head);
+  arrived.facts.fingerprint = FingerprintRequest(exchange->head, exchange->body, fingerprint_key_);
   flows_[id] = LiveFlow{exchange, arrived.facts.request_id, Now(), false, false};
   exchange->on_client_left = [this, id] {
     if (flows_.erase(id) > 0) Dispatch(serving::ClientLeft{id});
@@ -270,6 +275,12 @@
   if (on_run_began) on_run_began(action);
 }
 
+void Gateway::Carry(const serving::CheckEngine& action) {
+  probe_.Check(action.address, [this, id = action.engine_id](serving::EngineCheckOutcome outcome) {
+    Dispatch(serving::EngineChecked{id, outcome});
+  });
+}
+
 void Gateway::Carry(const serving::LogDecision& action) { Log(action.event, action.request_id, action.details); }
 
 void Gateway::EndFlow(serving::FlowId id, int status) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 
 #include "src/base/log_stream.h"
 #include "src/core/serving/serving_core.h"
+#include "src/gateway/engine_probe.h"
 #include "src/gateway/engine_protocol.h"
 #include "src/gateway/event_splitter.h"
 #include "src/gateway/gateway_metrics.h"
@@ -72,6 +73,7 @@
   void Carry(const serving::BreakOff& action);
   void Carry(const serving::ReleaseMemory& action);
   void Carry(const serving::RunBegan& action);
+  void Carry(const serving::CheckEngine& action);
   void Carry(const serving::LogDecision& action);
 
   http::CallHandlers MakeHandlers(serving::AttemptId id);
@@ -86,9 +88,11 @@
 
   boost::asio::io_context& loop_;
   EngineProtocol protocol_;
+  std::string fingerprint_key_;
   LogStream& log_;
   serving::ServingCore core_;
   http::Client client_;
+  EngineProbe probe_;
   GatewayMetrics metrics_;
   boost::asio::steady_timer timer_;
   std::optional<Time> timer_at_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -111,6 +111,7 @@
   settings.peer_seeds = root.Strings("peer_seeds");
   settings.store_address = ReadAddress(root, "store_address", std::nullopt);
   settings.link_mbps = static_cast<int>(root.Number("link_mbps", 0, kMostLinkMbps, 0));
+  settings.fingerprint_key = root.String("fingerprint_key", "");
   settings.first_start = root.Boolean("first_start", false);
   settings.log_lines_per_second = static_cast<int>(root.Integer("log_lines_per_second", 1, 1000000, 2000));
   ConfigReader bounds = root.Table("bounds");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -31,7 +31,8 @@
   std::string store_address;              // ip:port.
   std::chrono::milliseconds grace{8000};  // From the stop signal to the end.
   std::chrono::milliseconds lease{3000};
-  bool first_start = false;  // The whole system starts, for the first time.
+  std::string fingerprint_key;  // The same on all nodes; see request_fingerprint.h. Empty: none.
+  bool first_start = false;     // The whole system starts, for the first time.
   bool changes_roles = true;
   double initial_prefill_share = 0.67;  // Of a service's engines, before demand is known.
   DutySettings duties;
--- a/src/gateway/log_explainer.cc
+++ b/src/gateway/log_explainer.cc
@@ -86,6 +86,14 @@
   return beliefs;
 }
 
+std::vector<LogLine> LogExplainer::Fingerprint(const std::string& fingerprint) const {
+  const std::string quoted = fmt::format("\"{}\"", fingerprint);
+  std::vector<LogLine> lines;
+  std::copy_if(lines_.begin(), lines_.end(), std::back_inserter(lines),
+               [&](const LogLine& line) { return line.text.find(quoted) != std::string::npos; });
+  return lines;
+}
+
 std::vector<LogLine> LogExplainer::UsageWindow(std::int64_t window) const {
   std::vector<LogLine> lines;
   std::vector<LogLine> holders;  // Since the last line of the window.
--- a/src/gateway/log_explainer.h
+++ b/src/gateway/log_explainer.h
@@ -34,6 +34,9 @@
   // All lines that name the engine and change what a node believes of it.
   std::vector<LogLine> Engine(const std::string& id) const;
 
+  // All lines of the requests with that fingerprint, and of engines that ended under one, on all nodes.
+  std::vector<LogLine> Fingerprint(const std::string& fingerprint) const;
+
   // What became of the usage report of that window, and who held the duties' lease before it.
   std::vector<LogLine> UsageWindow(std::int64_t window) const;
 
--- a/src/programs/saltquayctl.cc
+++ b/src/programs/saltquayctl.cc
@@ -39,6 +39,8 @@
     "  status                          nodes, engines, roles, lease, generation\n"
     "  explain --request ID FILE...    a request's life, from the gateways' logs; --json: the lines themselves\n"
     "  explain --engine ID FILE...     what the gateways believed of an engine\n"
+    "  explain --fingerprint F FILE... what became of a request over all its repeats, and which engines ended under "
+    "it\n"
     "  explain --window N FILE...      what became of the usage report of a window\n";
 
 struct NodeAnswer {
@@ -228,13 +230,18 @@
     const auto window = arguments["window"].as<std::int64_t>();
     return {std::to_string(window), explainer.UsageWindow(window)};
   }
+  if (arguments.count("fingerprint") > 0) {
+    const auto fingerprint = arguments["fingerprint"].as<std::string>();
+    return {fingerprint, explainer.Fingerprint(fingerprint)};
+  }
   const bool by_request = arguments.count("request") > 0;
   const std::string id = arguments[by_request ? "request" : "engine"].as<std::string>();
   return {id, by_request ? explainer.Request(id) : explainer.Engine(id)};
 }
 
 int Explain(const std::vector<std::string>& files, const cxxopts::ParseResult& arguments) {
-  const std::size_t subjects = arguments.count("request") + arguments.count("engine") + arguments.count("window");
+  const std::size_t subjects = arguments.count("request") + arguments.count("engine") + arguments.count("fingerprint") +
+                               arguments.count("window");
   if (files.empty() || subjects != 1) return kExitUsage;
   gateway::LogExplainer explainer;
   for (const std::string& path : files) {
@@ -262,7 +269,8 @@
   options.add_options()("node", "A node's URL", cxxopts::value<std::string>()->default_value("http://127.0.0.1:8100"))(
       "operator", "Who you are", cxxopts::value<std::string>()->default_value(""))(
       "expect", "Generation that must be in force", cxxopts::value<std::uint64_t>())("json", "Answer as JSON")(
-      "request", "A request's id", cxxopts::value<std::string>())(
+      "request", "A request's id", cxxopts::value<std::string>())("fingerprint", "A request's fingerprint",
+                                                                  cxxopts::value<std::string>())(
       "engine", "An engine's id", cxxopts::value<std::string>())("window", "The number of a usage report's window",
                                                                  cxxopts::value<std::int64_t>())(
       "words", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
--- /dev/null
+++ b/tests/core/serving/engine_end_test.cc
@@ -0,0 +1,80 @@
+// An engine whose process ended, told from one of which only a connection broke.
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include "tests/support/serving_fixture.h"
+
+namespace saltquay::serving {
+namespace {
+
+class EngineEndTest : public ServingFixture {
+ protected:
+  bool EndIsLogged() const {
+    for (const auto& line : All<LogDecision>()) {
+      if (line.event == EventId::kEngineEnded) return true;
+    }
+    return false;
+  }
+  StartAttempt BreakOne() {
+    Arrive("safe");
+    const auto start = One<StartAttempt>();
+    Fail(start, AttemptFailure::kBroken);
+    return start;
+  }
+};
+
+TEST_F(EngineEndTest, ARefusedConnectionAfterABrokenAnswerIsAnEnd) {
+  const StartAttempt start = BreakOne();
+  EXPECT_EQ(One<CheckEngine>().engine_id, start.engine_id);
+  Send(EngineChecked{start.engine_id, EngineCheckOutcome::kRefused});
+  EXPECT_TRUE(EndIsLogged());
+}
+
+TEST_F(EngineEndTest, AnEngineThatAcceptsOrSaysNothingHasNotEnded) {
+  for (const auto outcome : {EngineCheckOutcome::kAccepted, EngineCheckOutcome::kUnknown}) {
+    const StartAttempt start = BreakOne();
+    Send(EngineChecked{start.engine_id, outcome});
+    EXPECT_FALSE(EndIsLogged());
+    Pass(3s);
+  }
+}
+
+TEST_F(EngineEndTest, AnEngineThatTurnsConnectionsAwayButGoesOnAnsweringHasNotEnded) {
+  std::map<std::string, StartAttempt> first_at;
+  StartAttempt broken;
+  StartAttempt other;
+  while (other.engine_id.empty()) {  // Until two calls meet at one of the two engines.
+    Arrive("once");
+    const auto start = One<StartAttempt>();
+    const auto [entry, is_first] = first_at.emplace(start.engine_id, start);
+    if (is_first) continue;
+    broken = entry->second;
+    other = start;
+  }
+  Fail(broken, AttemptFailure::kBroken);
+  Send(EngineChecked{broken.engine_id, EngineCheckOutcome::kRefused});
+  EXPECT_FALSE(EndIsLogged());
+  now_ += 100ms;
+  Answer(other, 200);
+  EXPECT_FALSE(EndIsLogged());
+}
+
+TEST_F(EngineEndTest, AnEngineThatAnnouncedItsEndIsNotChecked) {
+  Arrive("safe");
+  const auto start = One<StartAttempt>();
+  EngineRecord record = MakeEngine(start.engine_id, "plain", EngineStage::kUniform);
+  record.leaving = true;
+  Send(EngineChanged{record});
+  Fail(start, AttemptFailure::kBroken);
+  EXPECT_TRUE(All<CheckEngine>().empty());
+}
+
+TEST_F(EngineEndTest, WhatWasNeverSentAccusesNobody) {
+  Arrive("safe");
+  Fail(One<StartAttempt>(), AttemptFailure::kNotSent);
+  EXPECT_TRUE(All<CheckEngine>().empty());
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -13,6 +13,7 @@
 #include "src/gateway/event_splitter.h"
 #include "src/gateway/gateway_settings.h"
 #include "src/gateway/peer_codec.h"
+#include "src/gateway/request_fingerprint.h"
 #include "src/gateway/stop_schedule.h"
 #include "src/gateway/usage_codec.h"
 
@@ -127,6 +128,22 @@
 retry_budget_slack = 54
 )";
 
+TEST(RequestFingerprintTest, IsOfMethodHostTargetAndBodyAndOfNothingElse) {
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = "/a/b?c";
+  head.fields.Add("Host", "h");
+  const std::uint64_t first = FingerprintRequest(head, "body", "");
+  http::RequestHead repeat = head;
+  repeat.fields.Add("Saltquay-Request-Id", "another");
+  EXPECT_EQ(FingerprintRequest(repeat, "body", ""), first);
+  EXPECT_NE(FingerprintRequest(head, "bodY", ""), first);
+  EXPECT_NE(FingerprintRequest(head, "body", "secret"), first);
+  // What moves from one part to the next makes another request.
+  head.target = "/a/b?cb";
+  EXPECT_NE(FingerprintRequest(head, "ody", ""), first);
+}
+
 TEST(GatewaySettingsTest, ReadsDefaultsAndBounds) {
   const auto settings = ParseGatewaySettings(kSettings, "f");
   ASSERT_TRUE(settings.ok()) << settings.status();
