--- /dev/null
+++ b/tests/core/serving/poison_request_test.cc
@@ -0,0 +1,66 @@
+// The incident: a request under which three engines had ended was sent to engines 8 to 12 times more; 13 to 24 ended.
+//
+// Seen: all engines of a service that answer ended within 0.7 s, came back 4 s later and ended again, for 11 to 16 s;
+// up to eight other streams broke at each end. How it came about: one request, sent again and again by its callers,
+// ended each engine that began to run it, about 100 ms after its first token. Each repeat reached some node as a new
+// request and was tried at two engines. Cause: what bounds a request (tries, runs, engines tried) ended with each
+// attempt of its caller at one node; no node remembered a request by what it is, and none told the others. What proved
+// it: no flow had more than two broken runs, each on a fresh id; no node ever refused one for what it had done.
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "tests/support/serving_fixture.h"
+#include "tests/support/serving_fleet.h"
+
+namespace saltquay::serving {
+namespace {
+
+// Nodes in touch know of the third end after this time.
+constexpr Duration kContact = 3s;
+constexpr int kMostEnds = 3;
+constexpr int kMostLaterRuns = 3;
+
+class PoisonRequestTest : public ServingFixture {
+ protected:
+  // Seven nodes before five engines that read and four that answer, as in the incident.
+  static void AddEngines(ServingFleet& fleet) {
+    for (int i = 0; i < 9; ++i) {
+      FleetEngine engine;
+      const bool reads = i < 5;
+      engine.record = MakeEngine((reads ? "p" : "d") + std::to_string(i), "model",
+                                 reads ? EngineStage::kPrefill : EngineStage::kDecode);
+      engine.slots = reads ? 4 : 40;
+      fleet.AddEngine(engine);
+    }
+  }
+  static ServingKnobs Knobs() {
+    ServingKnobs knobs;
+    knobs.retry_budget = RetryBudgetBounds{0.2, 10s, 54, 0.8};
+    return knobs;
+  }
+  static PromptFacts OrdinaryPrompt(int count) { return LongPrompt("s" + std::to_string(count % 7)); }
+  static long LaterRuns(const ServingFleet& fleet) {
+    const std::vector<Time>& ends = fleet.engine_ends();
+    if (ends.size() < kMostEnds) return 0;
+    const Time known = ends[kMostEnds - 1] + kContact;
+    const auto& runs = fleet.fatal_runs();
+    return std::count_if(runs.begin(), runs.end(), [&](const FatalRun& run) { return run.at > known; });
+  }
+};
+
+TEST_F(PoisonRequestTest, ReachesAtMostThreeEnginesOnceTheThirdEndIsKnown) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServingFleet fleet(7, MakeConfig(), Knobs(), seed);
+    AddEngines(fleet);
+    fleet.Begin();
+    fleet.Offer("chat", 20, fleet.now() + 14s, OrdinaryPrompt);
+    fleet.OfferFatal("chat", LongPrompt("own"), 300ms, fleet.now() + 12s);
+    fleet.RunUntil(fleet.now() + 16s);
+    EXPECT_LE(LaterRuns(fleet), kMostLaterRuns)
+        << "seed " << seed << ", " << fleet.engine_ends().size() << " engines ended";
+  }
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- a/tests/support/serving_fleet.cc
+++ b/tests/support/serving_fleet.cc
@@ -9,6 +9,11 @@
 constexpr Duration kReportInterval = 400ms;
 constexpr double kGreyErrors = 0.6;
 constexpr int kSlowFactor = 6;
+// From the first token of a run to the end of its engine, where the run ends it.
+constexpr Duration kFatalWork = 50ms;
+// An engine that ended stands in the platform's records until it has been silent for three heartbeats.
+constexpr Duration kRecordKept = 3600ms;
+constexpr std::uint64_t kFatalFingerprint = 4711;
 
 }  // namespace
 
@@ -49,6 +54,23 @@
   }
 }
 
+void ServingFleet::OfferFatal(const std::string& route, const PromptFacts& prompt, Duration gap, Time end) {
+  for (Time at = now_; at < end; at += gap) {
+    At(at, [this, route, prompt] {
+      const int node = static_cast<int>(random_.Below(nodes_.size()));
+      RequestArrived arrived;
+      arrived.flow = ++last_flow_;
+      arrived.facts.request_id = "fatal" + std::to_string(last_flow_);
+      arrived.facts.host = "h.example";
+      arrived.facts.path = "/" + route + "/x";
+      arrived.facts.prompt = prompt;
+      arrived.facts.fingerprint = kFatalFingerprint;
+      fatal_.insert({node, arrived.flow});
+      Send(node, arrived);
+    });
+  }
+}
+
 void ServingFleet::RunUntil(Time end) {
   while (!agenda_.empty() && agenda_.begin()->first <= end) {
     now_ = std::max(now_, agenda_.begin()->first);
@@ -84,6 +106,11 @@
   for (const Action& action : actions) {
     if (const auto* start = std::get_if<StartAttempt>(&action)) {
       At(now_ + kLinkDelay, [this, node, start = *start] { Arrive(node, start); });
+    } else if (const auto* check = std::get_if<CheckEngine>(&action)) {
+      At(now_ + 2 * kLinkDelay, [this, node, id = check->engine_id] {
+        const bool ended = engines_.at(id).ended;
+        Send(node, EngineChecked{id, ended ? EngineCheckOutcome::kRefused : EngineCheckOutcome::kAccepted});
+      });
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
       cancelled_.insert({node, cancel->attempt});
     } else if (const auto* own = std::get_if<AnswerOwn>(&action)) {
@@ -109,7 +136,9 @@
 void ServingFleet::Arrive(int node, const StartAttempt& start) {
   EngineWorld& world = engines_.at(start.engine_id);
   const Call call{node, start, now_ + start.time_left};
+  if (world.ended) return Send(node, AttemptFailed{start.flow, start.attempt, AttemptFailure::kNotSent});
   ++world.calls;
+  if (fatal_.contains({node, start.flow}) && start.mode != AttemptMode::kPrefill) fatal_runs_.push_back({now_, node});
   if (world.engine.health == EngineHealth::kDark) return Count(call, true);
   if (world.running < world.engine.slots) return Begin(world, call);
   if (static_cast<int>(world.waiting.size()) < world.engine.queue) {
@@ -122,6 +151,9 @@
 void ServingFleet::Begin(EngineWorld& world, const Call& call) {
   Count(call, true);
   ++world.running;
+  world.under_way[{call.node, call.start.attempt}] = call;
+  const bool fatal = fatal_.contains({call.node, call.start.flow}) && call.start.mode != AttemptMode::kPrefill;
+  if (fatal) return At(now_ + kFatalWork, [this, &world] { EndEngine(world); });
   const int factor = world.engine.health == EngineHealth::kSlow ? kSlowFactor : 1;
   At(now_ + world.engine.work * factor, [this, &world, call] { Finish(world, call); });
 }
@@ -138,7 +170,9 @@
 }
 
 void ServingFleet::Finish(EngineWorld& world, const Call& call) {
+  if (world.ended) return;
   --world.running;
+  world.under_way.erase({call.node, call.start.attempt});
   while (!world.waiting.empty() && world.running < world.engine.slots) {
     const Call next = world.waiting.front();
     world.waiting.pop_front();
@@ -157,6 +191,31 @@
   Send(call.node, AttemptCompleted{call.start.flow, call.start.attempt, reads ? "h" : ""});
 }
 
+void ServingFleet::EndEngine(EngineWorld& world) {
+  if (world.ended) return;
+  world.ended = true;
+  engine_ends_.push_back(now_);
+  std::vector<Call> lost(world.waiting.begin(), world.waiting.end());
+  for (const auto& [key, call] : world.under_way) lost.push_back(call);
+  for (const Call& call : lost) {
+    if (cancelled_.contains({call.node, call.start.attempt})) continue;
+    Send(call.node, AttemptFailed{call.start.flow, call.start.attempt, AttemptFailure::kBroken});
+  }
+  At(now_ + kRecordKept, [this, id = world.engine.record.id] { SendAll(EngineRemoved{id}); });
+  FleetEngine next = world.engine;
+  next.record.id += "+";
+  At(now_ + EngineRestart(), [this, next] { Replace(next); });
+}
+
+void ServingFleet::Replace(const FleetEngine& engine) {
+  AddEngine(engine);
+  SendAll(EngineChanged{engine.record});
+}
+
+void ServingFleet::SendAll(const Event& event) {
+  for (int node = 0; node < static_cast<int>(nodes_.size()); ++node) Send(node, event);
+}
+
 // The platform's count: the first run and the first prefill that was taken up
 // are free; every further arrival counts, and every prefill that was refused.
 void ServingFleet::Count(const Call& call, bool taken) {
--- a/tests/support/serving_fleet.h
+++ b/tests/support/serving_fleet.h
@@ -1,6 +1,7 @@
 // Several serving cores before scripted engines, in virtual time: arrivals,
 // reports between the nodes, engines with slots and a queue that refuse when
-// full, and engines that are grey, slow or dark. Counts what the engines see.
+// full, engines that are grey, slow or dark, and engines that a request ends.
+// Counts what the engines see.
 #pragma once
 
 #include <deque>
@@ -26,6 +27,12 @@
   EngineHealth health = EngineHealth::kWell;
 };
 
+// A run of a request that ends engines.
+struct FatalRun {
+  Time at{};  // When it reached the engine.
+  int node = 0;
+};
+
 // An arrival that the retry budget counts.
 struct CountedArrival {
   Time at{};
@@ -42,6 +49,10 @@
   void Begin();
   // Sends `per_second` requests of the route, spread over the nodes, until `end`.
   void Offer(const std::string& route, double per_second, Time end, const std::function<PromptFacts(int)>& prompt);
+  // Sends the same request, which ends each engine that begins to run it, once in each `gap`, to nodes by chance. Each
+  // engine that ends is replaced by a new one at its address after `EngineRestart()`.
+  void OfferFatal(const std::string& route, const PromptFacts& prompt, Duration gap, Time end);
+  static Duration EngineRestart() { return 4s; }
   void RunUntil(Time end);
 
   Time now() const { return now_; }
@@ -52,6 +63,9 @@
   const std::vector<Time>& requests() const { return requests_; }
   const std::vector<CountedArrival>& counted() const { return counted_; }
   const std::multiset<std::string>& ejected() const { return ejected_; }
+  // When engines ended, and when runs of the request that ends them reached engines.
+  const std::vector<Time>& engine_ends() const { return engine_ends_; }
+  const std::vector<FatalRun>& fatal_runs() const { return fatal_runs_; }
   int calls_at(const std::string& engine) const { return engines_.at(engine).calls; }
   // Most extra arrivals beyond ratio x requests + slack in any window; negative: always below.
   double WorstBudget(double ratio, double slack, Duration window) const;
@@ -68,6 +82,8 @@
     std::deque<Call> waiting;
     int running = 0;
     int calls = 0;
+    bool ended = false;
+    std::map<std::pair<int, AttemptId>, Call> under_way;
   };
   struct RequestSeen {
     int runs = 0;
@@ -82,6 +98,10 @@
   void Begin(EngineWorld& world, const Call& call);
   void Finish(EngineWorld& world, const Call& call);
   void Refuse(EngineWorld& world, const Call& call);
+  // The engine's process ends; another takes its address later.
+  void EndEngine(EngineWorld& world);
+  void Replace(const FleetEngine& engine);
+  void SendAll(const Event& event);
   void Count(const Call& call, bool taken);
   void Report();
   EngineLoad LoadOf(const EngineWorld& world) const;
@@ -94,6 +114,9 @@
   std::map<std::pair<int, FlowId>, Time> began_;
   std::map<std::pair<int, FlowId>, RequestSeen> seen_;
   std::set<std::pair<int, AttemptId>> cancelled_;
+  std::set<std::pair<int, FlowId>> fatal_;
+  std::vector<FatalRun> fatal_runs_;
+  std::vector<Time> engine_ends_;
   std::vector<Time> requests_;
   std::vector<CountedArrival> counted_;
   std::multiset<std::string> ejected_;
