--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,7 +8,7 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 54> kCatalogue = {{
+constexpr std::array<EventDescription, 56> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
@@ -74,6 +74,11 @@
      "Follow the request's lines; look at the engine that they name."},
     {kClientLeft, kInfo, "client_left", "The client closed before its answer was whole; its work is cancelled.",
      "None."},
+    {kRequestQuarantined, kWarning, "request_quarantined",
+     "Engines ended under a request, over all its repeats: no node sends it to an engine for a while.",
+     "Follow its fingerprint (explain --fingerprint); find what in it ends engines."},
+    {kRequestCleared, kInfo, "request_cleared",
+     "A request under which engines had ended was served: they count no more.", "None."},
     {kStoreUnavailable, kWarning, "store_unavailable", "The platform's store does not answer.",
      "Serving goes on; publish, approve and roll wait for the store."},
     {kStoreRecovered, kInfo, "store_recovered", "The platform's store answers again.", "None."},
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -53,6 +53,8 @@
   kRequestFailed = 612,
   kRequestBrokenOff = 613,
   kClientLeft = 614,
+  kRequestQuarantined = 615,
+  kRequestCleared = 616,
   kStoreUnavailable = 700,
   kStoreRecovered = 701,
   kStoreContact = 702,
--- a/src/core/serving/crash_steps.cc
+++ b/src/core/serving/crash_steps.cc
@@ -1,4 +1,5 @@
-// Engines that ended while they ran requests; see engine_end_watch.h for how that is told.
+// Engines that ended while they ran requests, and requests that are kept from engines for it; see engine_end_watch.h
+// and crash_ledger.h for the protocols.
 #include <algorithm>
 
 #include <fmt/format.h>
@@ -11,6 +12,8 @@
 
 // A log line names so many requests at most.
 constexpr std::size_t kMostLogged = 16;
+constexpr int kBadGateway = 502;
+constexpr std::string_view kQuarantined = "engines ended under it";
 
 std::string HexList(const std::vector<std::uint64_t>& fingerprints) {
   std::vector<std::string> texts;
@@ -41,7 +44,51 @@
     Log(EventId::kEngineEnded, nullptr,
         fmt::format(R"("engine":"{}","after_ms":{},"requests":{},"fingerprints":{})", ended.engine_id,
                     (now_ - ended.broke_at).count() / 1000, ended.requests.size(), HexList(ended.requests)));
+    for (const std::uint64_t request : ended.requests) {
+      if (crashes_.NoteEnd(request, ended.engine_id, ended.broke_at, now_)) OnMoreEnds(request, "own");
+    }
+    // The next repeat may reach any node: what a round of reports takes is too long for it.
+    if (!ended.requests.empty()) actions_->push_back(TellCrashes{});
   }
 }
 
+void ServingCore::On(const CrashesTold& event) {
+  for (const std::uint64_t request : crashes_.Merge(event.marks, now_)) OnMoreEnds(request, "peer");
+}
+
+void ServingCore::OnMoreEnds(std::uint64_t fingerprint, std::string_view source) {
+  const std::optional<Duration> left = crashes_.QuarantineLeft(fingerprint, now_);
+  if (!left) return;
+  Log(EventId::kRequestQuarantined, nullptr,
+      fmt::format(R"("fingerprint":"{:016x}","engines_ended":{},"source":"{}","for_ms":{})", fingerprint,
+                  crashes_.Ends(fingerprint), source, left->count() / 1000));
+  std::vector<FlowId> under_way;
+  for (const auto& [id, flow] : flows_) {
+    if (flow->fingerprint == fingerprint) under_way.push_back(id);
+  }
+  for (const FlowId id : under_way) EndQuarantined(*FindFlow(id), *left);
+}
+
+// Only what has not run may be promised not to; an attempt that waits at an engine would end it.
+void ServingCore::EndQuarantined(Flow& flow, Duration left) {
+  if (flow.relaying) return BreakOffFlow(flow, kQuarantined);
+  if (flow.runs > 0) return Fail(flow, kBadGateway, kQuarantined);
+  Refuse(flow, kQuarantined, left);
+}
+
+// Each repeat of the caller is a new request that no engine has run, and none will: a refusal says so at once, and when
+// it is worth coming back.
+bool ServingCore::RefuseQuarantined(Flow& flow) {
+  const std::optional<Duration> left = crashes_.QuarantineLeft(flow.fingerprint, now_);
+  if (!left) return false;
+  Refuse(flow, kQuarantined, *left);
+  return true;
+}
+
+void ServingCore::NoteServed(const Flow& flow) {
+  if (!crashes_.NoteServed(flow.fingerprint, now_)) return;
+  Log(EventId::kRequestCleared, &flow, R"("cause":"a run ended well")");
+  actions_->push_back(TellCrashes{});
+}
+
 }  // namespace saltquay::serving
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -13,6 +13,7 @@
 
 #include "src/base/event_catalogue.h"
 #include "src/base/time.h"
+#include "src/core/serving/crash_ledger.h"
 #include "src/core/serving/engine_directory.h"
 #include "src/core/serving/engine_end_watch.h"
 #include "src/core/serving/peer_table.h"
@@ -126,11 +127,15 @@
   std::string engine_id;
   EngineCheckOutcome outcome = EngineCheckOutcome::kUnknown;
 };
+// What a peer knows of requests under which engines ended.
+struct CrashesTold {
+  std::vector<CrashMark> marks;
+};
 struct TimePassed {};
 
 using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, StoreContactChanged,
                            PeersChanged, RequestArrived, ClientLeft, AttemptHead, AttemptEvents, AttemptCompleted,
-                           AttemptFailed, EngineChecked, TimePassed>;
+                           AttemptFailed, EngineChecked, CrashesTold, TimePassed>;
 
 struct MemorySource {
   std::string engine_id;
@@ -191,6 +196,8 @@
   std::string engine_id;
   std::string address;
 };
+// The peers are to be told at once of requests under which engines ended.
+struct TellCrashes {};
 // One line of the decision log.
 struct LogDecision {
   EventId event = EventId::kRequestRouted;
@@ -199,6 +206,6 @@
 };
 
 using Action = std::variant<StartAttempt, CancelAttempt, RelayAnswer, BeginRelay, EndRelay, AnswerOwn, BreakOff,
-                            ReleaseMemory, RunBegan, CheckEngine, LogDecision>;
+                            ReleaseMemory, RunBegan, CheckEngine, TellCrashes, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -213,6 +213,7 @@
   report.wall_ms = own.wall_ms;
   report.sequence = ++sequence_;
   sum.MoveTo(report);
+  report.crashes = own.crashes;  // What others told has been merged into them.
   for (const auto& [kept, passed] : news_) {
     if (now - passed.first < knobs_.news_passed) report.kept.push_back(kept);
   }
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -187,6 +187,7 @@
 
 void ServingCore::FinishRun(Flow& flow, const Attempt& attempt) {
   const int status = attempt.answer.status;
+  if (status < kFirstError && attempt.answer.signed_by_engine) NoteServed(flow);
   if (flow.relayed_attempt == attempt.id) {
     Log(EventId::kRequestAnswered, &flow,
         fmt::format(R"("status":{},"engine":"{}","took_ms":{},"tries":{},"stream":true)", status, attempt.engine_id,
--- a/src/core/serving/knobs.h
+++ b/src/core/serving/knobs.h
@@ -5,6 +5,7 @@
 #include "saltquay/admission/reading_model.h"
 #include "saltquay/admission/reading_order.h"
 #include "src/base/time.h"
+#include "src/core/serving/crash_ledger.h"
 #include "src/core/serving/engine_directory.h"
 #include "src/core/serving/retry_allowance.h"
 
@@ -16,6 +17,7 @@
 struct ServingKnobs {
   SelectionPolicy policy = SelectionPolicy::kCost;
   EjectionPolicy ejection;
+  CrashLedgerKnobs crashes;
   RetryBudgetBounds retry_budget;
 
   // Prompts up to this size are read by the engine that answers them.
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/core/serving/crash_ledger.h"
 #include "src/core/serving/engine_key.h"
 
 namespace saltquay::serving {
@@ -104,6 +105,7 @@
   LeaseMark lease;
   std::int64_t wall_ms = 0;         // The time of day as the sender believes it, since 1970; 0: not told.
   std::int64_t closed_through = 0;  // Of kUsage: the last window whose counts change no more.
+  std::vector<CrashMark> crashes;   // Some that the sender knows, whoever saw them.
   std::vector<UsageCount> usage;    // Of kUsage: counts of `node` in its life `boot`; they only grow.
 };
 
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -12,7 +12,8 @@
       engines_(knobs.ejection),
       selector_(knobs, zone, seed),
       allowance_(knobs.retry_budget),
-      random_(seed + 1) {}
+      random_(seed + 1),
+      crashes_(knobs.crashes) {}
 
 void ServingCore::OnEvent(Time now, const Event& event, std::vector<Action>& actions) {
   now_ = now;
@@ -176,6 +177,7 @@
   flow.route = *route;
   if (!Authenticate(flow)) return;
   if (flow.facts.fingerprint != 0) flow.fingerprint = HashPair(flow.facts.fingerprint, HashText(flow.tenant));
+  if (RefuseQuarantined(flow)) return;
   flow.service = ChooseService(*route);
   const Service* service = config_->FindService(flow.service);
   flow.language = service != nullptr && service->language && flow.facts.prompt;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -18,6 +18,7 @@
 
 #include "saltquay/admission/adaptive_window.h"
 #include "saltquay/admission/reading_order.h"
+#include "src/core/serving/crash_ledger.h"
 #include "src/core/serving/demand_meter.h"
 #include "src/core/serving/engine_end_watch.h"
 #include "src/core/serving/engine_selector.h"
@@ -121,6 +122,7 @@
   EngineDirectory& engines() { return engines_; }
   const EngineDirectory& engines() const { return engines_; }
   EngineSelector& selector() { return selector_; }
+  CrashLedger& crashes() { return crashes_; }
   // This node's work and demand, for its report to the peers.
   std::vector<EngineWork> OwnWork(Time now);
   std::vector<ServiceDemand> OwnDemand(Time now);
@@ -139,6 +141,7 @@
   void On(const AttemptCompleted& event);
   void On(const AttemptFailed& event);
   void On(const EngineChecked& event);
+  void On(const CrashesTold& event);
   void On(const TimePassed& event);
 
   // Flow steps (flow_steps.cc).
@@ -186,6 +189,12 @@
   // Engines that ended under requests (crash_steps.cc).
   void NoteBroken(const Flow& flow, const Attempt& attempt);
   void NoteEndedEngines();
+  // Refuses the request if it is in quarantine.
+  bool RefuseQuarantined(Flow& flow);
+  // Engines ended under it anew: tells, and ends its flows if it is in quarantine now.
+  void OnMoreEnds(std::uint64_t fingerprint, std::string_view source);
+  void EndQuarantined(Flow& flow, Duration left);
+  void NoteServed(const Flow& flow);
 
   // Ends of a flow.
   void Refuse(Flow& flow, std::string_view cause);
@@ -225,6 +234,7 @@
   Random random_;
   std::optional<ServingConfig> config_;
   EngineEndWatch end_watch_;
+  CrashLedger crashes_;
   TenantDirectory tenants_;                    // Of config_.
   std::map<std::string, DemandMeter> demand_;  // By service.
   bool heard_engines_ = false;
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -72,6 +72,7 @@
       roles_(RoleKnobs(settings), lease_, gateway.Now()),
       duties_(settings, gateway, store, duty_api, lease_, boot_),
       timer_(loop) {
+  gateway.on_tell_crashes = [this] { SendAtOnce(); };
   gateway.on_run_began = [this](const serving::RunBegan& run) { duties_.OnRunBegan(run); };
 }
 
@@ -115,6 +116,7 @@
   report.demand = gateway_.core().OwnDemand(now);
   report.holds = roles_.Holds(now);
   report.kept = gateway_.core().selector().NewsSince(now - (in_digests ? kDigestNewsRepeated : kNewsRepeated));
+  report.crashes = gateway_.core().crashes().MarksToTell(now);
   report.peers = peers_.NextNodes(kNamedPeers);
   report.zone = settings_.zone;
   report.link_mbps = settings_.link_mbps;
@@ -133,6 +135,8 @@
 void Coordination::OnReport(const serving::PeerReport& report) {
   const Time now = gateway_.Now();
   if (report.scope == serving::ReportScope::kUsage) return duties_.OnUsage(report);
+  // Whoever tells it and however late: marks add up in any order.
+  if (!report.crashes.empty()) gateway_.Dispatch(serving::CrashesTold{report.crashes});
   duties_.OnClock(report);
   NoteLease(report.lease);
   if (report.scope != serving::ReportScope::kNode) {
@@ -313,10 +317,14 @@
 }
 
 void Coordination::CarryOne(const serving::AnnounceHolds& /*action*/) {
-  if (exchange_ != nullptr) exchange_->SendNow();
+  SendAtOnce();
+  TellCore({});
+}
+
+void Coordination::SendAtOnce() {
+  if (exchange_ != nullptr) exchange_->SendUrgent();
   next_digests_ = Time{};
   ExchangeDigests();
-  TellCore({});
 }
 
 void Coordination::CarryOne(const serving::LogRole& action) { gateway_.Log(action.event, "", action.details); }
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -41,6 +41,8 @@
   void Tick();
   // The round of reports and digests of a large fleet.
   void ExchangeDigests();
+  // Both kinds of reports now, besides their rounds.
+  void SendAtOnce();
   void UpdateStorePeers();
   // Nodes that count as members: heard, in a large fleet also those that others named.
   std::vector<serving::PeerNode> Members() const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -281,7 +281,17 @@
   });
 }
 
-void Gateway::Carry(const serving::LogDecision& action) { Log(action.event, action.request_id, action.details); }
+// Reports are filled from the core: it has to have come to the end of its event.
+void Gateway::Carry(const serving::TellCrashes& /*action*/) {
+  boost::asio::post(loop_, [this] {
+    if (on_tell_crashes) on_tell_crashes();
+  });
+}
+
+void Gateway::Carry(const serving::LogDecision& action) {
+  if (action.event == EventId::kEngineEnded) metrics_.CountEngineEnd();
+  Log(action.event, action.request_id, action.details);
+}
 
 void Gateway::EndFlow(serving::FlowId id, int status) {
   const auto flow = flows_.find(id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,6 +37,8 @@
 
   // Runs when a tenant's request has begun to run.
   std::function<void(const serving::RunBegan&)> on_run_began;
+  // Runs when the peers are to be told of requests under which engines ended.
+  std::function<void()> on_tell_crashes;
 
   serving::ServingCore& core() { return core_; }
   GatewayMetrics& metrics() { return metrics_; }
@@ -74,6 +76,7 @@
   void Carry(const serving::ReleaseMemory& action);
   void Carry(const serving::RunBegan& action);
   void Carry(const serving::CheckEngine& action);
+  void Carry(const serving::TellCrashes& action);
   void Carry(const serving::LogDecision& action);
 
   http::CallHandlers MakeHandlers(serving::AttemptId id);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -27,6 +27,8 @@
   attempts_ = counter("saltquay_attempts_total", "Calls to engines by mode and outcome");
   store_calls_ = counter("saltquay_store_calls_total", "Calls to the store by kind of object, call and cause");
   broken_off_ = &counter("saltquay_streams_broken_off_total", "Streams ended before their last event")->Add({});
+  engine_ends_ =
+      &counter("saltquay_engine_ends_total", "Engines whose process ended with requests of this node")->Add({});
   answer_seconds_ = histogram("saltquay_answer_seconds", "From a request's arrival to its whole answer");
   first_event_seconds_ = histogram("saltquay_first_event_seconds", "From a request's arrival to its first event");
   store_seconds_ = histogram("saltquay_store_call_seconds", "Calls to the store, watches aside");
@@ -37,6 +39,8 @@
   open_requests_ = gauge("saltquay_open_requests", "Requests under way");
   log_dropped_ = gauge("saltquay_log_lines_dropped", "Log lines dropped so far");
   leader_ = gauge("saltquay_role_leader", "1 while this node holds the duties' lease");
+  quarantined_ = gauge("saltquay_requests_quarantined", "Requests kept from engines, since engines ended under them");
+  crash_entries_ = gauge("saltquay_crash_ledger_requests", "Requests remembered because engines ended under them");
   sealed_window_ = gauge("saltquay_usage_sealed_window", "Last window whose usage report is fixed; 0: not known here");
   unsent_reports_ = gauge("saltquay_usage_unsent_reports", "Usage reports that are fixed and not taken yet");
   clock_error_seconds_ = gauge("saltquay_clock_error_seconds", "How far this machine's clock is ahead of the fleet's");
@@ -59,6 +63,11 @@
   log_dropped_->Set(log_dropped);
 }
 
+void GatewayMetrics::SetCrashes(double in_quarantine, double remembered) {
+  quarantined_->Set(in_quarantine);
+  crash_entries_->Set(remembered);
+}
+
 void GatewayMetrics::SetDuties(double sealed_window, double unsent_reports, double clock_error_seconds) {
   sealed_window_->Set(sealed_window);
   unsent_reports_->Set(unsent_reports);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -26,6 +26,9 @@
   void ObserveKnowledgeAge(double seconds) { knowledge_age_seconds_->Observe(seconds); }
   void ObserveStoreCall(double seconds) { store_seconds_->Observe(seconds); }
   void SetState(double config_version, double engines, double open_requests, double log_dropped);
+  // Requests that are kept from engines now, and requests remembered because engines ended under them.
+  void SetCrashes(double in_quarantine, double remembered);
+  void CountEngineEnd() { engine_ends_->Increment(); }
   void SetLeader(bool leads) { leader_->Set(leads ? 1 : 0); }
   // `clock_error_seconds`: this machine's clock against the fleet's.
   void SetDuties(double sealed_window, double unsent_reports, double clock_error_seconds);
@@ -38,6 +41,7 @@
   prometheus::Family<prometheus::Counter>* attempts_;
   prometheus::Family<prometheus::Counter>* store_calls_;
   prometheus::Counter* broken_off_;
+  prometheus::Counter* engine_ends_;
   prometheus::Histogram* answer_seconds_;
   prometheus::Histogram* first_event_seconds_;
   prometheus::Histogram* knowledge_age_seconds_;
@@ -47,6 +51,8 @@
   prometheus::Gauge* open_requests_;
   prometheus::Gauge* log_dropped_;
   prometheus::Gauge* leader_;
+  prometheus::Gauge* quarantined_;
+  prometheus::Gauge* crash_entries_;
   prometheus::Gauge* sealed_window_;
   prometheus::Gauge* unsent_reports_;
   prometheus::Gauge* clock_error_seconds_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -194,6 +194,9 @@
   gateway_.metrics().SetState(static_cast<double>(gateway_.core().version()),
                               static_cast<double>(gateway_.core().engines().all().size()),
                               static_cast<double>(gateway_.open_requests()), static_cast<double>(log_.dropped()));
+  const serving::CrashLedger& crashes = gateway_.core().crashes();
+  gateway_.metrics().SetCrashes(static_cast<double>(crashes.InQuarantine(gateway_.Now())),
+                                static_cast<double>(crashes.size()));
   http::ResponseHead head;
   head.status = kOk;
   head.fields.Add("Content-Type", "text/plain; version=0.0.4");
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -68,6 +68,11 @@
   std::vector<wire::KeptPart> kept;
   kept.reserve(report.kept.size());
   for (const auto& item : report.kept) kept.emplace_back(item.engine.hash, item.part);
+  std::vector<wire::CrashMark> crashes;
+  crashes.reserve(report.crashes.size());
+  for (const auto& item : report.crashes) {
+    crashes.emplace_back(item.request, item.engine.hash, Clamped<std::uint32_t>(Milliseconds(item.age)));
+  }
   std::vector<flatbuffers::Offset<wire::ServiceDemand>> demand;
   for (const auto& item : report.demand) {
     demand.push_back(wire::CreateServiceDemand(
@@ -93,7 +98,8 @@
       Milliseconds(report.age), builder.CreateVectorOfStructs(work), builder.CreateVector(demand),
       builder.CreateVector(holds), builder.CreateVector(peers), builder.CreateVectorOfStructs(kept),
       builder.CreateString(report.zone), report.link_mbps, builder.CreateVector(records),
-      LeaseToWire(builder, report.lease), report.wall_ms, report.closed_through, UsageToWire(builder, report.usage)));
+      LeaseToWire(builder, report.lease), report.wall_ms, report.closed_through, UsageToWire(builder, report.usage),
+      builder.CreateVectorOfStructs(crashes)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -137,6 +143,10 @@
   ForEach(source->kept(), [&](const wire::KeptPart& item) {
     report.kept.push_back({serving::EngineKey(item.engine()), item.part()});
   });
+  ForEach(source->crashes(), [&](const wire::CrashMark& item) {
+    report.crashes.push_back(
+        {item.request(), serving::EngineKey(item.engine()), std::chrono::milliseconds(item.age_ms())});
+  });
   ForEach(source->demand(), [&](const wire::ServiceDemand& item) {
     report.demand.push_back({Text(item.service()), item.prefill_engines(), item.decode_engines(), item.reading_depth(),
                              item.depth_nodes()});
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -55,13 +55,12 @@
   });
 }
 
-void PeerExchange::SendNow() {
+void PeerExchange::SendTo(std::size_t fan_out) {
   serving::PeerReport report;
   report.address = options_.address;
   handlers_.fill(report);
   std::vector<std::string> targets;
   for (const serving::PeerNode& peer : handlers_.peers()) targets.push_back(peer.address);
-  const std::size_t fan_out = quiet_ ? options_.quiet_fan_out : options_.fan_out;
   targets = serving::TakeByTurns(std::move(targets), fan_out, next_);
   // Seeds are asked as long as few answer: they may be stale.
   if (!quiet_ && targets.size() < options_.seeds.size()) {
@@ -76,7 +75,7 @@
   }
   const std::string bytes = EncodeReport(report);
   for (const std::string& target : std::set<std::string>(targets.begin(), targets.end())) {
-    if (target != options_.address) SendTo(target, bytes);
+    if (target != options_.address) SendBytes(target, bytes);
   }
 }
 
@@ -84,18 +83,18 @@
   serving::PeerReport report;
   report.address = options_.address;
   handlers_.fill(report);
-  SendTo(address, EncodeReport(report));
+  SendBytes(address, EncodeReport(report));
 }
 
 void PeerExchange::Send(const std::vector<serving::FleetMessage>& messages) {
   for (const serving::FleetMessage& message : messages) {
     if (message.addresses.empty()) continue;
     const std::string bytes = EncodeReport(message.report);
-    for (const std::string& address : message.addresses) SendTo(address, bytes);
+    for (const std::string& address : message.addresses) SendBytes(address, bytes);
   }
 }
 
-void PeerExchange::SendTo(const std::string& address, const std::string& bytes) {
+void PeerExchange::SendBytes(const std::string& address, const std::string& bytes) {
   const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(address);
   if (!endpoint.ok()) return;
   boost::system::error_code ignored;  // A datagram that is not sent is one that is lost.
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -21,6 +21,8 @@
 
 struct KeptPart;
 
+struct CrashMark;
+
 struct ServiceDemand;
 struct ServiceDemandBuilder;
 
@@ -115,6 +117,40 @@
 };
 FLATBUFFERS_STRUCT_END(KeptPart, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CrashMark FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_;
+  uint64_t engine_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  CrashMark()
+      : request_(0),
+        engine_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  CrashMark(uint64_t _request, uint64_t _engine, uint32_t _age_ms)
+      : request_(flatbuffers::EndianScalar(_request)),
+        engine_(flatbuffers::EndianScalar(_engine)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint64_t engine() const {
+    return flatbuffers::EndianScalar(engine_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(CrashMark, 24);
+
 struct ServiceDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceDemandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -607,7 +643,8 @@
     VT_LEASE = 40,
     VT_WALL_MS = 42,
     VT_CLOSED_THROUGH = 44,
-    VT_USAGE = 46
+    VT_USAGE = 46,
+    VT_CRASHES = 48
   };
   uint8_t format() const {
     return GetField<uint8_t>(VT_FORMAT, 0);
@@ -675,6 +712,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *usage() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *>(VT_USAGE);
   }
+  const flatbuffers::Vector<const saltquay::gateway::wire::CrashMark *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const saltquay::gateway::wire::CrashMark *> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FORMAT, 1) &&
@@ -715,6 +755,8 @@
            VerifyOffset(verifier, VT_USAGE) &&
            verifier.VerifyVector(usage()) &&
            verifier.VerifyVectorOfTables(usage()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
            verifier.EndTable();
   }
 };
@@ -789,6 +831,9 @@
   void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>> usage) {
     fbb_.AddOffset(Report::VT_USAGE, usage);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::CrashMark *>> crashes) {
+    fbb_.AddOffset(Report::VT_CRASHES, crashes);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -823,12 +868,14 @@
     flatbuffers::Offset<saltquay::gateway::wire::LeaseMark> lease = 0,
     int64_t wall_ms = 0,
     int64_t closed_through = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>> usage = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>> usage = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::CrashMark *>> crashes = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_closed_through(closed_through);
   builder_.add_wall_ms(wall_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_crashes(crashes);
   builder_.add_usage(usage);
   builder_.add_lease(lease);
   builder_.add_records(records);
@@ -873,7 +920,8 @@
     flatbuffers::Offset<saltquay::gateway::wire::LeaseMark> lease = 0,
     int64_t wall_ms = 0,
     int64_t closed_through = 0,
-    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *usage = nullptr) {
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *usage = nullptr,
+    const std::vector<saltquay::gateway::wire::CrashMark> *crashes = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::EngineWork>(*work) : 0;
@@ -884,6 +932,7 @@
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::RecordMark>>(*records) : 0;
   auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>(*usage) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::CrashMark>(*crashes) : 0;
   return saltquay::gateway::wire::CreateReport(
       _fbb,
       format,
@@ -907,7 +956,8 @@
       lease,
       wall_ms,
       closed_through,
-      usage__);
+      usage__,
+      crashes__);
 }
 
 inline const saltquay::gateway::wire::Report *GetReport(const void *buf) {
--- /dev/null
+++ b/tests/core/serving/crash_ledger_test.cc
@@ -0,0 +1,192 @@
+// Requests under which engines ended: what nodes add up, in whatever order it comes, and what it leads to.
+#include "src/core/serving/crash_ledger.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "tests/support/serving_fixture.h"
+
+namespace saltquay::serving {
+namespace {
+
+constexpr Time kNow{1000s};
+constexpr std::uint64_t kRequest = 7;
+
+CrashMark End(std::uint64_t request, std::uint64_t engine, Duration age = 0s) {
+  return {request, EngineKey(engine), age};
+}
+
+TEST(CrashLedgerTest, ThreeLivesOfEnginesMakeAQuarantineAndThreeReportsOfOneDoNot) {
+  CrashLedger ledger{CrashLedgerKnobs{}};
+  for (int i = 0; i < 3; ++i) ledger.NoteEnd(kRequest, EngineKey(std::uint64_t{1}), kNow, kNow);
+  EXPECT_FALSE(ledger.QuarantineLeft(kRequest, kNow).has_value());
+  ledger.NoteEnd(kRequest, EngineKey(std::uint64_t{2}), kNow, kNow);
+  EXPECT_FALSE(ledger.QuarantineLeft(kRequest, kNow).has_value());
+  ledger.NoteEnd(kRequest, EngineKey(std::uint64_t{3}), kNow, kNow);
+  EXPECT_EQ(ledger.QuarantineLeft(kRequest, kNow), CrashLedgerKnobs{}.quarantine);
+  EXPECT_EQ(ledger.InQuarantine(kNow), 1U);
+}
+
+TEST(CrashLedgerTest, AfterTheQuarantineOneMoreEndPutsItBack) {
+  CrashLedger ledger{CrashLedgerKnobs{}};
+  ledger.Merge(std::vector{End(kRequest, 1), End(kRequest, 2), End(kRequest, 3)}, kNow);
+  const Time later = kNow + CrashLedgerKnobs{}.quarantine;
+  EXPECT_FALSE(ledger.QuarantineLeft(kRequest, later).has_value());
+  ledger.NoteEnd(kRequest, EngineKey(std::uint64_t{4}), later, later);
+  EXPECT_EQ(ledger.QuarantineLeft(kRequest, later), CrashLedgerKnobs{}.quarantine);
+}
+
+TEST(CrashLedgerTest, ARunThatEndedWellClearsWhatCameBeforeItHereAndAtOthers) {
+  CrashLedger ledger{CrashLedgerKnobs{}};
+  CrashLedger other{CrashLedgerKnobs{}};
+  const std::vector<CrashMark> ends = {End(kRequest, 1), End(kRequest, 2), End(kRequest, 3)};
+  ledger.Merge(ends, kNow);
+  other.Merge(ends, kNow);
+  EXPECT_TRUE(ledger.NoteServed(kRequest, kNow + 1s));
+  EXPECT_FALSE(ledger.QuarantineLeft(kRequest, kNow + 1s).has_value());
+  other.Merge(ledger.MarksToTell(kNow + 1s), kNow + 1s);
+  EXPECT_FALSE(other.QuarantineLeft(kRequest, kNow + 1s).has_value());
+  // What a third node still tells of before counts no more.
+  ledger.Merge(std::vector{End(kRequest, 1, 2s), End(kRequest, 2, 2s), End(kRequest, 3, 2s)}, kNow + 2s);
+  EXPECT_EQ(ledger.Ends(kRequest), 0);
+  EXPECT_FALSE(ledger.NoteServed(kRequest, kNow + 3s));
+}
+
+TEST(CrashLedgerTest, AClearanceThatIsToldInARingIsNoNewsForEver) {
+  CrashLedger first{CrashLedgerKnobs{}};
+  CrashLedger second{CrashLedgerKnobs{}};
+  first.Merge(std::vector{End(kRequest, 1)}, kNow);
+  first.NoteServed(kRequest, kNow);
+  Time now = kNow;
+  int news = 0;
+  for (int round = 0; round < 100; ++round, now += 100ms) {
+    news += static_cast<int>(second.Merge(first.MarksToTell(now), now + 50ms).size());
+    news += static_cast<int>(first.Merge(second.MarksToTell(now), now + 50ms).size());
+  }
+  EXPECT_EQ(news, 1);
+}
+
+TEST(CrashLedgerTest, ANodeThatStartsAnewLearnsWhatIsNoNewsAnyMore) {
+  CrashLedger ledger{CrashLedgerKnobs{}};
+  for (std::uint64_t request = 1; request <= 9; ++request) {
+    ledger.Merge(std::vector{End(request, 1), End(request, 2), End(request, 3)}, kNow);
+  }
+  CrashLedger fresh{CrashLedgerKnobs{}};
+  Time now = kNow + 20s;
+  for (int round = 0; round < 5; ++round, now += 400ms) fresh.Merge(ledger.MarksToTell(now), now);
+  EXPECT_EQ(fresh.InQuarantine(now), 9U);
+}
+
+TEST(CrashLedgerTest, MessagesAndMemoryAreBounded) {
+  CrashLedgerKnobs knobs;
+  CrashLedger ledger{knobs};
+  ledger.Merge(std::vector{End(kRequest, 1), End(kRequest, 2), End(kRequest, 3)}, kNow);
+  for (std::uint64_t request = 100; request < 20000; ++request) {
+    ledger.NoteEnd(request, EngineKey(request), kNow + 1s, kNow + 1s);
+  }
+  EXPECT_EQ(ledger.size(), knobs.most_requests);
+  // A flood of requests with one end each pushes nothing out of quarantine.
+  EXPECT_TRUE(ledger.QuarantineLeft(kRequest, kNow + 1s).has_value());
+  EXPECT_LE(ledger.MarksToTell(kNow + 1s).size(), knobs.most_news + knobs.repeated);
+  EXPECT_EQ(ledger.MarksToTell(kNow + 1s).front().request, kRequest);
+  ledger.NoteEnd(1, EngineKey(std::uint64_t{1}), kNow + 3000s, kNow + 3000s);
+  EXPECT_EQ(ledger.size(), 1U);
+}
+
+RC_GTEST_PROP(CrashLedgerProperty, MarksAddUpInAnyOrderAndHoweverOften, ()) {
+  std::vector<CrashMark> marks;
+  const int count = *rc::gen::inRange(1, 30);
+  for (int i = 0; i < count; ++i) {
+    marks.push_back(End(*rc::gen::inRange<std::uint64_t>(1, 4), *rc::gen::inRange<std::uint64_t>(0, 5),
+                        std::chrono::seconds(*rc::gen::inRange(0, 40) * 3)));
+  }
+  std::vector<CrashMark> others = marks;
+  others.insert(others.end(), marks.begin(), marks.end());
+  for (std::size_t i = others.size() - 1; i > 0; --i) {
+    std::swap(others[i], others[*rc::gen::inRange<std::size_t>(0, i + 1)]);
+  }
+  CrashLedger first{CrashLedgerKnobs{}};
+  CrashLedger second{CrashLedgerKnobs{}};
+  first.Merge(marks, kNow);
+  for (const CrashMark& mark : others) second.Merge(std::span(&mark, 1), kNow);
+  for (std::uint64_t request = 1; request < 4; ++request) {
+    RC_ASSERT(first.QuarantineLeft(request, kNow).has_value() == second.QuarantineLeft(request, kNow).has_value());
+  }
+}
+
+// The same in a node: what is refused, what is ended, what is left alone.
+class QuarantineTest : public ServingFixture {
+ protected:
+  FlowId ArriveAs(const std::string& route, std::uint64_t fingerprint) {
+    RequestArrived arrived;
+    arrived.flow = ++last_flow_;
+    arrived.facts.request_id = "r" + std::to_string(last_flow_);
+    arrived.facts.host = "h.example";
+    arrived.facts.path = "/" + route + "/x";
+    arrived.facts.fingerprint = fingerprint;
+    Send(arrived);
+    return last_flow_;
+  }
+  // As the core names an anonymous caller's request.
+  static std::uint64_t Fingerprint(std::uint64_t request) { return HashPair(request, HashText("")); }
+  void TellThreeEnds(std::uint64_t request) {
+    const std::uint64_t fingerprint = Fingerprint(request);
+    Send(CrashesTold{{End(fingerprint, 1), End(fingerprint, 2), End(fingerprint, 3)}});
+  }
+};
+
+TEST_F(QuarantineTest, ARepeatIsRefusedAtOnceWithTheTimeLeft) {
+  TellThreeEnds(kRequest);
+  now_ += 10s;
+  ArriveAs("safe", kRequest);
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  EXPECT_EQ(One<AnswerOwn>().status, 503);
+  EXPECT_EQ(One<AnswerOwn>().retry_after, CrashLedgerKnobs{}.quarantine - 10s);
+  ArriveAs("safe", kRequest + 1);
+  EXPECT_EQ(All<StartAttempt>().size(), 1U);
+}
+
+TEST_F(QuarantineTest, WhatIsUnderWayIsTakenBackAndSaysWhetherItMayHaveRun) {
+  ArriveAs("once", kRequest);
+  const auto sent = One<StartAttempt>();
+  TellThreeEnds(kRequest);
+  EXPECT_EQ(One<CancelAttempt>().attempt, sent.attempt);
+  EXPECT_EQ(One<AnswerOwn>().status, 502);
+  EXPECT_EQ(core_.flows(), 0U);
+}
+
+TEST_F(QuarantineTest, ARequestThatOnlyWaitsIsRefused) {
+  for (const char* engine : {"u1", "u2"}) Send(EngineRemoved{engine});
+  ArriveAs("safe", kRequest);
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  TellThreeEnds(kRequest);
+  EXPECT_EQ(One<AnswerOwn>().status, 503);
+}
+
+TEST_F(QuarantineTest, EndsSeenHereAreToldAtOnce) {
+  ArriveAs("once", kRequest);
+  const auto start = One<StartAttempt>();
+  Fail(start, AttemptFailure::kBroken);
+  Send(EngineChecked{start.engine_id, EngineCheckOutcome::kRefused});
+  EXPECT_EQ(All<TellCrashes>().size(), 1U);
+  const std::vector<CrashMark> marks = core_.crashes().MarksToTell(now_);
+  ASSERT_EQ(marks.size(), 1U);
+  EXPECT_EQ(marks.front().request, Fingerprint(kRequest));
+  EXPECT_EQ(marks.front().engine, EngineKey(start.engine_id));
+}
+
+TEST_F(QuarantineTest, ARequestThatIsServedInTheEndIsCleared) {
+  ArriveAs("safe", kRequest);
+  const auto first = One<StartAttempt>();
+  Fail(first, AttemptFailure::kBroken);
+  const auto second = One<StartAttempt>();
+  Send(EngineChecked{first.engine_id, EngineCheckOutcome::kRefused});
+  EXPECT_EQ(core_.crashes().Ends(Fingerprint(kRequest)), 1);
+  Answer(second, 200);
+  EXPECT_EQ(core_.crashes().Ends(Fingerprint(kRequest)), 0);
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- a/tests/core/serving/fleet_exchange_test.cc
+++ b/tests/core/serving/fleet_exchange_test.cc
@@ -21,6 +21,7 @@
         const std::string name = std::string(1, static_cast<char>('a' + zone)) + std::to_string(i);
         nodes_.push_back({name, name, name.substr(0, 1), i < 2 ? 200 : 20, false});
         exchanges_.push_back(std::make_unique<FleetExchange>(FleetExchangeKnobs{}, nodes_.back()));
+        ledgers_.push_back(std::make_unique<CrashLedger>(CrashLedgerKnobs{}));
         work_.push_back(0);
         up_.push_back(true);
       }
@@ -32,6 +33,15 @@
 
   std::size_t size() const { return nodes_.size(); }
   FleetExchange& at(std::size_t node) { return *exchanges_[node]; }
+  CrashLedger& ledger(std::size_t node) { return *ledgers_[node]; }
+  // Nodes that are up and do not know as many engines to have ended under the request.
+  int Ignorant(std::uint64_t request, int ends) {
+    int count = 0;
+    for (std::size_t node = 0; node < size(); ++node) {
+      if (up_[node] && ledger(node).Ends(request) < ends) ++count;
+    }
+    return count;
+  }
   void set_work(std::size_t node, int work) { work_[node] = work; }
   void set_up(std::size_t node, bool up) { up_[node] = up; }
   void set_loss(double loss) { loss_ = loss; }
@@ -67,6 +77,7 @@
     report.sequence = ++sequences_[node];
     if (work_[node] > 0) report.work = {{"e", work_[node], 100 * work_[node]}};
     report.demand = {{"s", 0.5, 0.25, 2, 1}};
+    report.crashes = ledger(node).MarksToTell(now_);
     return report;
   }
 
@@ -85,7 +96,9 @@
   void Deliver(const std::string& address, const PeerReport& report) {
     if (random_.Unit() < loss_) return;
     for (std::size_t node = 0; node < size(); ++node) {
-      if (nodes_[node].address == address && up_[node]) at(node).Note(report, now_);
+      if (nodes_[node].address != address || !up_[node]) continue;
+      ledger(node).Merge(report.crashes, now_);
+      at(node).Note(report, now_);
     }
   }
 
@@ -94,6 +107,7 @@
   Time now_{1s};
   std::vector<PeerNode> nodes_;
   std::vector<std::unique_ptr<FleetExchange>> exchanges_;
+  std::vector<std::unique_ptr<CrashLedger>> ledgers_;
   std::vector<int> work_;
   std::vector<bool> up_;
   std::vector<std::uint64_t> sequences_;
@@ -185,6 +199,37 @@
   }
 }
 
+// Three nodes see one end each; the sum is what counts.
+void NoteThreeEnds(Exchanges& fleet, std::uint64_t request) {
+  const std::size_t third = fleet.size() / 3;
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet.ledger(i * third + third / 2).NoteEnd(request, EngineKey(i + 1), fleet.now(), fleet.now());
+  }
+}
+
+TEST(FleetExchangeTest, EnginesThatEndedUnderARequestAreKnownToAllWithinContact) {
+  constexpr std::uint64_t kRequest = 7;
+  for (const int per_zone : {4, 27, 98, 267}) {
+    Exchanges fleet(3, per_zone, 1);
+    fleet.set_loss(0.1);
+    fleet.Run(2s);
+    NoteThreeEnds(fleet, kRequest);
+    fleet.Run(1500ms);
+    EXPECT_EQ(fleet.Ignorant(kRequest, 3), 0) << per_zone << " a zone";
+  }
+}
+
+TEST(FleetExchangeTest, TheyAreAlsoKnownWithinContactWhenTheAggregatorsOfAZoneAreLost) {
+  constexpr std::uint64_t kRequest = 7;
+  Exchanges fleet(3, 98, 1);
+  fleet.Run(2s);
+  NoteThreeEnds(fleet, kRequest);
+  fleet.set_up(0, false);
+  fleet.set_up(1, false);
+  fleet.Run(2900ms);
+  EXPECT_EQ(fleet.Ignorant(kRequest, 3), 0);
+}
+
 TEST(FleetExchangeTest, WhenAllAggregatorsOfAZoneAreLostOthersTakeTheirPlace) {
   Exchanges fleet(3, 20, 1);
   fleet.Run(2s);
--- a/tests/core/serving/poison_request_test.cc
+++ b/tests/core/serving/poison_request_test.cc
@@ -62,5 +62,68 @@
   }
 }
 
+TEST_F(PoisonRequestTest, AlsoWhileAThirdOfTheMessagesBetweenNodesIsLost) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServingFleet fleet(7, MakeConfig(), Knobs(), seed);
+    AddEngines(fleet);
+    fleet.set_loss(0.33);
+    fleet.Begin();
+    fleet.Offer("chat", 20, fleet.now() + 14s, OrdinaryPrompt);
+    fleet.OfferFatal("chat", LongPrompt("own"), 50ms, fleet.now() + 12s);
+    fleet.RunUntil(fleet.now() + 16s);
+    EXPECT_EQ(LaterRuns(fleet), 0) << "seed " << seed;
+  }
+}
+
+TEST_F(PoisonRequestTest, AlsoWhileNodesStartAnewOneAfterTheOther) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServingFleet fleet(7, MakeConfig(), Knobs(), seed);
+    AddEngines(fleet);
+    fleet.Begin();
+    fleet.Offer("chat", 20, fleet.now() + 14s, OrdinaryPrompt);
+    fleet.OfferFatal("chat", LongPrompt("own"), 200ms, fleet.now() + 14s);
+    for (int node = 0; node < 14; ++node) {
+      fleet.RunUntil(fleet.now() + 1s);
+      fleet.Restart(node % 7);
+    }
+    // Who has just started may send it once before a peer's report comes.
+    EXPECT_LE(LaterRuns(fleet), kMostLaterRuns) << "seed " << seed;
+  }
+}
+
+TEST_F(PoisonRequestTest, WhatWasOnlyBesideItIsServed) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServingFleet fleet(7, MakeConfig(), Knobs(), seed);
+    AddEngines(fleet);
+    fleet.Begin();
+    fleet.Offer("chat", 40, fleet.now() + 20s, OrdinaryPrompt);
+    fleet.OfferFatal("chat", LongPrompt("own"), 300ms, fleet.now() + 12s);
+    fleet.RunUntil(fleet.now() + 8s);
+    EXPECT_EQ(fleet.quarantined().size(), 1U) << "seed " << seed;
+    fleet.ForgetCounts();
+    fleet.RunUntil(fleet.now() + 14s);
+    EXPECT_EQ(fleet.failed(), 0) << "seed " << seed;
+    EXPECT_GE(fleet.answered(), 470) << "seed " << seed;  // 40 a second from 8 s to 20 s.
+  }
+}
+
+TEST_F(PoisonRequestTest, EnginesThatEndOfThemselvesPutNobodyInQuarantine) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServingFleet fleet(7, MakeConfig(), Knobs(), seed);
+    AddEngines(fleet);
+    fleet.Begin();
+    fleet.Offer("chat", 40, fleet.now() + 14s, OrdinaryPrompt);
+    // All that answer, in turn, as they are restarted without a word; then all at once.
+    for (const char* engine : {"d5", "d6", "d7", "d8"}) {
+      fleet.RunUntil(fleet.now() + 500ms);
+      fleet.EndEngine(engine);
+    }
+    fleet.RunUntil(fleet.now() + 6s);
+    for (const char* engine : {"d5+", "d6+", "d7+", "d8+"}) fleet.EndEngine(engine);
+    fleet.RunUntil(fleet.now() + 8s);
+    EXPECT_TRUE(fleet.quarantined().empty()) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace saltquay::serving
--- a/tests/core/serving/tenancy_test.cc
+++ b/tests/core/serving/tenancy_test.cc
@@ -20,9 +20,10 @@
     config.routes.back().allows_anonymous = true;
     return config;
   }
-  void ArriveWithKey(const std::string& route, const std::string& key,
-                     std::optional<PromptFacts> prompt = std::nullopt) {
+  void ArriveWithKey(const std::string& route, const std::string& key, std::optional<PromptFacts> prompt = std::nullopt,
+                     std::uint64_t fingerprint = 0) {
     RequestArrived arrived;
+    arrived.facts.fingerprint = fingerprint;
     arrived.flow = ++last_flow_;
     arrived.facts.request_id = "r" + std::to_string(last_flow_);
     arrived.facts.host = "h.example";
@@ -45,6 +46,19 @@
   EXPECT_EQ(One<StartAttempt>().tenant, "t2");
 }
 
+TEST_F(TenancyTest, ARequestThatEndsEnginesIsKeptFromThemForItsTenantOnly) {
+  constexpr std::uint64_t kRequest = 7;
+  const std::uint64_t of_first = HashPair(kRequest, HashText("t1"));
+  Send(CrashesTold{{{of_first, EngineKey("e1")}, {of_first, EngineKey("e2")}, {of_first, EngineKey("e3")}}});
+  ArriveWithKey("safe", "key-a", std::nullopt, kRequest);
+  EXPECT_EQ(One<AnswerOwn>().status, kUnavailable);
+  // With the tenant's other key it is the same request; another tenant's is not.
+  ArriveWithKey("safe", "key-b", std::nullopt, kRequest);
+  EXPECT_EQ(One<AnswerOwn>().status, kUnavailable);
+  ArriveWithKey("safe", "key-c", std::nullopt, kRequest);
+  EXPECT_EQ(One<StartAttempt>().tenant, "t2");
+}
+
 TEST_F(TenancyTest, ReadingsHandOversAndRetriesAreTheTenantsToo) {
   ArriveWithKey("chat", "key-a", LongPrompt());
   const auto reading = One<StartAttempt>();
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -305,12 +305,18 @@
   report.holds = {{"e2", 1500ms}};
   report.kept = {{"e1", 77}};
   report.peers = {{"n2", "1.2.3.5:5", "b", 20, false}};
+  report.crashes = {{11, serving::EngineKey("e1"), 1500ms}, {12, serving::EngineKey{}, 0ms}};
   const auto decoded = DecodeReport(EncodeReport(report));
   ASSERT_TRUE(decoded.ok());
   EXPECT_EQ(decoded->work[0].engine, serving::EngineKey("e1"));
   EXPECT_EQ(decoded->work[0].prompt_tokens, 12345);
   EXPECT_EQ(decoded->holds[0].left, Duration(1500ms));
   EXPECT_EQ(decoded->kept, report.kept);
+  ASSERT_EQ(decoded->crashes.size(), 2U);
+  EXPECT_EQ(decoded->crashes[0].request, 11U);
+  EXPECT_EQ(decoded->crashes[0].engine, serving::EngineKey("e1"));
+  EXPECT_EQ(decoded->crashes[0].age, Duration(1500ms));
+  EXPECT_TRUE(decoded->crashes[1].clears());
   EXPECT_EQ(decoded->peers[0].address, "1.2.3.5:5");
   EXPECT_EQ(decoded->peers[0].zone, "b");
   EXPECT_FALSE(DecodeReport("garbage").ok());
--- a/tests/support/serving_fleet.cc
+++ b/tests/support/serving_fleet.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 ServingFleet::ServingFleet(int nodes, const ServingConfig& config, const ServingKnobs& knobs, std::uint64_t seed)
-    : config_(config), random_(seed) {
+    : config_(config), knobs_(knobs), random_(seed) {
   for (int i = 0; i < nodes; ++i) nodes_.push_back(std::make_unique<ServingCore>(knobs, "a", seed + i));
 }
 
@@ -33,6 +33,23 @@
   Report();
 }
 
+void ServingFleet::Restart(int node) {
+  nodes_[node] = std::make_unique<ServingCore>(knobs_, "a", random_.Below(1000));
+  const auto is_of_node = [node](const auto& key) { return key.first == node; };
+  std::erase_if(cancelled_, is_of_node);
+  for (auto& [id, world] : engines_) {
+    std::erase_if(world.waiting, [node](const Call& call) { return call.node == node; });
+    std::erase_if(world.under_way, [&](const auto& entry) { return is_of_node(entry.first); });
+  }
+  std::vector<EngineRecord> records;
+  for (const auto& [id, world] : engines_) {
+    if (!world.ended) records.push_back(world.engine.record);
+  }
+  Send(node, ConfigurationChanged{config_});
+  Send(node, EnginesReplaced{records});
+  Send(node, StoreContactChanged{true});
+}
+
 void ServingFleet::Offer(const std::string& route, double per_second, Time end,
                          const std::function<PromptFacts(int)>& prompt) {
   const Duration gap = FromSeconds(1 / per_second);
@@ -47,6 +64,7 @@
       arrived.facts.host = "h.example";
       arrived.facts.path = "/" + route + "/x";
       arrived.facts.prompt = facts;
+      arrived.facts.fingerprint = kFatalFingerprint + arrived.flow;
       requests_.push_back(now_);
       began_[{node, arrived.flow}] = now_;
       Send(node, arrived);
@@ -106,6 +124,8 @@
   for (const Action& action : actions) {
     if (const auto* start = std::get_if<StartAttempt>(&action)) {
       At(now_ + kLinkDelay, [this, node, start = *start] { Arrive(node, start); });
+    } else if (std::holds_alternative<saltquay::serving::TellCrashes>(action)) {
+      At(now_ + 1us, [this, node] { TellCrashes(node); });
     } else if (const auto* check = std::get_if<CheckEngine>(&action)) {
       At(now_ + 2 * kLinkDelay, [this, node, id = check->engine_id] {
         const bool ended = engines_.at(id).ended;
@@ -128,6 +148,9 @@
       if (log->event == EventId::kEngineEjected) {
         const std::size_t from = log->details.find(":\"") + 2;
         ejected_.insert(log->details.substr(from, log->details.find('"', from) - from));
+      } else if (log->event == EventId::kRequestQuarantined) {
+        const std::size_t from = log->details.find(":\"") + 2;
+        quarantined_.insert(log->details.substr(from, log->details.find('"', from) - from));
       }
     }
   }
@@ -172,7 +195,7 @@
 void ServingFleet::Finish(EngineWorld& world, const Call& call) {
   if (world.ended) return;
   --world.running;
-  world.under_way.erase({call.node, call.start.attempt});
+  const bool is_wanted = world.under_way.erase({call.node, call.start.attempt}) > 0;
   while (!world.waiting.empty() && world.running < world.engine.slots) {
     const Call next = world.waiting.front();
     world.waiting.pop_front();
@@ -183,7 +206,7 @@
       Begin(world, next);
     }
   }
-  if (cancelled_.contains({call.node, call.start.attempt})) return;
+  if (!is_wanted || cancelled_.contains({call.node, call.start.attempt})) return;
   const bool fails = world.engine.health == EngineHealth::kGrey && random_.Unit() < kGreyErrors;
   Send(call.node,
        AttemptHead{call.start.flow, call.start.attempt, AnswerFacts{fails ? 500 : 200, false, true, LoadOf(world)}});
@@ -250,9 +273,18 @@
     if (!demand.service.empty()) changed.demand.push_back(demand);
     Send(to, changed);
   }
+  for (int from = 0; from < static_cast<int>(nodes_.size()); ++from) TellCrashes(from);
   At(now_ + kReportInterval, [this] { Report(); });
 }
 
+void ServingFleet::TellCrashes(int from) {
+  const std::vector<CrashMark> marks = nodes_[from]->crashes().MarksToTell(now_);
+  for (int to = 0; to < static_cast<int>(nodes_.size()); ++to) {
+    if (to == from || marks.empty() || random_.Unit() < loss_) continue;
+    At(now_ + kLinkDelay, [this, to, marks] { Send(to, CrashesTold{marks}); });
+  }
+}
+
 double ServingFleet::WorstBudget(double ratio, double slack, Duration window) const {
   const auto asked = [&](Time from) {
     return std::count_if(requests_.begin(), requests_.end(), [&](Time at) { return at >= from && at < from + window; });
--- a/tests/support/serving_fleet.h
+++ b/tests/support/serving_fleet.h
@@ -45,6 +45,7 @@
 
   void AddEngine(const FleetEngine& engine) { engines_[engine.record.id].engine = engine; }
   void SetHealth(const std::string& id, EngineHealth health) { engines_.at(id).engine.health = health; }
+  void EndEngine(const std::string& id) { EndEngine(engines_.at(id)); }
   // Tells all nodes of the engines and of each other.
   void Begin();
   // Sends `per_second` requests of the route, spread over the nodes, until `end`.
@@ -53,6 +54,10 @@
   // engine that ends is replaced by a new one at its address after `EngineRestart()`.
   void OfferFatal(const std::string& route, const PromptFacts& prompt, Duration gap, Time end);
   static Duration EngineRestart() { return 4s; }
+  // The share of messages between nodes that are lost.
+  void set_loss(double share) { loss_ = share; }
+  // The node starts anew: it knows nothing, and what it had under way is lost.
+  void Restart(int node);
   void RunUntil(Time end);
 
   Time now() const { return now_; }
@@ -66,6 +71,8 @@
   // When engines ended, and when runs of the request that ends them reached engines.
   const std::vector<Time>& engine_ends() const { return engine_ends_; }
   const std::vector<FatalRun>& fatal_runs() const { return fatal_runs_; }
+  // Requests in quarantine at any node, by fingerprint; an ordinary request's differs from all others'.
+  const std::set<std::string>& quarantined() const { return quarantined_; }
   int calls_at(const std::string& engine) const { return engines_.at(engine).calls; }
   // Most extra arrivals beyond ratio x requests + slack in any window; negative: always below.
   double WorstBudget(double ratio, double slack, Duration window) const;
@@ -102,6 +109,8 @@
   void EndEngine(EngineWorld& world);
   void Replace(const FleetEngine& engine);
   void SendAll(const Event& event);
+  // Tells the peers of what the node knows of requests under which engines ended.
+  void TellCrashes(int from);
   void Count(const Call& call, bool taken);
   void Report();
   EngineLoad LoadOf(const EngineWorld& world) const;
@@ -117,9 +126,12 @@
   std::set<std::pair<int, FlowId>> fatal_;
   std::vector<FatalRun> fatal_runs_;
   std::vector<Time> engine_ends_;
+  std::set<std::string> quarantined_;
   std::vector<Time> requests_;
   std::vector<CountedArrival> counted_;
   std::multiset<std::string> ejected_;
+  ServingKnobs knobs_;
+  double loss_ = 0;
   Random random_;
   Time now_{1s};
   FlowId last_flow_ = 0;
