--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -9,7 +9,8 @@
 ends well has each event once, in order; no two holders of one fencing token; within one life of its process a gateway
 never goes back to an older configuration; once all faults are over, each gateway serves the newest one; engines are told
 the tenant that holds the caller's key and never the key, and run nothing for keys that nobody holds; no two reports of
-one window's usage differ, and some are made. Every gateway
+one window's usage differ, and some are made; a request that ends each engine which runs it reaches at most three more
+engines once the third end is CONTACT seconds old. Every gateway
 reaches the store through a proxy of its own, so that single ones are cut off from it. Exit 1 and a line for each breach.
 """
 
@@ -32,6 +33,17 @@
           "lone": ("streaming", "model", 1)}
 TENANTS = {f"tenant-{index}": f"secret-of-{index}" for index in range(4)}
 WRONG_KEY = "secret-of-nobody"
+CONTACT = 3  # Seconds after which gateways in touch know of the third end.
+
+
+class Fatal:
+    """A request that ends each engine which runs it: when runs reached engines, and when engines ended."""
+
+    def __init__(self):
+        self.runs, self.ends = [], []
+
+    def later_runs(self):
+        return [at for at in self.runs if len(self.ends) >= 3 and at > self.ends[2] + CONTACT]
 
 
 def free_port():
@@ -45,7 +57,8 @@
 
     def __init__(self):
         self.runs, self.told, self.breaks, self.counts = {}, {}, [], {}
-        self.restage = None
+        self.restage = self.end_engine = None
+        self.fatals = {}  # body -> Fatal
         self.tenants = {}  # request -> tenant that holds its caller's key; nothing where none does.
         self.newest = {}  # (gateway, life) -> newest generation seen in force there.
 
@@ -54,6 +67,9 @@
         if body != f"ask {request}".encode():
             self.breaks.append(f"{request}: ran with another body")
 
+    def fatal(self, body):
+        return self.fatals.setdefault(body, Fatal())
+
     def named(self, request, headers):
         """What the engine was told of whose request it is."""
         if any("secret-of" in value for value in headers.values()):
@@ -74,6 +90,11 @@
             self.newest[(gateway.name, gateway.life)] = max(newest, generation)
 
     def check(self):
+        for body, fatal in self.fatals.items():
+            later = fatal.later_runs()
+            if len(later) > 3:
+                self.breaks.append(f"{body.decode()}: {len(later)} runs over {CONTACT} s after its third end, "
+                                   f"{len(fatal.ends)} engines ended")
         for request, (route, outcome) in self.told.items():
             runs = self.runs.get(request, 0)
             allowed = ROUTES[route][2]
@@ -122,7 +143,7 @@
         stages += [(f"m{i}", "model", "prefill" if i < 2 else "decode") for i in range(6)]
         for identity, service, stage in stages:
             await self.add_engine(identity, service, stage)
-        self.truth.restage = self.publish
+        self.truth.restage, self.truth.end_engine = self.publish, self.end_engine
         self.routes = [{"name": name, "host": "h", "path_prefix": f"/{name}/", "kind": kind, "timeout_ms": 2000,
                    "target_latency_ms": 400, "service": service, "max_attempts": attempts,
                    "resumable": name == "chat"} for name, (kind, service, attempts) in ROUTES.items()]
@@ -212,9 +233,36 @@
         await self.publish(engine)
 
     async def publish(self, engine, state="ready"):
+        if engine not in self.engines:
+            return  # It has ended meanwhile.
         address = f"127.0.0.1:{self.proxies[engine.identity].port}"
         await self.store.put("servers", engine.identity, engine.record(address, state))
 
+    async def end_engine(self, engine, body):
+        """The engine's process ends under a request; its record goes later, and another engine comes."""
+        if engine not in self.engines:
+            return
+        self.engines.remove(engine)
+        self.truth.fatal(body).ends.append(time.monotonic())
+        await self.proxies.pop(engine.identity).end()
+        loop = asyncio.get_running_loop()
+        loop.call_later(3.6, lambda: loop.create_task(self.store.remove("servers", engine.identity)))
+        name = f"{engine.identity.split('+')[0]}+{self.number}"
+        loop.call_later(2, lambda: loop.create_task(self.add_engine(name, engine.service, engine.stage)))
+
+    async def fatal_caller(self, until):
+        """Sends a request that ends engines again and again, to any gateway, for some seconds; then another."""
+        luck, kind = random.Random(self.luck.random()), 0
+        while time.monotonic() < until:
+            kind += 1
+            route, body = luck.choice(["chat", "safe"]), f"fatal {kind}"
+            end = min(until, time.monotonic() + 8)
+            while time.monotonic() < end:
+                self.number += 1
+                request = f"fatal-{self.arguments.seed}-{self.number}"
+                await self.ask(luck.choice(self.gateways), route, request, TENANTS["tenant-0"], body)
+                await asyncio.sleep(luck.uniform(0.05, 0.4))
+
     async def caller(self, until):
         luck = random.Random(self.luck.random())
         while time.monotonic() < until:
@@ -230,12 +278,12 @@
             self.truth.counts[outcome] = self.truth.counts.get(outcome, 0) + 1
             await asyncio.sleep(luck.uniform(0, 0.08))
 
-    async def ask(self, gateway, route, request, key):
+    async def ask(self, gateway, route, request, key, body=None):
         headers = (f"Host: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\n"
                    f"X-Credential: {key}\r\nX-Tenant: forged\r\n")
         if ROUTES[route][1] == "model":
             headers += "X-Model: m\r\nX-Token-Count: 3000,64\r\nX-Prompt-Prefix: aa:2000,bb:1000\r\n"
-        body = f"ask {request}"
+        body = body or f"ask {request}"
         text = f"POST /{route}/x HTTP/1.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n{body}"
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", gateway.client), 1)
@@ -320,7 +368,7 @@
         await asyncio.sleep(2)
         until = time.monotonic() + self.arguments.seconds
         await asyncio.gather(self.hurt(until), self.keep_running(until + 3), self.change_configuration(until),
-                             self.probe_configurations(until), *[self.caller(until) for _ in range(24)])
+                             self.probe_configurations(until), self.fatal_caller(until), *[self.caller(until) for _ in range(24)])
         keeping = asyncio.ensure_future(self.keep_running(time.monotonic() + 13))
         await self.heal()
         keeping.cancel()
@@ -348,6 +396,7 @@
     truth = asyncio.run(Soak(arguments, folder).run())
     total = sum(truth.counts.values())
     print(f"seed {arguments.seed}: {total} requests, {json.dumps(truth.counts, sort_keys=True)}, "
+          f"{sum(len(fatal.ends) for fatal in truth.fatals.values())} engines ended under {len(truth.fatals)} requests, "
           f"{len(truth.breaks)} promises broken; logs in {folder}")
     for line in truth.breaks[:20]:
         print("  " + line)
--- a/tests/platform/soak_check_test.py
+++ b/tests/platform/soak_check_test.py
@@ -33,6 +33,17 @@
         truth.check()
         self.assertEqual(len(truth.breaks), 1)
 
+    def test_a_request_that_ends_engines_and_is_sent_on(self):
+        truth = Truth()
+        fatal = truth.fatal(b"fatal 1")
+        fatal.ends = [1.0, 2.0, 3.0, 7.0]
+        fatal.runs = [0.9, 1.9, 2.9, 5.9, 6.1, 6.2, 6.3]
+        truth.check()
+        self.assertEqual(truth.breaks, [])
+        fatal.runs.append(6.4)
+        truth.check()
+        self.assertEqual(len(truth.breaks), 1)
+
     def test_a_changed_body(self):
         truth = Truth()
         truth.ran("r", b"ask other")
--- a/tests/platform/soak_world.py
+++ b/tests/platform/soak_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 
 
 async def read_message(reader):
@@ -178,6 +179,11 @@
         if self.stage == "prefill" or self.running >= 8:
             writer.write(answer(503, headers={**common, "X-Not-Executed": "1"}))
             return True
+        if body.startswith(b"fatal"):
+            self.truth.fatal(body).runs.append(time.monotonic())
+            await asyncio.sleep(0.03)
+            await self.truth.end_engine(self, body)
+            return False
         self.truth.ran(request, body)
         self.truth.named(request, headers)
         self.running += 1
@@ -259,6 +265,12 @@
             for writer in list(self.writers):
                 writer.transport.abort()
 
+    async def end(self):
+        """As a process that ends: its connections break and nobody listens any more."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def _accept(self, reader, writer):
         if self.mode == "reset":
             writer.transport.abort()
