--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,7 +8,7 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 56> kCatalogue = {{
+constexpr std::array<EventDescription, 57> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
@@ -79,6 +79,9 @@
      "Follow its fingerprint (explain --fingerprint); find what in it ends engines."},
     {kRequestCleared, kInfo, "request_cleared",
      "A request under which engines had ended was served: they count no more.", "None."},
+    {kQuarantineStored, kInfo, "quarantine_stored",
+     "The requests in quarantine were read from the store, or written to it, or were not.",
+     "If it lasts: look at the store; nodes still know of them from each other."},
     {kStoreUnavailable, kWarning, "store_unavailable", "The platform's store does not answer.",
      "Serving goes on; publish, approve and roll wait for the store."},
     {kStoreRecovered, kInfo, "store_recovered", "The platform's store answers again.", "None."},
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -55,6 +55,7 @@
   kClientLeft = 614,
   kRequestQuarantined = 615,
   kRequestCleared = 616,
+  kQuarantineStored = 617,
   kStoreUnavailable = 700,
   kStoreRecovered = 701,
   kStoreContact = 702,
--- a/src/core/serving/crash_ledger.cc
+++ b/src/core/serving/crash_ledger.cc
@@ -16,6 +16,13 @@
 }  // namespace
 
 bool CrashLedger::NoteEnd(std::uint64_t request, EngineKey engine, Time at, Time now) {
+  const bool news = AddEnd(request, engine, at, now);
+  const auto entry = entries_.find(request);
+  if (entry != entries_.end()) entry->second.own = true;
+  return news;
+}
+
+bool CrashLedger::AddEnd(std::uint64_t request, EngineKey engine, Time at, Time now) {
   if (request == 0 || now - at > knobs_.memory) return false;
   Entry& entry = entries_[request];
   if (entry.cleared && at <= *entry.cleared + kToldLate) return false;
@@ -47,7 +54,7 @@
     const Time at = now - mark.age;
     if (mark.request == 0 || mark.age > knobs_.memory) continue;
     const bool news =
-        mark.clears() ? NoteCleared(entries_[mark.request], at, now) : NoteEnd(mark.request, mark.engine, at, now);
+        mark.clears() ? NoteCleared(entries_[mark.request], at, now) : AddEnd(mark.request, mark.engine, at, now);
     Shrink(mark.request, now);
     if (news && std::find(changed.begin(), changed.end(), mark.request) == changed.end()) {
       changed.push_back(mark.request);
@@ -75,6 +82,28 @@
   }));
 }
 
+std::vector<std::uint64_t> CrashLedger::OwnInQuarantine(Time now) const {
+  std::vector<std::uint64_t> requests;
+  for (const auto& [request, entry] : entries_) {
+    if (entry.own && QuarantineLeft(request, now)) requests.push_back(request);
+  }
+  return requests;
+}
+
+std::vector<CrashMark> CrashLedger::QuarantineMarks(Time now) const {
+  std::vector<std::pair<Time, std::uint64_t>> latest;
+  for (const auto& [request, entry] : entries_) {
+    if (QuarantineLeft(request, now)) latest.emplace_back(entry.last, request);
+  }
+  std::sort(latest.rbegin(), latest.rend());
+  if (latest.size() > knobs_.most_kept) latest.resize(knobs_.most_kept);
+  std::vector<CrashMark> marks;
+  for (const auto& [last, request] : latest) {
+    for (const auto& [engine, at] : entries_.at(request).ends) marks.push_back({request, engine, now - at});
+  }
+  return marks;
+}
+
 std::vector<CrashMark> CrashLedger::MarksToTell(Time now) {
   std::vector<std::pair<std::uint64_t, const Entry*>> news;
   std::vector<CrashMark> repeated;
--- a/src/core/serving/crash_ledger.h
+++ b/src/core/serving/crash_ledger.h
@@ -47,13 +47,14 @@
   std::size_t most_news = 48;  // Marks of 24 bytes in one message.
   // Marks of requests with two ends or more that each message repeats besides, by turns, for nodes that start anew.
   std::size_t repeated = 6;
+  std::size_t most_kept = 128;  // Requests of which the store keeps the ends: about 40 KB of JSON.
 };
 
 class CrashLedger {
  public:
   explicit CrashLedger(const CrashLedgerKnobs& knobs) : knobs_(knobs) {}
 
-  // An engine ended under the request. Returns whether that is news.
+  // This node saw that an engine ended under the request. Returns whether that is news.
   bool NoteEnd(std::uint64_t request, EngineKey engine, Time at, Time now);
   // A run of the request ended well. Returns whether that is news: whether engines had ended under it.
   bool NoteServed(std::uint64_t request, Time now);
@@ -67,15 +68,21 @@
   std::vector<CrashMark> MarksToTell(Time now);
   std::size_t size() const { return entries_.size(); }
   std::size_t InQuarantine(Time now) const;
+  // Those in quarantine of which this node itself saw an end.
+  std::vector<std::uint64_t> OwnInQuarantine(Time now) const;
+  // The ends of all that are in quarantine, for who must not forget them; of `most_kept` requests at most, the latest.
+  std::vector<CrashMark> QuarantineMarks(Time now) const;
 
  private:
   struct Entry {
     std::map<EngineKey, Time> ends;
     std::optional<Time> cleared;
-    Time last{};     // Of the ends and the clearance.
-    Time changed{};  // When this node learnt the newest of it.
+    Time last{};       // Of the ends and the clearance.
+    Time changed{};    // When this node learnt the newest of it.
+    bool own = false;  // This node saw an end.
   };
 
+  bool AddEnd(std::uint64_t request, EngineKey engine, Time at, Time now);
   static bool NoteCleared(Entry& entry, Time at, Time now);
   void AppendMarks(std::uint64_t request, const Entry& entry, Time now, std::vector<CrashMark>& marks) const;
   // Forgets what is too old, and the least of what is too much; never `kept`.
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kEngineConnect{200};
 // The lease is renewed while it is still good for an order and its way.
 constexpr Duration kLeaseMargin = 400ms;
+// A peer that began so many milliseconds before this node lived on while this one did not. Nodes that were all lost at
+// once start within less of each other, and clocks differ by less.
+constexpr std::uint64_t kOlderLife = 10'000;
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
@@ -71,6 +74,7 @@
       lease_client_(gateway, store, lease_),
       roles_(RoleKnobs(settings), lease_, gateway.Now()),
       duties_(settings, gateway, store, duty_api, lease_, boot_),
+      quarantine_(gateway, store, !settings.first_start, seed + 1),
       timer_(loop) {
   gateway.on_tell_crashes = [this] { SendAtOnce(); };
   gateway.on_run_began = [this](const serving::RunBegan& run) { duties_.OnRunBegan(run); };
@@ -146,6 +150,7 @@
   }
   const int before = peers_.Count();
   fleet_.Note(report, now);
+  if (report.boot + kOlderLife < boot_) quarantine_.NoteOlderPeer();
   if (!peers_.Note(report, now)) return;
   if (peers_.Count() != before) {
     gateway_.Log(EventId::kMemberAlive, "",
@@ -239,6 +244,7 @@
     if (exchange_ != nullptr) exchange_->Send(messages);
   });
   StepLease();
+  quarantine_.Step();
   gateway_.metrics().SetLeader(lease_.MayOrder(gateway_.Now()));
   timer_.expires_after(kTick);
   timer_.async_wait([this](boost::system::error_code error) {
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -16,6 +16,7 @@
 #include "src/gateway/duties.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/peer_exchange.h"
+#include "src/gateway/quarantine_store.h"
 
 namespace saltquay::gateway {
 
@@ -73,6 +74,7 @@
   LeaseClient lease_client_;
   serving::RoleController roles_;
   Duties duties_;
+  QuarantineStore quarantine_;
   std::unique_ptr<PeerExchange> exchange_;
   boost::asio::steady_timer timer_;
   std::uint64_t sequence_ = 0;
--- /dev/null
+++ b/src/gateway/quarantine_store.cc
@@ -0,0 +1,129 @@
+#include "src/gateway/quarantine_store.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace saltquay::gateway {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kKind = "saltquay-quarantine";
+constexpr std::string_view kName = "requests";
+// A node that starts gives its peers' reports that much time to come: two of their rounds.
+constexpr Duration kPeersWait = 1s;
+// After another node's write: up to three nodes see ends of one request within a second.
+constexpr Duration kConflictPause = 100ms;
+constexpr Duration kFirstBackoff = 1s;
+constexpr Duration kLongestBackoff = 8s;
+
+std::set<std::uint64_t> RequestsOf(const std::vector<serving::CrashMark>& marks) {
+  std::set<std::uint64_t> requests;
+  for (const serving::CrashMark& mark : marks) requests.insert(mark.request);
+  return requests;
+}
+
+}  // namespace
+
+std::string EncodeQuarantine(const std::vector<serving::CrashMark>& marks, std::int64_t unix_ms) {
+  json list = json::array();
+  for (const serving::CrashMark& mark : marks) {
+    const std::int64_t at_ms = unix_ms - std::chrono::duration_cast<std::chrono::milliseconds>(mark.age).count();
+    list.push_back({{"request", mark.request}, {"engine", mark.engine.hash}, {"at_ms", at_ms}});
+  }
+  return json{{"marks", list}}.dump();
+}
+
+std::vector<serving::CrashMark> DecodeQuarantine(const std::string& content, std::int64_t unix_ms) {
+  std::vector<serving::CrashMark> marks;
+  const json document = json::parse(content, nullptr, false);
+  if (!document.is_object() || !document.contains("marks") || !document["marks"].is_array()) return marks;
+  for (const json& item : document["marks"]) {
+    const auto is_number = [&](const char* key) { return item.contains(key) && item[key].is_number_integer(); };
+    if (!item.is_object() || !is_number("request") || !is_number("engine") || !is_number("at_ms")) continue;
+    const std::int64_t age_ms = std::max<std::int64_t>(0, unix_ms - item["at_ms"].get<std::int64_t>());
+    marks.push_back({item["request"].get<std::uint64_t>(), serving::EngineKey(item["engine"].get<std::uint64_t>()),
+                     std::chrono::milliseconds(age_ms)});
+  }
+  return marks;
+}
+
+QuarantineStore::QuarantineStore(Gateway& gateway, ObjectStore& store, bool reads, std::uint64_t seed)
+    : gateway_(gateway),
+      store_(store),
+      random_(seed),
+      reads_(reads),
+      next_(gateway.Now() + kPeersWait),
+      backoff_(kFirstBackoff) {}
+
+void QuarantineStore::Step() {
+  if (under_way_ || gateway_.Now() < next_) return;
+  if (reads_ || HasUnsaved()) Read();
+}
+
+bool QuarantineStore::HasUnsaved() const {
+  const std::vector<std::uint64_t> own = gateway_.core().crashes().OwnInQuarantine(gateway_.Now());
+  return std::any_of(own.begin(), own.end(), [this](std::uint64_t request) { return !saved_.contains(request); });
+}
+
+void QuarantineStore::Read() {
+  under_way_ = true;
+  store_.Read(std::string(kKind), std::string(kName),
+              [this](const absl::StatusOr<StoredObject>& object) { OnRead(object); });
+}
+
+void QuarantineStore::OnRead(const absl::StatusOr<StoredObject>& object) {
+  under_way_ = false;
+  const bool is_known = object.ok() || absl::IsNotFound(object.status());
+  if (!is_known) {
+    LogCall("read", 0, object.status());
+    return RetryAfter(backoff_);
+  }
+  backoff_ = kFirstBackoff;
+  reads_ = false;
+  std::vector<serving::CrashMark> marks;
+  if (object.ok()) marks = DecodeQuarantine(object->content, UnixMilliseconds());
+  saved_ = RequestsOf(marks);
+  if (!marks.empty()) {
+    LogCall("read", saved_.size(), absl::OkStatus());
+    gateway_.Dispatch(serving::CrashesTold{marks});
+  }
+  if (HasUnsaved()) Write(object.ok() ? object->revision : 0);
+}
+
+void QuarantineStore::Write(std::int64_t revision) {
+  under_way_ = true;
+  const std::vector<serving::CrashMark> marks = gateway_.core().crashes().QuarantineMarks(gateway_.Now());
+  const StoredObject object{std::string(kName), revision, EncodeQuarantine(marks, UnixMilliseconds())};
+  store_.Write(std::string(kKind), object,
+               [this, requests = RequestsOf(marks)](const absl::StatusOr<StoredObject>& written) {
+                 OnWritten(requests, written.status());
+               });
+}
+
+void QuarantineStore::OnWritten(const std::set<std::uint64_t>& requests, const absl::Status& status) {
+  under_way_ = false;
+  LogCall("write", requests.size(), status);
+  if (status.ok()) {
+    saved_ = requests;
+    backoff_ = kFirstBackoff;
+  } else {
+    RetryAfter(absl::IsAborted(status) ? kConflictPause : backoff_);
+  }
+}
+
+// Spread, so that nodes that fail together do not come back together.
+void QuarantineStore::RetryAfter(Duration pause) {
+  next_ = gateway_.Now() + FromSeconds(ToSeconds(pause) * (0.5 + random_.Unit()));
+  if (pause == backoff_) backoff_ = std::min(2 * backoff_, kLongestBackoff);
+}
+
+void QuarantineStore::LogCall(std::string_view call, std::size_t requests, const absl::Status& status) {
+  gateway_.Log(EventId::kQuarantineStored, "",
+               fmt::format(R"("call":"{}","requests":{},"outcome":"{}")", call, requests,
+                           status.ok() ? "ok" : EscapeJson(MessageOf(status))));
+}
+
+}  // namespace saltquay::gateway
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -4,7 +4,7 @@
 usage: soak.py PATH/saltquay-gateway [--seconds 60] [--seed N] [--gateways 4]
 
 Faults: proxies in front of engines and store (delay, reset, one way, silence), the store refusing, engines that lose
-answers or leave, gateways stopped, paused, killed and started again. Promises, from what callers and engines see: an
+answers or leave, gateways stopped, paused, killed and started again, all at once too. Promises, from what callers and engines see: an
 answer is the own one, whole and signed; what may run once ran at most once; what was refused never ran; a stream that
 ends well has each event once, in order; no two holders of one fencing token; within one life of its process a gateway
 never goes back to an older configuration; once all faults are over, each gateway serves the newest one; engines are told
@@ -332,6 +332,12 @@
         proxy.set(self.luck.choice(["delay", "reset", "one way", "silence"]))
         asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 4), proxy.set, "pass")
 
+    async def lose_all(self, until):
+        """Once, after some seconds, all gateways are killed at the same moment."""
+        await asyncio.sleep(self.luck.uniform(0.4, 0.7) * (until - time.monotonic()))
+        for gateway in self.gateways:
+            gateway.send(signal.SIGKILL)
+
     async def hurt_gateway(self):
         gateway = self.luck.choice(self.gateways)
         number = self.luck.choice([signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP])
@@ -368,7 +374,8 @@
         await asyncio.sleep(2)
         until = time.monotonic() + self.arguments.seconds
         await asyncio.gather(self.hurt(until), self.keep_running(until + 3), self.change_configuration(until),
-                             self.probe_configurations(until), self.fatal_caller(until), *[self.caller(until) for _ in range(24)])
+                             self.probe_configurations(until), self.fatal_caller(until), self.lose_all(until),
+                             *[self.caller(until) for _ in range(24)])
         keeping = asyncio.ensure_future(self.keep_running(time.monotonic() + 13))
         await self.heal()
         keeping.cancel()
