Stage orders under which engines end are not given to one engine after the other

Ruled out: the same quarantine of 300 s (a service whose stage is empty needs the order again sooner). Change: ends on the way to a stage are counted by the same ledger; after three without one that arrived, 30 s pause, then one batch at a time. An end that was announced does not count. Nodes that start wait 0.3 s for older peers before they read the quarantine, not 1 s.

--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -12,6 +12,11 @@
   return stage == EngineStage::kDecode ? "decode" : "uniform";
 }
 
+// An order as the ledger of ends names it.
+std::uint64_t OrderKey(const std::string& service, EngineStage stage) {
+  return HashPair(HashText(service), static_cast<std::uint64_t>(stage) + 1);
+}
+
 EngineStage OtherStage(EngineStage stage) {
   return stage == EngineStage::kPrefill ? EngineStage::kDecode : EngineStage::kPrefill;
 }
@@ -19,16 +24,15 @@
 }  // namespace
 
 RoleController::RoleController(const RoleControllerKnobs& knobs, DutyLease& lease, Time started)
-    : knobs_(knobs), lease_(lease), started_(started) {}
+    : knobs_(knobs), lease_(lease), started_(started), order_ends_(knobs.order_ends) {}
 
 void RoleController::OnTick(Time now, bool candidate, const ServingConfig& config,
                             const std::map<std::string, ServiceDemand>& demand, EngineDirectory& engines,
                             std::vector<RoleAction>& actions) {
   // A record that shows the new stage ends the wait for it.
-  std::erase_if(away_, [&](const auto& entry) {
-    const EngineState* engine = engines.Find(entry.first);
-    return now >= entry.second.until || engine == nullptr || engine->changing_until == Time{};
-  });
+  for (auto entry = away_.begin(); entry != away_.end();) {
+    entry = IsBack(entry->first, entry->second, engines, now) ? away_.erase(entry) : std::next(entry);
+  }
   std::vector<std::string> held;
   for (const auto& [engine_id, change] : changes_) {
     if (change.phase == Phase::kHolding) held.push_back(engine_id);
@@ -39,6 +43,21 @@
   Plan(now, config, demand, engines, actions);
 }
 
+bool RoleController::IsBack(const std::string& engine_id, Away& away, const EngineDirectory& engines, Time now) {
+  const auto known = engines.all().find(engine_id);
+  const bool is_gone = known == engines.all().end() || known->second.gone;
+  if (is_gone) {
+    if (!away.leaves) order_ends_.NoteEnd(OrderKey(away.service, away.stage), engine_id, now, now);
+    return true;
+  }
+  away.leaves = away.leaves || known->second.record.leaving;
+  if (known->second.changing_until == Time{}) {
+    order_ends_.NoteServed(OrderKey(away.service, away.stage), now);
+    return true;
+  }
+  return now >= away.until;
+}
+
 void RoleController::Plan(Time now, const ServingConfig& config, const std::map<std::string, ServiceDemand>& demand,
                           EngineDirectory& engines, std::vector<RoleAction>& actions) {
   for (const Service& service : config.services) {
@@ -54,6 +73,7 @@
     if (idle) wishes_.erase(service.name);
     const bool persists = idle || Persists(now, service, plan, counts);
     if (!empty_stage && now < cooled_at_[service.name]) continue;
+    if (plan && order_ends_.QuarantineLeft(OrderKey(service.name, plan->stage), now)) continue;
     if (!plan || PickEngine(engines, service.name, OtherStage(plan->stage), now) == nullptr) continue;
     if (!lease_.MayOrder(now, knobs_.order_time)) return lease_.Want(now);
     if (persists) BeginChanges(now, service, *plan, engines, actions);
@@ -197,7 +217,7 @@
   constexpr Duration kDrainTime = 15s;  // For what runs there; the record tells when it is over.
   if (outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kUnknown) {
     const Time until = now + change->away + kDrainTime;
-    away_[engine_id] = Away{until, change->stage};
+    away_[engine_id] = Away{until, change->stage, change->service};
     if (EngineState* engine = engines.Find(engine_id)) engine->changing_until = until;
     cooled_at_[change->service] = now + accepted_cooldown_[change->service];
   } else {
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "src/base/event_catalogue.h"
+#include "src/core/serving/crash_ledger.h"
 #include "src/core/serving/duty_lease.h"
 #include "src/core/serving/peer_table.h"
 #include "src/core/serving/role_planner.h"
@@ -38,6 +39,9 @@
   Duration order_time = 300ms;  // To read an engine's state and order it.
   Duration order_settle = 14s;
   int short_queue = 1;  // Requests at the engine that the order need not wait for.
+  // Three engines in a row that ended on the way to a stage: no more are sent there for so long, then one batch at a
+  // time.
+  CrashLedgerKnobs order_ends{.quarantine = 30s};
 };
 
 // What an engine says of itself.
@@ -99,8 +103,12 @@
   struct Away {
     Time until{};  // When it should be back at the latest.
     EngineStage stage = EngineStage::kUniform;
+    std::string service;
+    bool leaves = false;  // It announced its end.
   };
 
+  // Whether the engine's change is over; learns what became of it.
+  bool IsBack(const std::string& engine_id, Away& away, const EngineDirectory& engines, Time now);
   void Plan(Time now, const ServingConfig& config, const std::map<std::string, ServiceDemand>& demand,
             EngineDirectory& engines, std::vector<RoleAction>& actions);
   StageCounts CountStages(Time now, EngineDirectory& engines, const std::string& service) const;
@@ -130,7 +138,10 @@
   std::map<std::string, Wish> wishes_;  // By service.
   // Service -> the pause after an accepted order: changes cost nobody anything while nothing is asked.
   std::map<std::string, Duration> accepted_cooldown_;
-  std::map<std::string, Away> away_;        // By engine.
+  std::map<std::string, Away> away_;  // By engine.
+  // Orders to a service's stage under which engines ended: an order that ends who carries it out is not given to one
+  // engine after the other.
+  CrashLedger order_ends_;
   std::map<std::string, Time> settled_at_;  // Engine -> when an unanswered order is surely over.
 };
 
--- a/src/gateway/quarantine_store.cc
+++ b/src/gateway/quarantine_store.cc
@@ -12,8 +12,8 @@
 
 constexpr std::string_view kKind = "saltquay-quarantine";
 constexpr std::string_view kName = "requests";
-// A node that starts gives its peers' reports that much time to come: two of their rounds.
-constexpr Duration kPeersWait = 1s;
+// A node that starts gives its peers that much time to answer its first report, as they do at once.
+constexpr Duration kPeersWait = 300ms;
 // After another node's write: up to three nodes see ends of one request within a second.
 constexpr Duration kConflictPause = 100ms;
 constexpr Duration kFirstBackoff = 1s;
--- a/tests/core/serving/roles_test.cc
+++ b/tests/core/serving/roles_test.cc
@@ -218,6 +218,26 @@
   EXPECT_TRUE(read);
 }
 
+TEST_F(ControllerTest, AnOrderThatEndsWhoCarriesItOutIsNotGivenToOneAfterTheOther) {
+  demand_["s"] = {"s", 4.0, 0.5};
+  int ended = 0;
+  const Time end = now_ + 60s;
+  while (now_ < end) {
+    const auto read = TickUntil<ReadEngineState>(end - now_);
+    if (!read) break;
+    std::vector<RoleAction> actions;
+    const EngineStage stage = engines_.Find(read->engine_id)->record.stage;
+    controller_.OnEngineState(now_, read->engine_id, EngineStateReport{stage, false, 6}, engines_, actions);
+    controller_.OnOrderAnswered(now_, read->engine_id, OrderOutcome::kAccepted, engines_, actions);
+    engines_.Remove(read->engine_id);
+    Add(read->engine_id + "+", stage);
+    ++ended;
+  }
+  // Three, and one more after the pause of 30 s.
+  EXPECT_GE(ended, 3);
+  EXPECT_LE(ended, 5);
+}
+
 TEST_F(ControllerTest, NoPlanForNodesThatAreNotCandidates) {
   std::vector<RoleAction> actions;
   for (int i = 0; i < 100; ++i) controller_.OnTick(now_ + i * 50ms, false, config_, demand_, engines_, actions);
