--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/gateway_settings.h"
 
+#include <algorithm>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -54,6 +55,10 @@
   settings.knobs.overflows = policy.Boolean("overflow", true);
   settings.knobs.copies_parts = policy.Boolean("copy_parts", true);
   settings.knobs.guesses_unseen = policy.Boolean("guess_unseen", true);
+  serving::CrashLedgerKnobs& crashes = settings.knobs.crashes;
+  crashes.most_ends = static_cast<int>(policy.Integer("quarantine_ends", 1, 1000, crashes.most_ends));
+  crashes.quarantine = FromSeconds(policy.Number("quarantine_s", 0, 3600, ToSeconds(crashes.quarantine)));
+  crashes.memory = std::max(crashes.memory, 2 * crashes.quarantine);
   settings.initial_prefill_share = policy.Number("initial_prefill_share", 0, 1, settings.initial_prefill_share);
   settings.knobs.whole_prompt_tokens =
       static_cast<int>(policy.Integer("whole_prompt_tokens", 0, 1000000, settings.knobs.whole_prompt_tokens));
--- a/tests/gateway/pieces_test.cc
+++ b/tests/gateway/pieces_test.cc
@@ -161,6 +161,19 @@
   EXPECT_FALSE(none->knobs.refuses_excess);
 }
 
+TEST(GatewaySettingsTest, TheQuarantineCanBeSetAndTurnedOff) {
+  const std::string base =
+      "node_name = \"n\"\nzone = \"a\"\nclient_listen = \"127.0.0.1:1\"\nready_listen = \"127.0.0.1:2\"\n"
+      "store_address = \"127.0.0.1:3\"\n";
+  const auto settings = ParseGatewaySettings(base + "[policy]\nquarantine_ends = 2\nquarantine_s = 900\n", "f");
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->knobs.crashes.most_ends, 2);
+  EXPECT_EQ(settings->knobs.crashes.quarantine, Duration(900s));
+  EXPECT_EQ(settings->knobs.crashes.memory, Duration(1800s));
+  EXPECT_EQ(ParseGatewaySettings(base, "f")->knobs.crashes.quarantine, Duration(300s));
+  EXPECT_EQ(ParseGatewaySettings(base + "[policy]\nquarantine_s = 0\n", "f")->knobs.crashes.quarantine, Duration(0s));
+}
+
 TEST(GatewaySettingsTest, DutiesAndCapacityAreRead) {
   const std::string base = R"(node_name = "n"
 zone = "z"
