One clock that counts suspensions, and a line when a node stood still

Cause: the steady clock stands still while a machine is suspended, so a lease, a key, a kept connection or what a peer told seemed as fresh after the wake as before. Ruled out: the time of day (it jumps), comparing two clocks at each use. Change: BootClock (CLOCK_BOOTTIME) and timers by it for gateway, HTTP, replica, fetch and node; what was due fires at the next turn of the loop, since each timer's end makes the reactor look at all. node_stood_still after a pause of over a second.

--- a/include/saltquay/replica/relay_server.h
+++ b/include/saltquay/replica/relay_server.h
@@ -26,7 +26,7 @@
         std::shared_ptr<http::Exchange> exchange;
         std::string kind;
         std::int64_t since = 0;
-        std::chrono::steady_clock::time_point until;
+        BootClock::time_point until;
     };
 
     void handle(std::shared_ptr<http::Exchange> const&);
@@ -36,7 +36,7 @@
 
     RelayedStore& store_;
     boost::asio::io_context& loop_;
-    boost::asio::steady_timer timer_;
+    BootTimer timer_;
     std::vector<Waiting> waiting_;
     std::unique_ptr<http::Server> server_;
 };
--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -22,13 +22,13 @@
 #include <utility> // Boost 1.74's Asio needs it first under C++20.
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "saltquay/fetch/fetcher.h"
 #include "saltquay/replica/record_replica.h"
 #include "saltquay/replica/upstream_selector.h"
 #include "src/core/serving/peer_table.h"
 #include "src/gateway/object_store.h"
+#include "src/http/boot_timer.h"
 
 namespace saltquay::replica {
 
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -8,11 +8,14 @@
 using enum EventId;
 using enum LogLevel;
 
-constexpr std::array<EventDescription, 57> kCatalogue = {{
+constexpr std::array<EventDescription, 58> kCatalogue = {{
     {kNodeStarted, kInfo, "node_started", "The process runs and listens.", "None."},
     {kNodeReady, kInfo, "node_ready", "The node serves callers under the bundle in force.", "None."},
     {kNodeStopping, kInfo, "node_stopping", "SIGTERM: no new work; requests in flight finish.", "None."},
     {kNodeStopped, kInfo, "node_stopped", "All requests ended; the process exits 0.", "None."},
+    {kNodeStoodStill, kWarning, "node_stood_still",
+     "The process did nothing for over a second: frozen, suspended or starved.",
+     "Look at the machine; what the node believed in between was as old."},
     {kMemberAlive, kInfo, "member_alive", "A peer joined or came back.", "None."},
     {kMemberSuspect, kInfo, "member_suspect", "A peer does not answer probes.",
      "None unless it repeats: check the network."},
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -12,6 +12,7 @@
   kNodeReady = 101,
   kNodeStopping = 102,
   kNodeStopped = 103,
+  kNodeStoodStill = 104,
   kMemberAlive = 200,
   kMemberSuspect = 201,
   kMemberDead = 202,
--- a/src/fetch/fetcher.cc
+++ b/src/fetch/fetcher.cc
@@ -1,7 +1,8 @@
 #include "saltquay/fetch/fetcher.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+
+#include "src/http/boot_timer.h"
 
 namespace saltquay::fetch {
 
@@ -11,7 +12,7 @@
     {
     }
     std::unique_ptr<http::Call> call;
-    boost::asio::steady_timer timer;
+    BootTimer timer;
     Reply reply;
     Handler done;
 };
--- a/src/gateway/collection_watcher.h
+++ b/src/gateway/collection_watcher.h
@@ -14,10 +14,10 @@
 #include <utility>  // Boost 1.74's Asio needs it first under C++20.
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "src/base/random.h"
 #include "src/gateway/object_store.h"
+#include "src/http/boot_timer.h"
 
 namespace saltquay::gateway {
 
@@ -56,7 +56,7 @@
   WatcherTimes times_;
   WatcherHandlers handlers_;
   Random random_;
-  boost::asio::steady_timer timer_;
+  BootTimer timer_;
   std::chrono::milliseconds backoff_;
   std::int64_t revision_ = 0;
   bool in_contact_ = false;
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -221,7 +221,19 @@
   store_.update_peers(Members(), marks);
 }
 
+// Frozen, suspended or starved of its processor: whatever it believes is as old as that.
+void Coordination::NoteStandstill() {
+  constexpr Duration kStoodStill = 1s;
+  const Time now = gateway_.Now();
+  const Duration gap = now - last_tick_;
+  if (last_tick_ != Time{} && gap > kStoodStill) {
+    gateway_.Log(EventId::kNodeStoodStill, "", fmt::format(R"("for_ms":{})", gap.count() / 1000));
+  }
+  last_tick_ = now;
+}
+
 void Coordination::Tick() {
+  NoteStandstill();
   const int before = peers_.Count();
   peers_.Expire(gateway_.Now());
   // While digests come, rounds are rare and most nodes are known through others only.
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -40,6 +40,7 @@
   void AddReports(serving::PeersChanged& changed);
   void AddDigest(serving::PeersChanged& changed, const serving::PeerReport& digest);
   void Tick();
+  void NoteStandstill();
   // The round of reports and digests of a large fleet.
   void ExchangeDigests();
   // Both kinds of reports now, besides their rounds.
@@ -76,9 +77,10 @@
   Duties duties_;
   QuarantineStore quarantine_;
   std::unique_ptr<PeerExchange> exchange_;
-  boost::asio::steady_timer timer_;
+  BootTimer timer_;
   std::uint64_t sequence_ = 0;
   Time next_digests_{};
+  Time last_tick_{};
   std::set<std::string> refused_senders_;
   bool stopping_ = false;
   bool store_contact_ = false;
--- a/src/gateway/engine_probe.cc
+++ b/src/gateway/engine_probe.cc
@@ -25,7 +25,7 @@
   explicit Probe(boost::asio::io_context& loop) : socket(loop), timer(loop) {}
 
   boost::asio::ip::tcp::socket socket;
-  boost::asio::steady_timer timer;
+  BootTimer timer;
   Handler done;
 };
 
--- a/src/gateway/engine_probe.h
+++ b/src/gateway/engine_probe.h
@@ -10,9 +10,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "src/core/serving/engine_end_watch.h"
+#include "src/http/boot_timer.h"
 
 namespace saltquay::gateway {
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,10 +53,7 @@
 
 Gateway::~Gateway() = default;
 
-Time Gateway::Now() const {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return Time(std::chrono::duration_cast<Duration>(now));
-}
+Time Gateway::Now() const { return BootNow(); }
 
 void Gateway::Log(EventId event, std::string_view request_id, std::string_view members) {
   log_.Write(UnixMilliseconds(), event, request_id, members);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,9 +97,9 @@
   http::Client client_;
   EngineProbe probe_;
   GatewayMetrics metrics_;
-  boost::asio::steady_timer timer_;
+  BootTimer timer_;
   std::optional<Time> timer_at_;
-  boost::asio::steady_timer flush_timer_;
+  BootTimer flush_timer_;
   bool flush_scheduled_ = false;
   std::map<serving::FlowId, LiveFlow> flows_;
   std::map<serving::AttemptId, LiveAttempt> attempts_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -232,7 +232,7 @@
 
 void GatewayProcess::BeginStop() {
   stopping_ = true;
-  stop_began_ = std::chrono::steady_clock::now();
+  stop_began_ = BootClock::now();
   gateway_.Log(EventId::kNodeStopping, "", fmt::format(R"("open_requests":{})", gateway_.open_requests()));
   client_server_->StartClosing();
   coordination_.BeginStop();
@@ -240,7 +240,7 @@
 }
 
 std::chrono::milliseconds GatewayProcess::SinceStop() const {
-  const auto elapsed = std::chrono::steady_clock::now() - stop_began_;
+  const auto elapsed = BootClock::now() - stop_began_;
   return std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
 }
 
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -79,10 +79,10 @@
   std::unique_ptr<CollectionWatcher> config_watcher_;
   std::unique_ptr<CollectionWatcher> engine_watcher_;
   boost::asio::signal_set signals_;
-  boost::asio::steady_timer stop_timer_;
+  BootTimer stop_timer_;
   bool stopping_ = false;
   bool was_ready_ = false;
-  std::chrono::steady_clock::time_point stop_began_;
+  BootClock::time_point stop_began_;
 };
 
 }  // namespace saltquay::gateway
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -15,10 +15,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "src/base/status.h"
 #include "src/core/serving/fleet_exchange.h"
+#include "src/http/boot_timer.h"
 
 namespace saltquay::gateway {
 
@@ -61,7 +61,7 @@
   void SendBytes(const std::string& address, const std::string& bytes);
 
   boost::asio::ip::udp::socket socket_;
-  boost::asio::steady_timer timer_;
+  BootTimer timer_;
   PeerExchangeOptions options_;
   Handlers handlers_;
   bool quiet_ = false;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -180,16 +180,16 @@
   state_ = State::kResting;
   ++use_;
   request_.clear();
-  usable_until_ = std::chrono::steady_clock::time_point::max();
+  usable_until_ = BootClock::time_point::max();
   if (const auto seconds = KeepAliveSeconds(head.fields)) {
-    usable_until_ = std::chrono::steady_clock::now() + std::chrono::seconds(*seconds) - kKeepAliveMargin;
+    usable_until_ = BootClock::now() + std::chrono::seconds(*seconds) - kKeepAliveMargin;
   }
   client_->pools_[pool_].resting.push_back(shared_from_this());
   Read();
 }
 
 bool ClientConnection::FitForUse() {
-  if (state_ != State::kResting || std::chrono::steady_clock::now() >= usable_until_) return false;
+  if (state_ != State::kResting || BootClock::now() >= usable_until_) return false;
   char byte = 0;
   const ssize_t peeked = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -9,8 +9,7 @@
 
 #include <utility>  // Boost 1.74's Asio needs it first under C++20.
 
-#include <boost/asio/steady_timer.hpp>
-
+#include "src/http/boot_timer.h"
 #include "src/http/client.h"
 
 namespace saltquay::http {
@@ -50,7 +49,7 @@
   std::weak_ptr<bool> client_alive_;
   std::string pool_;
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer timer_;
+  BootTimer timer_;
   State state_ = State::kConnecting;
   std::uint64_t use_ = 0;
   std::string request_;
@@ -64,7 +63,7 @@
   bool ended_while_writing_ = false;
   bool head_seen_ = false;
   bool skipping_ = false;
-  std::chrono::steady_clock::time_point usable_until_ = std::chrono::steady_clock::time_point::max();
+  BootClock::time_point usable_until_ = BootClock::time_point::max();
 };
 
 }  // namespace saltquay::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -62,7 +62,7 @@
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = BootClock::now();
     const auto connections = connections_;  // A check may remove its connection.
     for (const auto& connection : connections) connection->CheckTimes(now);
     Sweep();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -17,9 +17,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "src/base/status.h"
+#include "src/http/boot_timer.h"
 #include "src/http/message.h"
 #include "src/http/parser.h"
 
@@ -95,7 +95,7 @@
   ServerLimits limits_;
   Handler handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer sweep_timer_;
+  BootTimer sweep_timer_;
   std::set<std::shared_ptr<ServerConnection>> connections_;
   bool closing_ = false;
 };
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -58,7 +58,7 @@
 ServerConnection::ServerConnection(Server& server, boost::asio::ip::tcp::socket socket)
     : server_(&server), socket_(std::move(socket)), limits_(server.limits_) {
   DisableDelay(socket_);
-  since_ = std::chrono::steady_clock::now();
+  since_ = BootClock::now();
 }
 
 void ServerConnection::Start() {
@@ -80,7 +80,7 @@
 
 void ServerConnection::OnRead(std::size_t bytes) {
   if (state_ == State::kLingering) return Read();
-  since_ = std::chrono::steady_clock::now();
+  since_ = BootClock::now();
   input_.append(read_buffer_.data(), bytes);
   if (state_ == State::kIdle || state_ == State::kReading) Parse();
   if (state_ == State::kHandling && input_.size() > kMaxPipelinedBytes) return;  // Read again after the answer.
@@ -92,7 +92,7 @@
   if (state_ == State::kIdle) {
     state_ = State::kReading;
     limits_ = server_->limits_;
-    request_began_ = std::chrono::steady_clock::now();
+    request_began_ = BootClock::now();
   }
   const FeedResult result = parser_->Feed(input_);
   input_.erase(0, result.consumed);
@@ -200,7 +200,7 @@
 void ServerConnection::OnAnswerWritten() {
   answer_finished_ = false;
   DropExchange();
-  since_ = std::chrono::steady_clock::now();
+  since_ = BootClock::now();
   if (!request_keeps_alive_) return Linger();
   state_ = State::kIdle;
   Parse();
@@ -230,7 +230,7 @@
   if (state_ == State::kIdle && input_.empty()) Linger();
 }
 
-void ServerConnection::CheckTimes(std::chrono::steady_clock::time_point now) {
+void ServerConnection::CheckTimes(BootClock::time_point now) {
   const auto self = shared_from_this();
   if (state_ == State::kIdle && now - since_ > limits_.idle_timeout) return Linger();
   if (state_ == State::kLingering && now - since_ > kLingerTime) return Close();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -21,7 +21,7 @@
   // Ends the connection when no request is under way.
   void CloseIfIdle();
   // Enforces the time limits; called twice a second.
-  void CheckTimes(std::chrono::steady_clock::time_point now);
+  void CheckTimes(BootClock::time_point now);
 
   // Called by Exchange.
   void SendWhole(const ResponseHead& head, std::string_view body);
@@ -62,8 +62,8 @@
   bool answer_finished_ = false;
   bool continue_sent_ = false;
   std::shared_ptr<Exchange> exchange_;
-  std::chrono::steady_clock::time_point since_;  // Of the state, or of the last bytes.
-  std::chrono::steady_clock::time_point request_began_;
+  BootClock::time_point since_;  // Of the state, or of the last bytes.
+  BootClock::time_point request_began_;
 };
 
 }  // namespace saltquay::http
--- a/src/replica/relay_server.cc
+++ b/src/replica/relay_server.cc
@@ -81,7 +81,7 @@
         return answer(*exchange, list.ok() ? ok : to_http_status(list.status()), list.ok() ? encode(*list) : "");
     }
     auto const wait = std::chrono::milliseconds(query_number(target, "wait_ms").value_or(0));
-    auto const until = std::chrono::steady_clock::now() + std::clamp(wait, std::chrono::milliseconds(0), longest_wait);
+    auto const until = BootClock::now() + std::clamp(wait, std::chrono::milliseconds(0), longest_wait);
     Waiting question { exchange, kind, *since, until };
     if (try_answer(question, wait.count() <= 0))
         return;
@@ -112,7 +112,7 @@
     timer_.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
-        auto const now = std::chrono::steady_clock::now();
+        auto const now = BootClock::now();
         std::erase_if(waiting_, [&](Waiting const& question) {
             return question.exchange->client_left() || try_answer(question, now >= question.until);
         });
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -43,15 +43,12 @@
 {
 }
 
-Time RelayedStore::now()
-{
-    return Time(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
+Time RelayedStore::now() { return BootNow(); }
 
 void RelayedStore::List(std::string const& kind, std::function<void(absl::StatusOr<ObjectList>)> done)
 {
     if (now() < started_ + options_.peers_wait) {
-        auto const timer = std::make_shared<boost::asio::steady_timer>(loop_, start_step);
+        auto const timer = std::make_shared<BootTimer>(loop_, start_step);
         timer->async_wait([this, timer, kind, done](boost::system::error_code error) {
             if (!error)
                 List(kind, done);
@@ -188,7 +185,7 @@
 
 void RelayedStore::watch_at_store_after(std::string const& kind, Duration pause, std::string const& cause)
 {
-    auto const timer = std::make_shared<boost::asio::steady_timer>(loop_, pause);
+    auto const timer = std::make_shared<BootTimer>(loop_, pause);
     timer->async_wait([this, timer, kind, cause, turn = kinds_[kind].turn](boost::system::error_code error) {
         auto const& state = kinds_[kind];
         if (error || !state.watching || state.turn != turn || !state.reads_store)
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -2,7 +2,8 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+
+#include "src/http/boot_timer.h"
 
 namespace saltquay {
 namespace {
@@ -45,7 +46,7 @@
   explicit Transfer(boost::asio::io_context& loop) : timer(loop) {}
   HttpCall call;
   std::unique_ptr<http::Call> sent;
-  boost::asio::steady_timer timer;
+  BootTimer timer;
   int status = 0;
   std::string body;
 };
--- a/src/runtime/node_driver.cc
+++ b/src/runtime/node_driver.cc
@@ -4,17 +4,13 @@
 #include <random>
 #include <utility>
 
+#include "src/base/boot_clock.h"
 #include "src/base/hash.h"
 #include "src/base/logger.h"
 
 namespace saltquay {
 namespace {
 
-Time MonotonicNow() {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return Time{std::chrono::duration_cast<Duration>(now)};
-}
-
 // A boot identity begins with the start time, so that a later run of the same
 // node compares higher, and ends in random bits.
 BootId DrawBootId() {
@@ -84,23 +80,23 @@
 void NodeDriver::Run() {
   ActionList actions;
   std::vector<Event> events;
-  Time next_tick = MonotonicNow();
+  Time next_tick = BootNow();
   while (true) {
     {
       std::unique_lock<std::mutex> lock(queue_mutex_);
-      const Duration until_tick = next_tick - MonotonicNow();
+      const Duration until_tick = next_tick - BootNow();
       queue_ready_.wait_for(lock, until_tick, [this] { return stopping_ || !queue_.empty(); });
       if (stopping_) return;
       events.swap(queue_);
     }
-    if (MonotonicNow() >= next_tick) {
+    if (BootNow() >= next_tick) {
       events.emplace_back(Tick{});
-      next_tick = MonotonicNow() + knobs_.tick_interval;
+      next_tick = BootNow() + knobs_.tick_interval;
     }
     const bool ticked = !events.empty() && std::holds_alternative<Tick>(events.back());
     for (const Event& event : events) {
       actions.clear();
-      node_.OnEvent(MonotonicNow(), event, &actions);
+      node_.OnEvent(BootNow(), event, &actions);
       for (const Action& action : actions) Execute(action);
     }
     events.clear();
--- a/src/runtime/peer_transport.h
+++ b/src/runtime/peer_transport.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <thread>
 
+#include "src/base/boot_clock.h"
 #include "src/base/ids.h"
 #include "src/base/status.h"
 #include "src/core/messages.h"
@@ -44,7 +45,7 @@
   std::uint64_t refused_messages() const { return refused_messages_; }
 
  private:
-  using Clock = std::chrono::steady_clock;
+  using Clock = BootClock;
   struct Outgoing {
     SocketAddress address;
     int socket = -1;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -217,6 +217,22 @@
   }
 }
 
+// A suspended machine: the loop stood still, and so did the standard's steady clock.
+TEST_F(GatewayTest, WhatWasDueWhileTheMachineWasSuspendedIsDoneAtOnceAfterTheWake) {
+  ScriptedServer silent({[](ScriptedConnection& connection) { connection.ReadToEnd(); }});
+  Serve({silent.address()}, serving::RouteKind::kAtMostOnce);
+  std::string answer;
+  std::thread caller([&] { answer = Ask("r1"); });
+  ReadLog("request_routed");
+  const auto woken = std::chrono::steady_clock::now();
+  const Time before = gateway_->Now();
+  BootClock::Suspend(std::chrono::seconds(5));
+  EXPECT_GE(gateway_->Now() - before, 5s);
+  caller.join();
+  EXPECT_NE(answer.find(" 504 "), std::string::npos);
+  EXPECT_LT(std::chrono::steady_clock::now() - woken, std::chrono::milliseconds(900));  // Of a timeout of 2 s.
+}
+
 TEST_F(GatewayTest, AStreamBrokenOffMidwayDoesNotLookComplete) {
   ScriptedServer engine({[](ScriptedConnection& connection) {
     connection.ReadUntil("body");
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "src/base/boot_clock.h"
 #include "tests/support/scripted_server.h"
 
 namespace saltquay::http {
@@ -209,5 +210,20 @@
   EXPECT_EQ(server.accepted(), 3);
 }
 
+TEST_F(ClientTest, AConnectionKeptThroughASuspensionOfTheMachineIsNotUsedBeyondItsTime) {
+  ScriptedServer server({[](ScriptedConnection& connection) {
+    for (int i = 0; i < 2; ++i) {
+      connection.ReadUntil("body");
+      connection.Write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n");
+    }
+  }});
+  EXPECT_TRUE(Post(server.address(), "1").complete);
+  EXPECT_TRUE(Post(server.address(), "1").complete);
+  EXPECT_EQ(server.accepted(), 1);
+  BootClock::Suspend(std::chrono::seconds(6));
+  EXPECT_TRUE(Post(server.address(), "1").complete);
+  EXPECT_EQ(server.accepted(), 2);
+}
+
 }  // namespace
 }  // namespace saltquay::http
