--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -4,7 +4,7 @@
 usage: soak.py PATH/saltquay-gateway [--seconds 60] [--seed N] [--gateways 4]
 
 Faults: proxies in front of engines and store (delay, reset, one way, silence), the store refusing, engines that lose
-answers or leave, gateways stopped, paused, killed and started again, all at once too. Promises, from what callers and engines see: an
+answers or leave, gateways stopped, paused, killed and started again, all at once too. Callers use open connections until they end. Promises, from what callers and engines see: an
 answer is the own one, whole and signed; what may run once ran at most once; what was refused never ran; a stream that
 ends well has each event once, in order; no two holders of one fencing token; within one life of its process a gateway
 never goes back to an older configuration; once all faults are over, each gateway serves the newest one; engines are told
@@ -36,6 +36,21 @@
 CONTACT = 3  # Seconds after which gateways in touch know of the third end.
 
 
+async def read_answer(reader):
+    """One answer, whole, from a connection that stays open; a stream that is broken off ends with its connection."""
+    data = await reader.readuntil(b"\r\n\r\n")
+    head = data.lower()
+    if b"transfer-encoding: chunked" not in head:
+        length = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+        return data + await reader.readexactly(int(length or b"0"))
+    while not data.endswith(b"\r\n0\r\n\r\n"):
+        part = await reader.read(65536)
+        if not part:
+            break
+        data += part
+    return data
+
+
 class Fatal:
     """A request that ends each engine which runs it: when runs reached engines, and when engines ended."""
 
@@ -265,37 +280,49 @@
 
     async def caller(self, until):
         luck = random.Random(self.luck.random())
+        kept = {}  # gateway -> its open connection, used until it ends.
         while time.monotonic() < until:
             self.number += 1
             route = luck.choice(list(ROUTES))
             request = f"{route}-{self.arguments.seed}-{self.number}"
             tenant = luck.choice([*TENANTS, None]) if luck.random() < 0.2 else luck.choice(list(TENANTS))
             self.truth.tenants[request] = tenant
-            outcome = await self.ask(luck.choice(self.gateways), route, request, TENANTS.get(tenant, WRONG_KEY))
+            outcome = await self.ask(luck.choice(self.gateways), route, request, TENANTS.get(tenant, WRONG_KEY),
+                                     kept=kept if luck.random() < 0.7 else None)
             if tenant is None and outcome == "served":
                 self.truth.breaks.append(f"{request}: served with a key that nobody holds")
             self.truth.told[request] = (route, outcome)
             self.truth.counts[outcome] = self.truth.counts.get(outcome, 0) + 1
             await asyncio.sleep(luck.uniform(0, 0.08))
 
-    async def ask(self, gateway, route, request, key, body=None):
-        headers = (f"Host: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\n"
+    async def ask(self, gateway, route, request, key, body=None, kept=None):
+        """One request; on a connection of `kept`, which it goes back to, or on one of its own."""
+        close = "" if kept is not None else "Connection: close\r\n"
+        headers = (f"Host: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2000\r\n{close}"
                    f"X-Credential: {key}\r\nX-Tenant: forged\r\n")
         if ROUTES[route][1] == "model":
             headers += "X-Model: m\r\nX-Token-Count: 3000,64\r\nX-Prompt-Prefix: aa:2000,bb:1000\r\n"
         body = body or f"ask {request}"
         text = f"POST /{route}/x HTTP/1.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n{body}"
+        connection = kept.pop(gateway, None) if kept is not None else None
         try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", gateway.client), 1)
+            if connection is None:
+                connection = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", gateway.client), 1)
         except (OSError, asyncio.TimeoutError):
             return "unreachable"
+        reader, writer = connection
+        goes_back = False
         try:
             writer.write(text.encode())
-            data = await asyncio.wait_for(reader.read(-1), 8)
-        except (OSError, asyncio.TimeoutError):
+            data = await asyncio.wait_for(reader.read(-1) if kept is None else read_answer(reader), 8)
+            goes_back = kept is not None and b"connection: close" not in data.partition(b"\r\n\r\n")[0].lower()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return "cut"
         finally:
-            writer.close()
+            if goes_back:
+                kept[gateway] = connection
+            else:
+                writer.close()
         return self.judge(route, request, data)
 
     def judge(self, route, request, data):
