--- a/src/core/serving/crash_steps.cc
+++ b/src/core/serving/crash_steps.cc
@@ -25,12 +25,16 @@
 
 }  // namespace
 
-void ServingCore::NoteBroken(const Flow& flow, const Attempt& attempt) {
-  const EngineState* engine = engines_.Find(attempt.engine_id);
+void ServingCore::WatchUnattended(const Flow& flow) {
+  for (const auto& [id, attempt] : flow.attempts) unattended_[id] = {attempt.engine_id, flow.fingerprint};
+}
+
+void ServingCore::NoteBroken(const std::string& engine_id, std::uint64_t fingerprint) {
+  const EngineState* engine = engines_.Find(engine_id);
   // Who had announced its end, or had gone before, ends by plan.
   if (engine == nullptr || engine->gone || engine->record.leaving) return;
-  const bool check = end_watch_.NoteBroken(attempt.engine_id, flow.fingerprint, now_);
-  if (check) actions_->push_back(CheckEngine{attempt.engine_id, engine->record.address});
+  const bool check = end_watch_.NoteBroken(engine_id, fingerprint, now_);
+  if (check) actions_->push_back(CheckEngine{engine_id, engine->record.address});
 }
 
 void ServingCore::On(const EngineChecked& event) { end_watch_.NoteChecked(event.engine_id, event.outcome); }
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -232,7 +232,11 @@
   CountUnanswered(*flow);
   Log(EventId::kClientLeft, flow, fmt::format(R"("attempts":{})", flow->attempts.size()));
   const bool lets_run = flow->route.kind == RouteKind::kAtMostOnce;
-  if (!lets_run) CancelAttempts(*flow, 0);
+  if (lets_run) {
+    WatchUnattended(*flow);
+  } else {
+    CancelAttempts(*flow, 0);
+  }
   Erase(flow->id);
 }
 
@@ -275,6 +279,7 @@
 }
 
 void ServingCore::On(const AttemptCompleted& event) {
+  unattended_.erase(event.attempt);
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
   const Attempt attempt = flow->attempts[event.attempt];
@@ -286,13 +291,19 @@
 }
 
 void ServingCore::On(const AttemptFailed& event) {
+  if (const auto unattended = unattended_.extract(event.attempt)) {
+    if (event.failure == AttemptFailure::kBroken) {
+      NoteBroken(unattended.mapped().engine_id, unattended.mapped().fingerprint);
+    }
+    return;
+  }
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
   const Attempt attempt = flow->attempts[event.attempt];
   // An answer that was lost had mostly been made; a prompt that is lost had mostly not come to its first token.
   if (event.failure != AttemptFailure::kNotSent && !flow->language) CountRun(*flow, attempt);
   EndAttempt(*flow, event.attempt);
-  if (event.failure == AttemptFailure::kBroken) NoteBroken(*flow, attempt);
+  if (event.failure == AttemptFailure::kBroken) NoteBroken(attempt.engine_id, flow->fingerprint);
   const EngineState* engine = engines_.Find(attempt.engine_id);
   const bool unreached = event.failure == AttemptFailure::kNotSent;
   // One that has answered others since only turns connections away.
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -187,7 +187,9 @@
   void HurryAttempts(const std::string& engine_id);
 
   // Engines that ended under requests (crash_steps.cc).
-  void NoteBroken(const Flow& flow, const Attempt& attempt);
+  void NoteBroken(const std::string& engine_id, std::uint64_t fingerprint);
+  // What may run once runs on after its caller has left: its engine's end is still held against it.
+  void WatchUnattended(const Flow& flow);
   void NoteEndedEngines();
   // Refuses the request if it is in quarantine.
   bool RefuseQuarantined(Flow& flow);
@@ -233,6 +235,12 @@
   RetryAllowance allowance_;
   Random random_;
   std::optional<ServingConfig> config_;
+  // A run that goes on although its caller has left.
+  struct Unattended {
+    std::string engine_id;
+    std::uint64_t fingerprint = 0;
+  };
+  std::map<AttemptId, Unattended> unattended_;
   EngineEndWatch end_watch_;
   CrashLedger crashes_;
   TenantDirectory tenants_;                    // Of config_.
--- a/tests/core/serving/crash_ledger_test.cc
+++ b/tests/core/serving/crash_ledger_test.cc
@@ -177,6 +177,17 @@
   EXPECT_EQ(marks.front().engine, EngineKey(start.engine_id));
 }
 
+TEST_F(QuarantineTest, AnEndCountsAlsoWhenTheCallerOfWhatMayRunOnceHasLeft) {
+  const FlowId flow = ArriveAs("once", kRequest);
+  const auto start = One<StartAttempt>();
+  Send(ClientLeft{flow});
+  EXPECT_TRUE(All<CancelAttempt>().empty());
+  Fail(start, AttemptFailure::kBroken);
+  EXPECT_EQ(One<CheckEngine>().engine_id, start.engine_id);
+  Send(EngineChecked{start.engine_id, EngineCheckOutcome::kRefused});
+  EXPECT_EQ(core_.crashes().Ends(Fingerprint(kRequest)), 1);
+}
+
 TEST_F(QuarantineTest, ARequestThatIsServedInTheEndIsCleared) {
   ArriveAs("safe", kRequest);
   const auto first = One<StartAttempt>();
