--- a/src/core/serving/crash_ledger.cc
+++ b/src/core/serving/crash_ledger.cc
@@ -26,7 +26,10 @@
   if (request == 0 || now - at > knobs_.memory) return false;
   Entry& entry = entries_[request];
   if (entry.cleared && at <= *entry.cleared + kToldLate) return false;
-  if (!entry.ends.emplace(engine, at).second) return false;
+  const auto [end, is_new] = entry.ends.emplace(engine, at);
+  // A life ends once: what is told much later of it is the better time. What is a little later was on its way.
+  if (!is_new && at > end->second + kToldLate) end->second = at;
+  if (!is_new) return false;
   entry.last = std::max(entry.last, at);
   entry.changed = now;
   Shrink(request, now);
--- a/src/core/serving/crash_steps.cc
+++ b/src/core/serving/crash_steps.cc
@@ -57,7 +57,11 @@
 }
 
 void ServingCore::On(const CrashesTold& event) {
-  for (const std::uint64_t request : crashes_.Merge(event.marks, now_)) OnMoreEnds(request, "peer");
+  for (const std::uint64_t request : crashes_.Merge(event.marks, now_)) {
+    OnMoreEnds(request, "peer");
+    if (crashes_.Ends(request) > 0) continue;
+    Log(EventId::kRequestCleared, nullptr, fmt::format(R"("fingerprint":"{:016x}","cause":"a peer says so")", request));
+  }
 }
 
 void ServingCore::OnMoreEnds(std::uint64_t fingerprint, std::string_view source) {
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -31,7 +31,8 @@
                             std::vector<RoleAction>& actions) {
   // A record that shows the new stage ends the wait for it.
   for (auto entry = away_.begin(); entry != away_.end();) {
-    entry = IsBack(entry->first, entry->second, engines, now) ? away_.erase(entry) : std::next(entry);
+    const bool is_over = SettleChange(entry->first, entry->second, engines, now, actions);
+    entry = is_over ? away_.erase(entry) : std::next(entry);
   }
   std::vector<std::string> held;
   for (const auto& [engine_id, change] : changes_) {
@@ -43,13 +44,19 @@
   Plan(now, config, demand, engines, actions);
 }
 
-bool RoleController::IsBack(const std::string& engine_id, Away& away, const EngineDirectory& engines, Time now) {
+bool RoleController::SettleChange(const std::string& engine_id, Away& away, const EngineDirectory& engines, Time now,
+                                  std::vector<RoleAction>& actions) {
   const auto known = engines.all().find(engine_id);
   const bool is_gone = known == engines.all().end() || known->second.gone;
-  if (is_gone) {
-    if (!away.leaves) order_ends_.NoteEnd(OrderKey(away.service, away.stage), engine_id, now, now);
-    return true;
+  if (is_gone && !away.leaves) {
+    const std::uint64_t order = OrderKey(away.service, away.stage);
+    order_ends_.NoteEnd(order, engine_id, now, now);
+    actions.push_back(LogRole{EventId::kEngineEnded,
+                              fmt::format(R"("engine":"{}","ordered_to":"{}","ends_under_the_order":{},"paused":{})",
+                                          engine_id, StageName(away.stage), order_ends_.Ends(order),
+                                          order_ends_.QuarantineLeft(order, now).has_value())});
   }
+  if (is_gone) return true;
   away.leaves = away.leaves || known->second.record.leaving;
   if (known->second.changing_until == Time{}) {
     order_ends_.NoteServed(OrderKey(away.service, away.stage), now);
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -107,8 +107,9 @@
     bool leaves = false;  // It announced its end.
   };
 
-  // Whether the engine's change is over; learns what became of it.
-  bool IsBack(const std::string& engine_id, Away& away, const EngineDirectory& engines, Time now);
+  // Notes what became of an ordered change so far; returns whether it is over.
+  bool SettleChange(const std::string& engine_id, Away& away, const EngineDirectory& engines, Time now,
+                    std::vector<RoleAction>& actions);
   void Plan(Time now, const ServingConfig& config, const std::map<std::string, ServiceDemand>& demand,
             EngineDirectory& engines, std::vector<RoleAction>& actions);
   StageCounts CountStages(Time now, EngineDirectory& engines, const std::string& service) const;
--- a/src/gateway/coordination.cc
+++ b/src/gateway/coordination.cc
@@ -76,7 +76,7 @@
       duties_(settings, gateway, store, duty_api, lease_, boot_),
       quarantine_(gateway, store, !settings.first_start, seed + 1),
       timer_(loop) {
-  gateway.on_tell_crashes = [this] { SendAtOnce(); };
+  gateway.on_tell_crashes = [this] { TellCrashes(); };
   gateway.on_run_began = [this](const serving::RunBegan& run) { duties_.OnRunBegan(run); };
 }
 
@@ -335,12 +335,17 @@
 }
 
 void Coordination::CarryOne(const serving::AnnounceHolds& /*action*/) {
-  SendAtOnce();
+  if (exchange_ != nullptr) exchange_->SendNow();
+  ExchangeDigestsNow();
   TellCore({});
 }
 
-void Coordination::SendAtOnce() {
+void Coordination::TellCrashes() {
   if (exchange_ != nullptr) exchange_->SendUrgent();
+  ExchangeDigestsNow();
+}
+
+void Coordination::ExchangeDigestsNow() {
   next_digests_ = Time{};
   ExchangeDigests();
 }
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -43,8 +43,9 @@
   void NoteStandstill();
   // The round of reports and digests of a large fleet.
   void ExchangeDigests();
-  // Both kinds of reports now, besides their rounds.
-  void SendAtOnce();
+  void ExchangeDigestsNow();
+  // Sends what this node knows of requests under which engines ended.
+  void TellCrashes();
   void UpdateStorePeers();
   // Nodes that count as members: heard, in a large fleet also those that others named.
   std::vector<serving::PeerNode> Members() const;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -55,7 +55,7 @@
   });
 }
 
-void PeerExchange::SendTo(std::size_t fan_out) {
+void PeerExchange::SendReport(std::size_t fan_out) {
   serving::PeerReport report;
   report.address = options_.address;
   handlers_.fill(report);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -46,9 +46,9 @@
   // Errors say which address cannot be bound.
   absl::Status Start();
   // Sends a report now, besides the rounds.
-  void SendNow() { SendTo(quiet_ ? options_.quiet_fan_out : options_.fan_out); }
+  void SendNow() { SendReport(quiet_ ? options_.quiet_fan_out : options_.fan_out); }
   // The same to as many as where no digests come: what must be known soon does not hang on who sums up.
-  void SendUrgent() { SendTo(options_.fan_out); }
+  void SendUrgent() { SendReport(options_.fan_out); }
   // Sends a report with all known peers to one address now.
   void Greet(const std::string& address);
   void Send(const std::vector<serving::FleetMessage>& messages);
@@ -57,7 +57,7 @@
  private:
   void Receive();
   void Round();
-  void SendTo(std::size_t fan_out);
+  void SendReport(std::size_t fan_out);
   void SendBytes(const std::string& address, const std::string& bytes);
 
   boost::asio::ip::udp::socket socket_;
--- a/tests/core/serving/crash_ledger_test.cc
+++ b/tests/core/serving/crash_ledger_test.cc
@@ -95,6 +95,16 @@
   EXPECT_EQ(ledger.size(), 1U);
 }
 
+TEST(CrashLedgerTest, AnEndThatIsToldWithTwoTimesCountsByTheLater) {
+  for (const bool earlier_first : {true, false}) {
+    CrashLedger ledger{CrashLedgerKnobs{}};
+    ledger.Merge(std::vector{End(kRequest, 1, earlier_first ? 9s : 3s)}, kNow);
+    ledger.Merge(std::vector{End(kRequest, 1, earlier_first ? 3s : 9s)}, kNow);
+    ledger.Merge(std::vector{CrashMark{kRequest, EngineKey{}, 6s}}, kNow);
+    EXPECT_EQ(ledger.Ends(kRequest), 1);
+  }
+}
+
 RC_GTEST_PROP(CrashLedgerProperty, MarksAddUpInAnyOrderAndHoweverOften, ()) {
   std::vector<CrashMark> marks;
   const int count = *rc::gen::inRange(1, 30);
