--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -33,6 +33,16 @@
   return {serving::EngineKey(work.engine()), work.outstanding(), work.prompt_tokens(), work.answers(), work.failures()};
 }
 
+flatbuffers::Offset<flatbuffers::Vector<const wire::CrashMark*>> CrashesToWire(
+    flatbuffers::FlatBufferBuilder& builder, const std::vector<serving::CrashMark>& marks) {
+  std::vector<wire::CrashMark> crashes;
+  crashes.reserve(marks.size());
+  for (const auto& item : marks) {
+    crashes.emplace_back(item.request, item.engine.hash, Clamped<std::uint32_t>(Milliseconds(item.age)));
+  }
+  return builder.CreateVectorOfStructs(crashes);
+}
+
 flatbuffers::Offset<wire::LeaseMark> LeaseToWire(flatbuffers::FlatBufferBuilder& builder,
                                                  const serving::LeaseMark& lease) {
   if (lease.revision == 0) return 0;  // Nothing is known: it takes no room.
@@ -68,11 +78,6 @@
   std::vector<wire::KeptPart> kept;
   kept.reserve(report.kept.size());
   for (const auto& item : report.kept) kept.emplace_back(item.engine.hash, item.part);
-  std::vector<wire::CrashMark> crashes;
-  crashes.reserve(report.crashes.size());
-  for (const auto& item : report.crashes) {
-    crashes.emplace_back(item.request, item.engine.hash, Clamped<std::uint32_t>(Milliseconds(item.age)));
-  }
   std::vector<flatbuffers::Offset<wire::ServiceDemand>> demand;
   for (const auto& item : report.demand) {
     demand.push_back(wire::CreateServiceDemand(
@@ -99,7 +104,7 @@
       builder.CreateVector(holds), builder.CreateVector(peers), builder.CreateVectorOfStructs(kept),
       builder.CreateString(report.zone), report.link_mbps, builder.CreateVector(records),
       LeaseToWire(builder, report.lease), report.wall_ms, report.closed_through, UsageToWire(builder, report.usage),
-      builder.CreateVectorOfStructs(crashes)));
+      CrashesToWire(builder, report.crashes)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
