--- a/tests/core/serving/crash_ledger_test.cc
+++ b/tests/core/serving/crash_ledger_test.cc
@@ -108,6 +108,7 @@
 RC_GTEST_PROP(CrashLedgerProperty, MarksAddUpInAnyOrderAndHoweverOften, ()) {
   std::vector<CrashMark> marks;
   const int count = *rc::gen::inRange(1, 30);
+  marks.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     marks.push_back(End(*rc::gen::inRange<std::uint64_t>(1, 4), *rc::gen::inRange<std::uint64_t>(0, 5),
                         std::chrono::seconds(*rc::gen::inRange(0, 40) * 3)));
--- a/tests/core/serving/engine_end_test.cc
+++ b/tests/core/serving/engine_end_test.cc
@@ -18,7 +18,7 @@
   }
   StartAttempt BreakOne() {
     Arrive("safe");
-    const auto start = One<StartAttempt>();
+    auto start = One<StartAttempt>();
     Fail(start, AttemptFailure::kBroken);
     return start;
   }
