Sight of the retry budget: each call that counts is logged and counted with its cause

No line told which calls a node had charged to the budget and for which cause, so that uncharged arrivals, forgotten ones (restart) and a slack taken twice (cut) looked alike. Change: extra_arrival (cause, allowance left, nodes that share the slack) and saltquay_extra_arrivals_total{service,cause}; one place charges (budget_steps.cc).

--- /dev/null
+++ b/src/core/serving/budget_steps.cc
@@ -0,0 +1,16 @@
+// What calls to engines cost of the retry budget; see retry_allowance.h.
+#include <fmt/format.h>
+
+#include "src/core/serving/serving_core.h"
+
+namespace saltquay::serving {
+
+void ServingCore::ChargeExtra(const Flow& flow, ExtraArrival cause) {
+  allowance_.NoteExtra(flow.service, now_);
+  Log(EventId::kExtraArrival, &flow,
+      fmt::format(R"("service":"{}","cause":"{}","allowance":{:.1f},"sharers":{})", flow.service, NameOf(cause),
+                  allowance_.Left(flow.service, now_), allowance_.sharers()));
+  actions_->push_back(ExtraArrivalCounted{flow.service, cause});
+}
+
+}  // namespace saltquay::serving
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -18,6 +18,7 @@
 #include "src/core/serving/engine_directory.h"
 #include "src/core/serving/engine_end_watch.h"
 #include "src/core/serving/peer_table.h"
+#include "src/core/serving/retry_allowance.h"
 #include "src/core/serving/serving_config.h"
 
 namespace saltquay::serving {
@@ -207,6 +208,11 @@
   std::string tenant;
   Time began{};
 };
+// A call to an engine of the service counted against the retry budget.
+struct ExtraArrivalCounted {
+  std::string service;
+  ExtraArrival cause = ExtraArrival::kRunRepeated;
+};
 // Whether anybody listens at the engine's address.
 struct CheckEngine {
   std::string engine_id;
@@ -225,7 +231,8 @@
   std::string details;     // JSON members, without braces.
 };
 
-using Action = std::variant<StartAttempt, CancelAttempt, RelayAnswer, BeginRelay, EndRelay, AnswerOwn, BreakOff,
-                            ReleaseMemory, RunBegan, CheckEngine, TellCrashes, SendLimitMessages, LogDecision>;
+using Action =
+    std::variant<StartAttempt, CancelAttempt, RelayAnswer, BeginRelay, EndRelay, AnswerOwn, BreakOff, ReleaseMemory,
+                 RunBegan, ExtraArrivalCounted, CheckEngine, TellCrashes, SendLimitMessages, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -42,7 +42,8 @@
   if (engine == nullptr) return false;
   // What first readings may still cost is not spent twice.
   const int at_risk = flow.language ? LineOf(flow.service).at_risk : 0;
-  if (flow.arrivals > 0 && !allowance_.TryTake(flow.service, now_, at_risk)) return false;
+  if (flow.arrivals > 0 && !allowance_.MayTake(flow.service, now_, at_risk)) return false;
+  if (flow.arrivals > 0) ChargeExtra(flow, ExtraArrival::kRunRepeated);
   ++flow.arrivals;
   Start(flow, *engine, mode);
   flow.memory.reset();  // A handle serves once.
@@ -239,7 +240,7 @@
   if (attempt.mode == AttemptMode::kPrefill) {
     // A refused prefill counts as an extra arrival whether it was the first or not.
     if (flow.prefills == 1) {
-      allowance_.NoteExtra(flow.service, now_);
+      ChargeExtra(flow, ExtraArrival::kReadingRefused);
       allowance_.NoteRisked(flow.service, true);
     }
   } else {
--- a/src/core/serving/reading_steps.cc
+++ b/src/core/serving/reading_steps.cc
@@ -138,7 +138,7 @@
   EngineState* engine =
       selector_.ChooseReader(engines_, flow.service, EngineStage::kPrefill, *flow.facts.prompt, flow.tried, now_);
   if (engine == nullptr) return false;
-  if (extra) allowance_.NoteExtra(flow.service, now_);
+  if (extra) ChargeExtra(flow, ExtraArrival::kReadingRepeated);
   ++flow.prefills;
   Start(flow, *engine, AttemptMode::kPrefill);
   if (!extra) {
@@ -178,7 +178,7 @@
   const int tokens = OwnTokens(*flow.facts.prompt);  // The rest is copied, or kept there.
   const double reading_ms = kReadsSlower * selector_.reading().predict_ms(tokens);
   if (reading_ms > knobs_.overflow_reading_share * ObjectiveMs(flow)) return false;
-  if (flow.arrivals > 0) allowance_.NoteExtra(flow.service, now_);
+  if (flow.arrivals > 0) ChargeExtra(flow, ExtraArrival::kRunRepeated);
   ++flow.arrivals;
   Start(flow, *engine, AttemptMode::kWhole);
   return true;
--- a/src/core/serving/retry_allowance.h
+++ b/src/core/serving/retry_allowance.h
@@ -10,12 +10,25 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "src/base/sliding_maximum.h"
 #include "src/base/time.h"
 
 namespace saltquay::serving {
 
+// Why an arrival counts against the budget.
+enum class ExtraArrival {
+  kRunRepeated,      // A run after the first.
+  kReadingRepeated,  // A reading of the prompt after the first.
+  kReadingRefused,   // The first reading, which the engine did not take up.
+};
+
+inline std::string_view NameOf(ExtraArrival cause) {
+  if (cause == ExtraArrival::kRunRepeated) return "run repeated";
+  return cause == ExtraArrival::kReadingRepeated ? "reading repeated" : "reading refused";
+}
+
 struct RetryBudgetBounds {
   double ratio = 0.2;
   Duration window = 10s;
@@ -41,10 +54,14 @@
   // Takes one extra arrival beside what `at_risk` calls may cost; returns false
   // when the window's share is spent.
   bool TryTake(const std::string& service, Time now, int at_risk = 0) {
-    if (Left(service, now) < 1 + usage_[service].refused_share * at_risk) return false;
+    if (!MayTake(service, now, at_risk)) return false;
     NoteExtra(service, now);
     return true;
   }
+  // The same, without taking it.
+  bool MayTake(const std::string& service, Time now, int at_risk) {
+    return Left(service, now) >= 1 + usage_[service].refused_share * at_risk;
+  }
 
   // Whether one more call may be sent that costs an extra arrival only if it is
   // refused, with `at_risk` such calls under way: as long as what they will
@@ -62,6 +79,9 @@
     share += refused ? kUp * (1 - share) : -kDown * share;
   }
 
+  // How many share the slack, by the most of the last window.
+  int sharers() const { return nodes_; }
+
   // Extra arrivals that are left now.
   double Left(const std::string& service, Time now) {
     const Usage& usage = Trimmed(service, now);
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -191,6 +191,8 @@
   void NoteRefusal(const Attempt& attempt, bool full);
   void OnLost(Flow& flow, const Attempt& attempt, AttemptFailure failure);
   void Retry(Flow& flow, std::string_view cause);
+  // Takes a call to an engine out of the retry budget.
+  void ChargeExtra(const Flow& flow, ExtraArrival cause);
   bool MayRunAgain(const Flow& flow) const;
   void TimeOut(Flow& flow);
   // What is waited for, and for how long (patience_steps.cc).
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -283,6 +283,10 @@
   if (on_run_began) on_run_began(action);
 }
 
+void Gateway::Carry(const serving::ExtraArrivalCounted& action) {
+  metrics_.CountExtraArrival(action.service, std::string(serving::NameOf(action.cause)));
+}
+
 void Gateway::Carry(const serving::CheckEngine& action) {
   probe_.Check(action.address, [this, id = action.engine_id](serving::EngineCheckOutcome outcome) {
     Dispatch(serving::EngineChecked{id, outcome});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -80,6 +80,7 @@
   void Carry(const serving::BreakOff& action);
   void Carry(const serving::ReleaseMemory& action);
   void Carry(const serving::RunBegan& action);
+  void Carry(const serving::ExtraArrivalCounted& action);
   void Carry(const serving::CheckEngine& action);
   void Carry(const serving::TellCrashes& action);
   void Carry(const serving::SendLimitMessages& action);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -27,6 +27,8 @@
   };
   requests_ = counter("saltquay_requests_total", "Client requests by final status");
   attempts_ = counter("saltquay_attempts_total", "Calls to engines by mode and outcome");
+  extra_arrivals_ =
+      counter("saltquay_extra_arrivals_total", "Calls to engines that count against the retry budget, and why");
   store_calls_ = counter("saltquay_store_calls_total", "Calls to the store by kind of object, call and cause");
   traffic_ = counter("saltquay_traffic_bytes_total",
                      "Contents of messages to and from engines and other nodes, by kind and how far they went");
@@ -61,6 +63,10 @@
   attempts_->Add({{"mode", mode}, {"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountExtraArrival(const std::string& service, const std::string& cause) {
+  extra_arrivals_->Add({{"service", service}, {"cause", cause}}).Increment();
+}
+
 void GatewayMetrics::CountStoreCall(const std::string& kind, const std::string& call, const std::string& cause) {
   store_calls_->Add({{"kind", kind}, {"call", call}, {"cause", cause}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -21,6 +21,8 @@
 
   void CountRequest(int status);
   void CountAttempt(const std::string& mode, const std::string& outcome);
+  // A call that counts against the service's retry budget, and why it does.
+  void CountExtraArrival(const std::string& service, const std::string& cause);
   void CountBrokenOff() { broken_off_->Increment(); }
   // `call`: list, watch, read or write; `cause`: why this node asked.
   void CountStoreCall(const std::string& kind, const std::string& call, const std::string& cause);
@@ -47,6 +49,7 @@
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>* requests_;
   prometheus::Family<prometheus::Counter>* attempts_;
+  prometheus::Family<prometheus::Counter>* extra_arrivals_;
   prometheus::Family<prometheus::Counter>* store_calls_;
   prometheus::Family<prometheus::Counter>* traffic_;
   prometheus::Family<prometheus::Gauge>* limit_units_;
--- a/src/gateway/log_explainer.cc
+++ b/src/gateway/log_explainer.cc
@@ -16,7 +16,8 @@
 
 bool IsNodeBelief(const LogLine& line) {
   return line.name == "store_contact" || line.name == "config_in_force" || line.name == "node_ready" ||
-         line.name == "node_stopping";
+         line.name == "node_stopping" || line.name == "record_upstream" || line.name == "records_stale" ||
+         line.name == "records_fresh";
 }
 
 std::string EngineOf(const LogLine& line) {
