--- /dev/null
+++ b/tests/core/serving/retry_budget_test.cc
@@ -0,0 +1,58 @@
+// The retry budget over all nodes, whatever becomes of engines and nodes: seven nodes before nine engines, in virtual
+// time, and the count that the platform makes.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "tests/support/serving_fixture.h"
+#include "tests/support/serving_fleet.h"
+
+namespace saltquay::serving {
+namespace {
+
+constexpr int kNodes = 7;
+constexpr int kReaders = 5;
+constexpr int kEngines = 9;
+constexpr double kRatio = 0.2;
+constexpr double kSlack = 54;
+constexpr Duration kWindow = 10s;
+
+class RetryBudgetTest : public ServingFixture {
+ protected:
+  static ServingKnobs Knobs() {
+    ServingKnobs knobs;
+    knobs.retry_budget = RetryBudgetBounds{kRatio, kWindow, kSlack, 0.8};
+    return knobs;
+  }
+  static std::string EngineId(int i) { return (i < kReaders ? "p" : "d") + std::to_string(i); }
+  static void AddEngines(ServingFleet& fleet) {
+    for (int i = 0; i < kEngines; ++i) {
+      FleetEngine engine;
+      const bool reads = i < kReaders;
+      engine.record = MakeEngine(EngineId(i), "model", reads ? EngineStage::kPrefill : EngineStage::kDecode);
+      engine.slots = reads ? 4 : 40;
+      fleet.AddEngine(engine);
+    }
+  }
+  static PromptFacts Prompt(int count) { return LongPrompt("s" + std::to_string(count % 23)); }
+  static void SetHealth(ServingFleet& fleet, int engines, EngineHealth health) {
+    for (int i = 0; i < engines; ++i) fleet.SetHealth(EngineId(i), health);
+  }
+  static double Worst(const ServingFleet& fleet) { return fleet.WorstBudget(kRatio, kSlack, kWindow); }
+};
+
+// Guards against: first readings whose connection is reset are sent again without being charged to the budget.
+TEST_F(RetryBudgetTest, HoldsWhileMostEnginesResetMostConnections) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServingFleet fleet(kNodes, MakeConfig(), Knobs(), seed);
+    AddEngines(fleet);
+    fleet.Begin();
+    fleet.Offer("chat", 32, fleet.now() + 20s, Prompt);
+    fleet.RunUntil(fleet.now() + 8s);
+    SetHealth(fleet, kEngines - 1, EngineHealth::kResets);
+    fleet.RunUntil(fleet.now() + 14s);
+    EXPECT_LE(Worst(fleet), 0) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- a/tests/support/serving_fleet.cc
+++ b/tests/support/serving_fleet.cc
@@ -8,6 +8,7 @@
 constexpr Duration kLinkDelay = 1ms;
 constexpr Duration kReportInterval = 400ms;
 constexpr double kGreyErrors = 0.6;
+constexpr double kResetShare = 0.8;
 constexpr int kSlowFactor = 6;
 // From the first token of a run to the end of its engine, where the run ends it.
 constexpr Duration kFatalWork = 50ms;
@@ -163,6 +164,7 @@
   ++world.calls;
   if (fatal_.contains({node, start.flow}) && start.mode != AttemptMode::kPrefill) fatal_runs_.push_back({now_, node});
   if (world.engine.health == EngineHealth::kDark) return Count(call, true);
+  if (world.engine.health == EngineHealth::kResets && random_.Unit() < kResetShare) return Reset(call);
   if (world.running < world.engine.slots) return Begin(world, call);
   if (static_cast<int>(world.waiting.size()) < world.engine.queue) {
     world.waiting.push_back(call);
@@ -192,6 +194,12 @@
   Send(call.node, AttemptCompleted{call.start.flow, call.start.attempt, ""});
 }
 
+void ServingFleet::Reset(const Call& call) {
+  Count(call, false);
+  if (cancelled_.contains({call.node, call.start.attempt})) return;
+  Send(call.node, AttemptFailed{call.start.flow, call.start.attempt, AttemptFailure::kBroken});
+}
+
 void ServingFleet::Finish(EngineWorld& world, const Call& call) {
   if (world.ended) return;
   --world.running;
@@ -255,32 +263,34 @@
 }
 
 void ServingFleet::Report() {
-  for (int to = 0; to < static_cast<int>(nodes_.size()); ++to) {
-    PeersChanged changed;
-    changed.nodes = static_cast<int>(nodes_.size());
-    ServiceDemand demand;
-    for (int from = 0; from < static_cast<int>(nodes_.size()); ++from) {
-      if (from == to) continue;
-      for (const ServiceDemand& told : nodes_[from]->OwnDemand(now_)) {
-        demand.service = told.service;
-        demand.prefill_engines += told.prefill_engines;
-        demand.reading_depth += told.reading_depth / static_cast<double>(nodes_.size() - 1);
-      }
-      for (const EngineWork& work : nodes_[from]->OwnWork(now_)) {
-        changed.work[work.engine].Add(work);
-      }
-    }
-    if (!demand.service.empty()) changed.demand.push_back(demand);
-    Send(to, changed);
-  }
+  for (int to = 0; to < static_cast<int>(nodes_.size()); ++to) ReportTo(to);
   for (int from = 0; from < static_cast<int>(nodes_.size()); ++from) TellCrashes(from);
   At(now_ + kReportInterval, [this] { Report(); });
 }
 
+void ServingFleet::ReportTo(int node) {
+  PeersChanged changed;
+  ServiceDemand demand;
+  for (int from = 0; from < static_cast<int>(nodes_.size()); ++from) {
+    if (!Hears(node, from)) continue;
+    ++changed.nodes;
+    for (const ServiceDemand& told : nodes_[from]->OwnDemand(now_)) {
+      demand.service = told.service;
+      demand.prefill_engines += told.prefill_engines;
+      demand.reading_depth += told.reading_depth / static_cast<double>(nodes_.size() - 1);
+    }
+    for (const EngineWork& work : nodes_[from]->OwnWork(now_)) {
+      changed.work[work.engine].Add(work);
+    }
+  }
+  if (!demand.service.empty()) changed.demand.push_back(demand);
+  Send(node, changed);
+}
+
 void ServingFleet::TellCrashes(int from) {
   const std::vector<CrashMark> marks = nodes_[from]->crashes().MarksToTell(now_);
   for (int to = 0; to < static_cast<int>(nodes_.size()); ++to) {
-    if (to == from || marks.empty() || random_.Unit() < loss_) continue;
+    if (!Hears(to, from) || marks.empty() || random_.Unit() < loss_) continue;
     At(now_ + kLinkDelay, [this, to, marks] { Send(to, CrashesTold{marks}); });
   }
 }
--- a/tests/support/serving_fleet.h
+++ b/tests/support/serving_fleet.h
@@ -17,7 +17,8 @@
 
 namespace saltquay::serving {
 
-enum class EngineHealth { kWell, kGrey, kSlow, kDark };
+// An engine that resets takes up most calls' connections and closes them without running anything.
+enum class EngineHealth { kWell, kGrey, kSlow, kDark, kResets };
 
 struct FleetEngine {
   EngineRecord record;
@@ -54,6 +55,8 @@
   // engine that ends is replaced by a new one at its address after `EngineRestart()`.
   void OfferFatal(const std::string& route, const PromptFacts& prompt, Duration gap, Time end);
   static Duration EngineRestart() { return 4s; }
+  // Cuts the nodes from each other: those of one side hear only that side. Empty: nobody is cut off.
+  void set_sides(std::vector<int> sides) { sides_ = std::move(sides); }
   // The share of messages between nodes that are lost.
   void set_loss(double share) { loss_ = share; }
   // The node starts anew: it knows nothing, and what it had under way is lost.
@@ -105,6 +108,7 @@
   void Begin(EngineWorld& world, const Call& call);
   void Finish(EngineWorld& world, const Call& call);
   void Refuse(EngineWorld& world, const Call& call);
+  void Reset(const Call& call);
   // The engine's process ends; another takes its address later.
   void EndEngine(EngineWorld& world);
   void Replace(const FleetEngine& engine);
@@ -113,6 +117,8 @@
   void TellCrashes(int from);
   void Count(const Call& call, bool taken);
   void Report();
+  void ReportTo(int node);
+  bool Hears(int to, int from) const { return to != from && (sides_.empty() || sides_[to] == sides_[from]); }
   EngineLoad LoadOf(const EngineWorld& world) const;
   void End(int node, FlowId flow, int* count);
 
@@ -132,6 +138,7 @@
   std::multiset<std::string> ejected_;
   ServingKnobs knobs_;
   double loss_ = 0;
+  std::vector<int> sides_;  // By node.
   Random random_;
   Time now_{1s};
   FlowId last_flow_ = 0;
