A first reading that an engine does not take up is charged, also where its connection breaks

Cause: a first reading is free only if the engine takes it up. The node settled that when the engine answered with a refusal, and not when the connection broke: each such reading was never charged, and the share of readings that fail, which guards those under way, never rose. Class: accounting by the form of an answer in place of by outcome. Change: one function settles a first reading for each way in which it can end at an engine. Whether the engine took it up before its connection broke cannot be known: it is charged. Why it works: the sum of all charges is bounded by the allowance, and now each arrival that counts is charged.

--- a/src/core/serving/budget_steps.cc
+++ b/src/core/serving/budget_steps.cc
@@ -13,4 +13,10 @@
   actions_->push_back(ExtraArrivalCounted{flow.service, cause});
 }
 
+void ServingCore::SettleFirstReading(const Flow& flow, bool taken_up) {
+  if (flow.prefills != 1) return;
+  if (!taken_up) ChargeExtra(flow, ExtraArrival::kReadingRefused);
+  allowance_.NoteRisked(flow.service, !taken_up);
+}
+
 }  // namespace saltquay::serving
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -175,7 +175,7 @@
     return Retry(flow, "prompt not read");
   }
   NoteRead(attempt);
-  if (flow.prefills == 1) allowance_.NoteRisked(flow.service, false);
+  SettleFirstReading(flow, true);
   if (attempt.alone_at_start) selector_.NotePrefillTime(attempt.prompt_tokens, now_ - attempt.sent_at);
   if (flow.memory) {  // A second prefill also came to its end.
     actions_->push_back(ReleaseMemory{{attempt.engine_id, engine->record.address, handle}});
@@ -238,11 +238,7 @@
     engines_.NoteFull(attempt.engine_id, now_);
   }
   if (attempt.mode == AttemptMode::kPrefill) {
-    // A refused prefill counts as an extra arrival whether it was the first or not.
-    if (flow.prefills == 1) {
-      ChargeExtra(flow, ExtraArrival::kReadingRefused);
-      allowance_.NoteRisked(flow.service, true);
-    }
+    SettleFirstReading(flow, false);
   } else {
     --flow.runs;
   }
@@ -290,7 +286,11 @@
     }
     return Retry(flow, "no connection");
   }
-  if (attempt.mode == AttemptMode::kPrefill) return Retry(flow, "prefill lost");
+  if (attempt.mode == AttemptMode::kPrefill) {
+    // Whether the engine took it up before its connection broke cannot be known.
+    SettleFirstReading(flow, false);
+    return Retry(flow, "prefill lost");
+  }
   if (!MayRunAgain(flow)) {
     if (flow.relaying) return BreakOffFlow(flow, "the engine broke off");
     if (!flow.attempts.empty()) return Arm(flow);
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -193,6 +193,8 @@
   void Retry(Flow& flow, std::string_view cause);
   // Takes a call to an engine out of the retry budget.
   void ChargeExtra(const Flow& flow, ExtraArrival cause);
+  // The first reading of the prompt is free if the engine took it up, and counts if it did not.
+  void SettleFirstReading(const Flow& flow, bool taken_up);
   bool MayRunAgain(const Flow& flow) const;
   void TimeOut(Flow& flow);
   // What is waited for, and for how long (patience_steps.cc).
