--- /dev/null
+++ b/tests/replica/replica_fleet.cc
@@ -0,0 +1,299 @@
+#include "tests/replica/replica_fleet.h"
+
+#include <algorithm>
+
+#include <boost/asio/write.hpp>
+
+#include "src/base/boot_clock.h"
+
+namespace saltquay::replica {
+namespace {
+
+constexpr Duration report_interval = 400ms;
+constexpr std::chrono::milliseconds poll_interval { 5 };
+// As long as the platform's client of the store waits for an answer.
+constexpr Duration call_timeout = 1500ms;
+
+std::string free_address(boost::asio::io_context& loop)
+{
+    boost::asio::ip::tcp::acceptor probe(loop, { boost::asio::ip::address_v4::loopback(), 0 });
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+RelayedStoreOptions make_options(
+    std::string const& name, std::string const& zone, int link_mbps, UpstreamKnobs const& knobs)
+{
+    RelayedStoreOptions options;
+    options.self = { name, "", zone, link_mbps, false };
+    options.upstream = knobs;
+    return options;
+}
+
+}
+
+std::int64_t StoreTable::known_since(Time now, Duration age) const
+{
+    std::int64_t known = 0;
+    for (auto const& [at, revision] : acknowledged) {
+        if (at + age <= now)
+            known = revision;
+    }
+    return known;
+}
+
+void NodeStore::silence_connections()
+{
+    ++epoch_;
+    list_connection_dead_ = true;
+}
+
+gateway::StoredObject NodeStore::object() const { return { "main", table_.revision, "content" }; }
+
+void NodeStore::List(std::string const&, std::function<void(absl::StatusOr<gateway::ObjectList>)> done)
+{
+    ++calls;
+    auto const call = std::make_shared<Call>();
+    call->until = BootNow();
+    call->given_up = BootNow() + call_timeout;
+    call->epoch = list_connection_dead_ ? epoch_ - 1 : epoch_;
+    // The client drops the dead connection when it gives the call up.
+    list_connection_dead_ = false;
+    call->done = [this, done](absl::Status const& status) {
+        if (!status.ok())
+            return done(status);
+        done(gateway::ObjectList { { object() }, table_.revision });
+    };
+    poll(call);
+}
+
+void NodeStore::Watch(std::string const&, std::int64_t revision, std::chrono::milliseconds wait,
+    std::function<void(absl::StatusOr<gateway::ObjectEvents>)> done)
+{
+    ++calls;
+    auto const call = std::make_shared<Call>();
+    call->since = revision;
+    call->until = BootNow() + wait;
+    call->given_up = call->until + call_timeout;
+    call->epoch = epoch_;
+    call->done = [this, revision, done](absl::Status const& status) {
+        if (!status.ok())
+            return done(status);
+        gateway::ObjectEvents events;
+        events.at = table_.revision;
+        if (table_.revision > revision)
+            events.events.push_back({ false, object() });
+        done(events);
+    };
+    poll(call);
+}
+
+void NodeStore::poll(std::shared_ptr<Call> const& call)
+{
+    auto const timer = std::make_shared<BootTimer>(loop_, poll_interval);
+    timer->async_wait([this, timer, call](boost::system::error_code error) {
+        if (error)
+            return;
+        auto const now = BootNow();
+        if (now >= call->given_up)
+            return call->done(absl::DeadlineExceededError("no answer in time"));
+        if (fault_ == Fault::Refuses)
+            return call->done(absl::UnavailableError("the store answered 429"));
+        auto const reached = fault_ == Fault::None && call->epoch == epoch_;
+        if (reached && (table_.revision > call->since || now >= call->until))
+            return call->done(absl::OkStatus());
+        poll(call);
+    });
+}
+
+struct SilentLink::Pair : std::enable_shared_from_this<SilentLink::Pair> {
+    explicit Pair(boost::asio::io_context& loop)
+        : near(loop)
+        , far(loop)
+    {
+    }
+    void pump(boost::asio::ip::tcp::socket& from, boost::asio::ip::tcp::socket& to, std::array<char, 16384>& bytes)
+    {
+        from.async_read_some(boost::asio::buffer(bytes),
+            [self = shared_from_this(), &from, &to, &bytes](boost::system::error_code error, std::size_t count) {
+                if (error)
+                    return self->close();
+                if (self->silent)
+                    return self->pump(from, to, bytes);
+                boost::asio::async_write(to, boost::asio::buffer(bytes.data(), count),
+                    [self, &from, &to, &bytes](boost::system::error_code write_error, std::size_t) {
+                        if (write_error)
+                            return self->close();
+                        self->pump(from, to, bytes);
+                    });
+            });
+    }
+    void close()
+    {
+        boost::system::error_code ignored;
+        far.close(ignored);
+        // A silent connection does not even tell its end.
+        if (!silent)
+            near.close(ignored);
+    }
+
+    boost::asio::ip::tcp::socket near;
+    boost::asio::ip::tcp::socket far;
+    std::array<char, 16384> to_far {};
+    std::array<char, 16384> to_near {};
+    bool silent = false;
+};
+
+SilentLink::SilentLink(boost::asio::io_context& loop, std::string const& target)
+    : loop_(loop)
+    , target_(*http::ParseEndpoint(target))
+    , acceptor_(loop, { boost::asio::ip::address_v4::loopback(), 0 })
+{
+    accept();
+}
+
+SilentLink::~SilentLink() = default;
+
+std::string SilentLink::address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+void SilentLink::silence_connections()
+{
+    for (auto const& weak : pairs_) {
+        if (auto const pair = weak.lock())
+            pair->silent = true;
+    }
+    pairs_.clear();
+}
+
+void SilentLink::accept()
+{
+    auto const pair = std::make_shared<Pair>(loop_);
+    acceptor_.async_accept(pair->near, [this, pair](boost::system::error_code error) {
+        if (error)
+            return;
+        pairs_.push_back(pair);
+        pair->far.async_connect(target_, [pair](boost::system::error_code connect_error) {
+            if (connect_error)
+                return pair->close();
+            pair->pump(pair->near, pair->far, pair->to_far);
+            pair->pump(pair->far, pair->near, pair->to_near);
+        });
+        accept();
+    });
+}
+
+ReplicaNode::ReplicaNode(boost::asio::io_context& loop, StoreTable const& store_table, std::string const& node_name,
+    std::string const& node_zone, int mbps, UpstreamKnobs const& knobs)
+    : name(node_name)
+    , zone(node_zone)
+    , link_mbps(mbps)
+    , origin(loop, store_table)
+    , store(loop, origin, make_options(node_name, node_zone, mbps, knobs))
+    , relay(std::make_unique<RelayServer>(loop, store))
+    , table(node_name)
+{
+    auto const address = free_address(loop);
+    if (!relay->listen(address).ok())
+        std::abort();
+    link = std::make_unique<SilentLink>(loop, address);
+    store.on_change = [this](std::string const& kind) { relay->on_change(kind); };
+    gateway::WatcherHandlers handlers;
+    handlers.on_list = [this](gateway::ObjectList const& list) {
+        for (auto const& object : list.items)
+            seen = std::max(seen, object.revision);
+    };
+    handlers.on_event = [this](gateway::ObjectEvent const& event) { seen = std::max(seen, event.object.revision); };
+    handlers.on_contact = [](bool, std::string const&) {};
+    watcher = std::make_unique<gateway::CollectionWatcher>(
+        loop, store, "config", gateway::WatcherTimes {}, 1, std::move(handlers));
+}
+
+serving::PeerReport ReplicaNode::report()
+{
+    serving::PeerReport report;
+    report.node = name;
+    report.address = link->address();
+    report.zone = zone;
+    report.link_mbps = link_mbps;
+    report.sequence = ++sequence;
+    report.records = store.marks();
+    return report;
+}
+
+ReplicaFleet::ReplicaFleet(
+    boost::asio::io_context& loop, std::vector<std::string> const& zones, UpstreamKnobs const& knobs)
+    : loop_(loop)
+{
+    table_.put(BootNow());
+    constexpr int widest_link = 1000;
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+        auto const width = widest_link - static_cast<int>(i);
+        nodes_.push_back(std::make_unique<ReplicaNode>(loop_, table_, "n" + std::to_string(i), zones[i], width, knobs));
+    }
+}
+
+void ReplicaFleet::start()
+{
+    exchange_reports();
+    for (auto const& node : nodes_) {
+        node->out_of_touch_until = BootNow() + contact;
+        node->watcher->Start();
+    }
+}
+
+void ReplicaFleet::set_fault(std::size_t node, NodeStore::Fault fault)
+{
+    nodes_[node]->origin.set_fault(fault);
+    nodes_[node]->out_of_touch_until = BootNow() + contact;
+}
+
+void ReplicaFleet::silence_connections()
+{
+    for (auto const& node : nodes_) {
+        node->origin.silence_connections();
+        node->link->silence_connections();
+        node->out_of_touch_until = BootNow() + contact;
+    }
+}
+
+void ReplicaFleet::step()
+{
+    auto const now = BootNow();
+    if (now >= next_reports_)
+        exchange_reports();
+    for (auto const& node : nodes_) {
+        if (node->origin.fault() != NodeStore::Fault::None)
+            node->out_of_touch_until = now + contact;
+        node->store.update_peers(node->table.Heard(), node->table.LastChanges());
+    }
+    check(now);
+}
+
+void ReplicaFleet::exchange_reports()
+{
+    auto const now = BootNow();
+    next_reports_ = now + report_interval;
+    for (auto const& from : nodes_) {
+        auto const report = from->report();
+        for (auto const& to : nodes_) {
+            if (to != from)
+                to->table.Note(report, now);
+        }
+    }
+}
+
+void ReplicaFleet::check(Time now)
+{
+    for (auto const& node : nodes_) {
+        if (now < node->out_of_touch_until || node->seen >= table_.known_since(now, apply_limit))
+            continue;
+        for (auto const& [at, revision] : table_.acknowledged) {
+            auto const delay = now - at - apply_limit;
+            if (revision <= node->seen || delay <= worst_delay_)
+                continue;
+            worst_delay_ = std::chrono::duration_cast<Duration>(delay);
+            worst_node_ = node->name;
+        }
+    }
+}
+
+}
