A process that follows another has no part of the retry budget's slack for a window

What callers would see: repeats beyond the budget (BUDGET) where nodes are killed and started again while engines fail. Cause: the allowance lives in the process. Each life of a node spent its part of the slack anew within one window. Class: a bound whose spent part is forgotten at a restart. Change: unless the whole system starts for the first time, a process earns by its requests only, until what its forerunner can have spent has left the window.

--- a/src/core/serving/retry_allowance.h
+++ b/src/core/serving/retry_allowance.h
@@ -2,8 +2,9 @@
 //
 // The budget: within every window, arrivals at a service's engines beyond the
 // first of each request stay under ratio x requests + slack, summed over all
-// nodes. Each node spends its own ratio and an equal share of the slack, held
-// back by `safety` for nodes that restarted and forgot what they spent.
+// nodes. Each node spends its own ratio and an equal share of the slack. It has
+// no share of the slack in the first window of its process, whose forerunner may have
+// spent it.
 #pragma once
 
 #include <algorithm>
@@ -38,10 +39,13 @@
 
 class RetryAllowance {
  public:
-  explicit RetryAllowance(const RetryBudgetBounds& bounds) : bounds_(bounds), counts_(bounds.window) {}
+  explicit RetryAllowance(const RetryBudgetBounds& bounds)
+      : bounds_(bounds), counts_(bounds.window) {}
 
-  // `nodes`: how many share the slack now. Those of the last window count: what a node that was lost
-  // meanwhile has spent is still in the window.
+  // This process may not be the node's first: what an earlier one spent in this window is not known.
+  void BeginAfterRestart(Time now) { slack_from_ = now + bounds_.window; }
+
+  // `nodes`: how many share the slack now. The most of the last window count.
   void set_nodes(int nodes, Time now) {
     counts_.Note(std::max(1, nodes), now);
     nodes_ = counts_.Get();
@@ -86,7 +90,8 @@
   double Left(const std::string& service, Time now) {
     const Usage& usage = Trimmed(service, now);
     const double earned = bounds_.ratio * static_cast<double>(usage.requests.size());
-    const double allowed = bounds_.safety * (earned + bounds_.slack / (nodes_ + kNodesToCome));
+    const double slack = now < slack_from_ ? 0 : bounds_.slack / (nodes_ + kNodesToCome);
+    const double allowed = bounds_.safety * (earned + slack);
     return allowed - static_cast<double>(usage.extras.size());
   }
 
@@ -109,6 +114,7 @@
   }
 
   RetryBudgetBounds bounds_;
+  Time slack_from_{};
   // Until the peers are known a node has no part of the slack: with many nodes, all of them started again at once,
   // a guess would be spent many times over.
   int nodes_ = 1000000;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -117,6 +117,8 @@
   void OnEvent(Time now, const Event& event, std::vector<Action>& actions);
 
   // Without one, tenants have no limits.
+  // An earlier process of this node may have served until now.
+  void BeginAfterRestart(Time now) { allowance_.BeginAfterRestart(now); }
   void set_limiter(std::unique_ptr<limits::Limiter> limiter) { limiter_ = std::move(limiter); }
   // Whether any tenant of the configuration in force has a limit.
   bool has_limits() const { return has_limits_; }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -54,6 +54,7 @@
   const limits::LimitNode self{settings.node_name, settings.peer_listen, settings.zone, settings.link_mbps};
   const auto boot = static_cast<std::uint64_t>(UnixMilliseconds());
   const bool alone = settings.peer_listen.empty();
+  if (!settings.first_start) core_.BeginAfterRestart(Now());
   core_.set_limiter(limits::make_home_limiter(self, boot, alone, settings.limit_tolerance, Now()));
 }
 
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -129,6 +129,17 @@
   EXPECT_GT(allowance.Left("s", Time{12s}), 4);
 }
 
+TEST(RetryAllowanceTest, AProcessThatFollowsAnotherHasNoPartOfTheSlackForAWindow) {
+  RetryAllowance allowance(RetryBudgetBounds{0.5, 10s, 54, 1.0});
+  allowance.BeginAfterRestart(Time{1s});
+  allowance.set_nodes(1, Time{1s});
+  EXPECT_FALSE(allowance.TryTake("s", Time{2s}));
+  for (int i = 0; i < 2; ++i) allowance.NoteRequest("s", Time{2s});
+  EXPECT_TRUE(allowance.TryTake("s", Time{2s}));
+  EXPECT_FALSE(allowance.TryTake("s", Time{10s}));
+  EXPECT_TRUE(allowance.TryTake("s", Time{11s}));
+}
+
 RC_GTEST_PROP(RetryAllowanceProperty, AllNodesTogetherKeepTheBudget, ()) {
   const int nodes = *rc::gen::inRange(1, 12);
   const RetryBudgetBounds bounds{0.2, 10s, 54, 0.8};
--- a/tests/core/serving/retry_budget_test.cc
+++ b/tests/core/serving/retry_budget_test.cc
@@ -54,5 +54,23 @@
   }
 }
 
+// Guards against: a node that is started again has forgotten what it spent, and spends its part of the slack once more.
+TEST_F(RetryBudgetTest, HoldsWhileNodesAreStartedAgainAndAgain) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServingFleet fleet(kNodes, MakeConfig(), Knobs(), seed);
+    AddEngines(fleet);
+    fleet.Begin();
+    fleet.Offer("chat", 12, fleet.now() + 24s, Prompt);
+    fleet.RunUntil(fleet.now() + 10s);
+    SetHealth(fleet, kEngines - 1, EngineHealth::kResets);
+    for (int round = 0; round < 3; ++round) {
+      fleet.RunUntil(fleet.now() + 4s);
+      for (int node = 0; node < kNodes; ++node) fleet.Restart(node);
+    }
+    fleet.RunUntil(fleet.now() + 4s);
+    EXPECT_LE(Worst(fleet), 0) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace saltquay::serving
--- a/tests/support/serving_fleet.cc
+++ b/tests/support/serving_fleet.cc
@@ -36,6 +36,7 @@
 
 void ServingFleet::Restart(int node) {
   nodes_[node] = std::make_unique<ServingCore>(knobs_, "a", random_.Below(1000));
+  nodes_[node]->BeginAfterRestart(now_);
   const auto is_of_node = [node](const auto& key) { return key.first == node; };
   std::erase_if(cancelled_, is_of_node);
   for (auto& [id, world] : engines_) {
