Test: the gateway of the fixture is its node's first process

Two gateway tests failed since: their requests repeat at once by the slack, which a process that may follow another does not have in its first window. The fixture's node has never run before, and says so. No assertion changes.

--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -33,6 +33,7 @@
     settings.node_name = "node-1";
     settings.zone = "a";
     settings.knobs.retry_budget.slack = 100;
+    settings.first_start = true;  // No earlier process has spent any of it.
     gateway_ = std::make_unique<Gateway>(loop_, settings, EngineProtocol(EngineProtocolNames{}), *log_, 3);
     // It has no peers and knows it, as Coordination tells one that listens for none.
     gateway_->Dispatch(serving::PeersChanged{});
