Kept connections that fell silent are found out, and not tried one after the other

What callers would see: requests that wait for an engine until their deadline, one after the other, after connections fell silent for good without a reset; leases and lists of the store that wait 1.5 s each. Connections to engines and peers had no keep-alive at all, those to the store four seconds; after a time-out the next call took the next resting connection, as dead as the first. Class: liveness inferred from silence. Change: the kernel probes every connection (three seconds, the least that whole seconds allow with one lost probe); a call without an answer drops what rests to that peer; so does an attempt of which its engine said nothing, and not where the engine answers others. Evidence: FetcherTest.ACallWithoutAnAnswerEndsTheOtherKeptConnections and FlowTest.AnAttemptThatNobodyAnsweredDropsTheOtherConnectionsToItsEngine fail on the code before (the first was run so: DEADLINE_EXCEEDED on the second dead connection; the second does not compile there, for the action is new). Not shown: the keep-alive itself, which needs a network that drops packets. Tests: http_test 24, serving_core_test's flows 30, gateway_test 42, platform_test 24, replica_test 38, all passed.

--- a/include/saltquay/fetch/fetcher.h
+++ b/include/saltquay/fetch/fetcher.h
@@ -26,7 +26,6 @@
     std::chrono::milliseconds timeout { 1500 }; // For the whole answer.
     // Until its first bytes, and between any two parts of it; zero: only the whole is timed.
     std::chrono::milliseconds stall_timeout { 0 };
-    bool keep_alive_probes = false;
 };
 
 using FetchId = std::uint64_t;
@@ -53,6 +52,7 @@
     struct Pending;
 
     void restart_stall_timer(FetchId, Pending&);
+    void give_up(FetchId, std::string const& cause);
     void finish(FetchId, absl::StatusOr<Reply>);
     http::CallHandlers make_handlers(FetchId, std::shared_ptr<Pending> const&);
 
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -178,6 +178,11 @@
 struct CancelAttempt {
   AttemptId attempt = 0;
 };
+// Connections to the engine that rest may be dead: the next attempt there takes a new one.
+struct DropRestingConnections {
+  std::string engine_id;
+  std::string address;
+};
 // Send the attempt's buffered answer to the client, whole.
 struct RelayAnswer {
   FlowId flow = 0;
@@ -231,8 +236,8 @@
   std::string details;     // JSON members, without braces.
 };
 
-using Action =
-    std::variant<StartAttempt, CancelAttempt, RelayAnswer, BeginRelay, EndRelay, AnswerOwn, BreakOff, ReleaseMemory,
-                 RunBegan, ExtraArrivalCounted, CheckEngine, TellCrashes, SendLimitMessages, LogDecision>;
+using Action = std::variant<StartAttempt, CancelAttempt, DropRestingConnections, RelayAnswer, BeginRelay, EndRelay,
+                            AnswerOwn, BreakOff, ReleaseMemory, RunBegan, ExtraArrivalCounted, CheckEngine, TellCrashes,
+                            SendLimitMessages, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -322,6 +322,10 @@
   }
   const bool may_have_run = flow.runs > 0;
   CountUnanswered(flow);
+  for (const auto& [id, attempt] : flow.attempts) {
+    const EngineState* engine = engines_.Find(attempt.engine_id);
+    if (engine != nullptr && engine->last_heard < attempt.sent_at) DropConnectionsOf(attempt);
+  }
   CancelAttempts(flow, 0);
   if (may_have_run) return Fail(flow, kGatewayTimeout, "time is up; it may have run");
   Refuse(flow, "time is up; not run");
--- a/src/core/serving/patience_steps.cc
+++ b/src/core/serving/patience_steps.cc
@@ -34,7 +34,10 @@
     attempt.silence_noted = true;
     const EngineState* engine = engines_.Find(attempt.engine_id);
     const bool silent = engine == nullptr || engine->last_heard < attempt.sent_at;
-    if (silent) LogStanding(engines_.NoteFailure(attempt.engine_id, "silent", now_));
+    if (silent) {
+      DropConnectionsOf(attempt);
+      LogStanding(engines_.NoteFailure(attempt.engine_id, "silent", now_));
+    }
     if (!GivesUpOn(flow, attempt, silent)) continue;
     flow.tried.insert(attempt.engine_id);
     actions_->push_back(CancelAttempt{id});
@@ -43,6 +46,11 @@
   }
 }
 
+void ServingCore::DropConnectionsOf(const Attempt& attempt) {
+  const EngineState* engine = engines_.Find(attempt.engine_id);
+  if (engine != nullptr) actions_->push_back(DropRestingConnections{attempt.engine_id, engine->record.address});
+}
+
 bool ServingCore::GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent) {
   if (flow.tries >= knobs_.most_tries) return false;
   // A prompt that was only read may go whole to an engine that answers: its first arrival, which needs no allowance.
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -204,6 +204,8 @@
   void CheckPatience(Flow& flow);
   bool GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent);
   Duration PatienceFor(const Attempt& attempt, const EngineState& engine) const;
+  // The engine has been silent since the attempt: what else rests on the way to it may be dead as well.
+  void DropConnectionsOf(const Attempt& attempt);
   void HurryAttempts(const std::string& engine_id);
 
   // Limits of tenants (limit_steps.cc).
--- a/src/fetch/fetcher.cc
+++ b/src/fetch/fetcher.cc
@@ -16,6 +16,7 @@
     BootTimer timer;
     BootTimer stall_timer;
     std::chrono::milliseconds stall_timeout { 0 };
+    std::string pool;
     Reply reply;
     Handler done;
 };
@@ -27,6 +28,7 @@
     auto const id = ++last_id_;
     auto const pending = std::make_shared<Pending>(loop_);
     pending->done = std::move(done);
+    pending->pool = options.pool;
     pending_[id] = pending;
     if (!endpoint.ok()) {
         boost::asio::post(loop_,
@@ -35,13 +37,12 @@
     }
     http::CallOptions call_options;
     call_options.connect_timeout = options.connect_timeout;
-    call_options.keep_alive_probes = options.keep_alive_probes;
     pending->call = client_.Start(
         *endpoint, options.pool, http::SerializeRequest(head, body), call_options, make_handlers(id, pending));
     pending->timer.expires_after(options.timeout);
     pending->timer.async_wait([this, id](boost::system::error_code error) {
         if (!error)
-            finish(id, absl::DeadlineExceededError("no answer in time"));
+            give_up(id, "no answer in time");
     });
     pending->stall_timeout = options.stall_timeout;
     restart_stall_timer(id, *pending);
@@ -55,7 +56,7 @@
     pending.stall_timer.expires_after(pending.stall_timeout);
     pending.stall_timer.async_wait([this, id](boost::system::error_code error) {
         if (!error)
-            finish(id, absl::DeadlineExceededError("the answer stalled"));
+            give_up(id, "the answer stalled");
     });
 }
 
@@ -85,6 +86,16 @@
     return handlers;
 }
 
+// What silenced this connection may have silenced the others to that peer: the next call takes a new one.
+void Fetcher::give_up(FetchId id, std::string const& cause)
+{
+    auto const entry = pending_.find(id);
+    if (entry == pending_.end())
+        return;
+    client_.ForgetPool(entry->second->pool);
+    finish(id, absl::DeadlineExceededError(cause));
+}
+
 void Fetcher::finish(FetchId id, absl::StatusOr<Reply> reply)
 {
     auto const entry = pending_.find(id);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -220,6 +220,10 @@
 
 void Gateway::Carry(const serving::CancelAttempt& action) { attempts_.erase(action.attempt); }
 
+void Gateway::Carry(const serving::DropRestingConnections& action) {
+  client_.ForgetPool(PoolOf(action.address, action.engine_id));
+}
+
 void Gateway::Carry(const serving::RelayAnswer& action) {
   const auto attempt = attempts_.find(action.attempt);
   const auto flow = flows_.find(action.flow);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,7 @@
 
   void Carry(const serving::StartAttempt& action);
   void Carry(const serving::CancelAttempt& action);
+  void Carry(const serving::DropRestingConnections& action);
   void Carry(const serving::RelayAnswer& action);
   void Carry(const serving::BeginRelay& action);
   void Carry(const serving::EndRelay& action);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -2,7 +2,8 @@
 //
 // A request is written once: nothing here sends it again. The outcome says
 // whether it can have arrived. A kept connection on which bytes or an end
-// arrive while it rests is discarded, so that no answer meets another request.
+// arrive while it rests is discarded, so that no answer meets another request. Each
+// connection is probed by the kernel, for one may go silent without an end.
 #pragma once
 
 #include <chrono>
@@ -41,7 +42,6 @@
 struct CallOptions {
   std::chrono::milliseconds connect_timeout{1000};
   bool head_request = false;
-  bool keep_alive_probes = false;
 };
 
 class ClientConnection;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -37,7 +37,7 @@
   socket_.open(endpoint.protocol(), error);
   if (!error) {
     DisableDelay(socket_);
-    if (options.keep_alive_probes) EnableKeepAlive(socket_, KeepAliveTimes{});
+    EnableKeepAlive(socket_, KeepAliveTimes{});
   }
   timer_.expires_after(options.connect_timeout);
   timer_.async_wait([self = shared_from_this()](boost::system::error_code timer_error) {
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -16,11 +16,12 @@
 // Parses "ip:port" (IPv4).
 absl::StatusOr<Endpoint> ParseEndpoint(const std::string& address);
 
+// The shortest that whole seconds allow with one probe that may be lost: a silent connection ends after three seconds.
 struct KeepAliveTimes {
-  int idle_seconds = 2;
+  int idle_seconds = 1;
   int interval_seconds = 1;
   int probes = 2;
-  int unacknowledged_milliseconds = 4000;  // TCP_USER_TIMEOUT.
+  int unacknowledged_milliseconds = 3000;  // TCP_USER_TIMEOUT.
 };
 
 // Sends small writes at once.
