A repeat after an attempt without an answer takes a new connection

Cause: the repeat took the next kept connection, which shared the fate of the first. Class: a fallback that fails with what it stands in for. Change: once an attempt of a request brought no answer, its further attempts go on connections of their own. A refusal by the engine changes nothing: that connection answers.

--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -174,6 +174,7 @@
   int priority = 5;
   bool streams = false;
   std::string tenant;  // Whose request it is; empty: an anonymous caller's.
+  bool on_new_connection = false;
 };
 struct CancelAttempt {
   AttemptId attempt = 0;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -98,6 +98,7 @@
   start.priority = flow.route.priority;
   start.tenant = flow.tenant;
   start.streams = flow.route.kind == RouteKind::kStreaming;
+  start.on_new_connection = flow.unanswered;
   LogRouted(flow, engine, start, attempt.prompt_tokens);
   attempt.patience_ends = now_ + PatienceFor(attempt, engine);
   MeterStart(flow, attempt);
@@ -276,6 +277,7 @@
 
 void ServingCore::OnLost(Flow& flow, const Attempt& attempt, AttemptFailure failure) {
   flow.tried.insert(attempt.engine_id);
+  flow.unanswered = true;
   const bool arrived = failure != AttemptFailure::kNotSent;
   if (!arrived) {
     if (attempt.memory) flow.memory = attempt.memory;
--- a/src/core/serving/patience_steps.cc
+++ b/src/core/serving/patience_steps.cc
@@ -12,6 +12,7 @@
   const bool silent = flow.attempts.size() == 1 && !flow.attempts.begin()->second.head_seen;
   if (!silent || !MayRunAgain(flow)) return;
   flow.tried.insert(flow.attempts.begin()->second.engine_id);
+  flow.unanswered = true;
   Retry(flow, "no answer in most of the objective");
 }
 
@@ -40,6 +41,7 @@
     }
     if (!GivesUpOn(flow, attempt, silent)) continue;
     flow.tried.insert(attempt.engine_id);
+    flow.unanswered = true;
     actions_->push_back(CancelAttempt{id});
     EndAttempt(flow, id);
     return Retry(flow, "no answer from the engine");  // The attempts have changed.
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -64,9 +64,10 @@
   std::vector<std::string> memory_refused_by;  // Engines that did not take the memory, whatever the cause.
   int arrivals = 0;                            // Attempts sent, prefills aside.
   int prefills = 0;
-  int runs = 0;           // Attempts that may have run.
-  int tries = 0;          // All attempts.
-  bool relaying = false;  // The client has the head of a stream.
+  int runs = 0;             // Attempts that may have run.
+  int tries = 0;            // All attempts.
+  bool unanswered = false;  // An attempt brought no answer: its connection may have been dead.
+  bool relaying = false;    // The client has the head of a stream.
   std::string last_event_id;
   std::optional<Time> waiting_until;  // For any engine to come.
   std::optional<Time> hedge_at;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -145,6 +145,7 @@
   http::CallOptions options;
   options.connect_timeout = ToMilliseconds(action.connect_timeout);
   options.head_request = exchange.head.method == "HEAD";
+  options.on_new_connection = action.on_new_connection;
   std::string bytes = http::SerializeRequest(protocol_.MakeRequest(exchange.head, action), exchange.body);
   if (const serving::EngineState* engine = core_.engines().Find(action.engine_id)) {
     attempt.reach = traffic_.ReachOf(engine->record.zone);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -26,7 +26,7 @@
 
 std::unique_ptr<Call> Client::Start(const Endpoint& endpoint, const std::string& pool, std::string request,
                                     const CallOptions& options, CallHandlers handlers) {
-  std::shared_ptr<ClientConnection> connection = TakeResting(pool);
+  std::shared_ptr<ClientConnection> connection = options.on_new_connection ? nullptr : TakeResting(pool);
   if (connection == nullptr) {
     connection = std::make_shared<ClientConnection>(*this, loop_, pool);
     ++pools_[pool].open;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -42,6 +42,7 @@
 struct CallOptions {
   std::chrono::milliseconds connect_timeout{1000};
   bool head_request = false;
+  bool on_new_connection = false;  // Not on one that rests.
 };
 
 class ClientConnection;
--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -243,6 +243,20 @@
   EXPECT_EQ(dropped.front().address, start.address);
 }
 
+// Guards against: a request and its repeat both wait on kept connections that fell silent together.
+TEST_F(FlowTest, TheRepeatOfAnAttemptWithoutAnAnswerTakesANewConnection) {
+  Arrive("safe");
+  EXPECT_FALSE(One<StartAttempt>().on_new_connection);
+  Pass(400ms);
+  EXPECT_TRUE(One<StartAttempt>().on_new_connection);
+}
+
+TEST_F(FlowTest, TheRepeatOfAnAttemptThatItsEngineRefusedTakesAnyConnection) {
+  Arrive("safe");
+  Answer(One<StartAttempt>(), 503, true);
+  EXPECT_FALSE(One<StartAttempt>().on_new_connection);
+}
+
 TEST_F(FlowTest, AnEngineThatAnswersOthersKeepsItsConnections) {
   Arrive("once");
   const auto first = One<StartAttempt>();
