Soak: connections that fall silent, signals in series, storms of changes, and the bound on configurations

A gateway that nothing has disturbed for 3 s must serve each configuration 2.3 s after its acknowledgement (0.3 s are the soak's own). Two series of faults go on side by side. Open connections may fall silent for good through the proxies, to engines and store, while new ones work. Signals come in series to one gateway or to all in turn.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -3,11 +3,12 @@
 
 usage: soak.py PATH/saltquay-gateway [--seconds 60] [--seed N] [--gateways 4]
 
-Faults: proxies in front of engines and store (delay, reset, one way, silence), the store refusing, engines that lose
-answers or leave, gateways stopped, paused, killed and started again, all at once too. Callers use open connections
-until they end. Promises, from what callers and engines see: an answer is the own one, whole and signed; what may run once ran at most once; what was refused never ran; a stream that
+Faults, several at a time: proxies in front of engines and store (delay, reset, one way, silence), connections that fall
+silent for good while new ones work, the store refusing, engines that lose answers or leave, gateways stopped, paused, told
+to reload, killed and started again, alone, in series and all at once. Callers use open connections until they end. Promises, from what callers and engines see: an answer is the own one, whole and signed; what may run once ran at most once; what was refused never ran; a stream that
 ends well has each event once, in order; no two holders of one fencing token; within one life of its process a gateway
-never goes back to an older configuration; once all faults are over, each gateway serves the newest one; engines are told
+never goes back to an older configuration; a gateway that nothing has disturbed
+for CONTACT seconds serves each configuration APPLY seconds after its acknowledgement; once all faults are over, each gateway serves the newest one; engines are told
 the tenant that holds the caller's key and never the key, and run nothing for keys that nobody holds; no two reports of
 one window's usage differ, and some are made; a request that ends each engine which runs it reaches at most three more
 engines once the third end is CONTACT seconds old; of a tenant with a limit, which sends many times that, engines run no more in
@@ -77,11 +78,15 @@
         spec = {"version": self.generation, "routes": list(self.routes), "services": [{"name": "plain"}, model],
                 "tenants": [self.tenant(name) for name in [*TENANTS, *LIMITED_TENANTS]]}
         await self.store.put("config", "main", spec)
+        self.truth.acknowledged[spec["version"]] = time.monotonic()
 
     async def change_configuration(self, until):
+        """Changes one by one, and now and then many in quick succession."""
         while time.monotonic() < until:
             await asyncio.sleep(self.luck.uniform(0.5, 3))
-            await self.configure()
+            for _ in range(self.luck.choice([1, 1, 1, 6])):
+                await self.configure()
+                await asyncio.sleep(0.1)
 
     async def add_engine(self, identity, service, stage):
         engine = Engine(identity, service, stage, self.truth, self.luck)
@@ -114,7 +119,8 @@
         await self.build()
         await asyncio.sleep(2)
         until = time.monotonic() + self.arguments.seconds
-        await asyncio.gather(self.hurt(until), self.keep_running(until + 3), self.change_configuration(until),
+        hurts = [self.hurt(until) for _ in range(self.arguments.hurts)]
+        await asyncio.gather(*hurts, self.keep_running(until + 3), self.change_configuration(until),
                              self.probe_configurations(until), self.fatal_caller(until), self.lose_all(until),
                              *[self.limited_caller(until, tenant) for tenant in LIMITS for _ in range(4)],
                              *[self.caller(until) for _ in range(24)])
@@ -138,6 +144,7 @@
     parser.add_argument("--seconds", type=float, default=60)
     parser.add_argument("--seed", type=int, default=int(time.time()))
     parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--hurts", type=int, default=2, help="series of faults that go on side by side")
     parser.add_argument("--keep", help="folder for settings and logs; default: a new temporary one")
     arguments = parser.parse_args()
     folder = arguments.keep or tempfile.mkdtemp(prefix="saltquay-soak-")
--- a/tests/platform/soak_callers.py
+++ b/tests/platform/soak_callers.py
@@ -27,10 +27,10 @@
 
     async def probe(self, gateway, generation):
         self.number += 1
-        life = gateway.life
+        life, asked = gateway.life, time.monotonic()
         status = await self.status_of(gateway, f"gen{generation}", f"probe-{self.arguments.seed}-{self.number}")
         if gateway.life == life:
-            self.truth.probed(gateway, generation, status)
+            self.truth.probed(gateway, generation, status, asked)
         return status
 
     async def status_of(self, gateway, route, request, key=TENANTS["tenant-0"]):
@@ -54,7 +54,7 @@
     async def probe_configurations(self, until):
         while time.monotonic() < until:
             await asyncio.sleep(0.05)
-            newest = self.generation
+            newest = max(self.truth.acknowledged)
             await self.probe(self.luck.choice(self.gateways), self.luck.randint(max(1, newest - 3), newest))
 
     async def fatal_caller(self, until):
--- a/tests/platform/soak_check_test.py
+++ b/tests/platform/soak_check_test.py
@@ -98,16 +98,28 @@
         run.judge("chat", "r", stream([1, 2, 2, 3, 4, 5, 6, 7, 8], "r"))
         self.assertGreaterEqual(len(run.truth.breaks), 2)
 
+    def test_a_configuration_that_is_late_at_a_gateway_in_touch(self):
+        truth, gateway = Truth(), argparse.Namespace(name="g", life=1, calm_since=90.0)
+        truth.acknowledged = {1: 100.0}
+        truth.probed(gateway, 1, 404, 102.0)  # Not yet due.
+        gateway.calm_since = 101.0
+        truth.probed(gateway, 1, 404, 103.0)  # Disturbed lately.
+        self.assertEqual(truth.breaks, [])
+        gateway.calm_since = 90.0
+        truth.probed(gateway, 1, 404, 103.0)
+        self.assertEqual(len(truth.breaks), 1)
+
     def test_a_gateway_that_goes_back_to_an_older_configuration(self):
         truth = Truth()
-        gateway = argparse.Namespace(name="g", life=1)
-        truth.probed(gateway, 5, 200)
-        truth.probed(gateway, 6, 404)  # Not heard of yet.
+        truth.acknowledged = {4: 0.0, 5: 0.0, 6: 0.0}
+        gateway = argparse.Namespace(name="g", life=1, calm_since=0.0)
+        truth.probed(gateway, 5, 200, 0.0)
+        truth.probed(gateway, 6, 404, 0.0)  # Not heard of yet.
         self.assertEqual(truth.breaks, [])
-        truth.probed(gateway, 4, 404)
+        truth.probed(gateway, 4, 404, 0.0)
         self.assertEqual(len(truth.breaks), 1)
         gateway.life = 2  # A new process may begin with less.
-        truth.probed(gateway, 4, 404)
+        truth.probed(gateway, 4, 404, 0.0)
         self.assertEqual(len(truth.breaks), 1)
 
     def test_a_process_that_ends_by_itself(self):
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -4,7 +4,7 @@
 import signal
 import time
 
-from soak_truth import LIMITED_TENANTS
+from soak_truth import LIMITED_TENANTS, LIMITS
 
 
 class Faults:
@@ -26,30 +26,62 @@
             missing = [gateway for gateway in missing if await self.probe(gateway, newest) != 200]
         for gateway in missing:
             self.truth.breaks.append(f"{gateway.name}: generation {newest} not served after all faults were over")
-        while limited and time.monotonic() < until:
-            await asyncio.sleep(0.2)
-            limited = [tenant for tenant in limited if not await self.is_served_everywhere(tenant)]
         for tenant in limited:
-            self.truth.breaks.append(f"tenant {tenant}: not served within its limit after all faults were over")
+            if not await self.is_served_everywhere(tenant, until):
+                self.truth.breaks.append(f"tenant {tenant}: not served within its limit after all faults were over")
 
-    async def is_served_everywhere(self, tenant):
-        statuses = []
-        for gateway in self.gateways:
+    async def is_served_everywhere(self, tenant, until):
+        """Whether each gateway serves the tenant by then, which sends no more than half of its limit."""
+        pause, missing = 2 * LIMITS[tenant].plain_cost() / LIMITS[tenant].rate, list(self.gateways)
+        while missing and time.monotonic() < until:
+            await asyncio.sleep(pause)
+            gateway = missing.pop(0)
             self.number += 1
             request = f"healed-{self.arguments.seed}-{self.number}"
             self.truth.tenants[request] = tenant
-            statuses.append(await self.status_of(gateway, "safe", request, LIMITED_TENANTS[tenant]))
-        return statuses == [200] * len(self.gateways)
+            if await self.status_of(gateway, "safe", request, LIMITED_TENANTS[tenant]) != 200:
+                missing.append(gateway)
+        return not missing
 
     async def hurt(self, until):
         while time.monotonic() < until:
             await asyncio.sleep(self.luck.uniform(0.3, 1.5))
-            await self.luck.choice([self.hurt_link, self.hurt_gateway, self.hurt_engine, self.hurt_store])()
+            await self.luck.choice([self.hurt_link, self.hurt_gateway, self.hurt_engine, self.hurt_store,
+                                    self.silence_open, self.signal_in_series])()
+
+    def set_link(self, name, mode):
+        if name in self.proxies:  # An engine may have ended meanwhile, and its proxy with it.
+            self.proxies[name].set(mode)
+        if name.startswith("store of "):
+            self.gateways[int(name.removeprefix("store of "))].disturb()
 
     async def hurt_link(self):
-        proxy = self.proxies[self.luck.choice(list(self.proxies))]
-        proxy.set(self.luck.choice(["delay", "reset", "one way", "silence"]))
-        asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 4), proxy.set, "pass")
+        name = self.luck.choice(list(self.proxies))
+        self.set_link(name, self.luck.choice(["delay", "reset", "one way", "silence"]))
+        asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 4), self.set_link, name, "pass")
+
+    async def silence_open(self):
+        """All connections that are open now say nothing more, without an end; new ones work."""
+        if self.luck.random() < 0.6:
+            return  # It hits every gateway, so it comes less often than the others.
+        for proxy in self.proxies.values():
+            proxy.silence_open()
+        for gateway in self.gateways:
+            gateway.disturb()
+
+    async def signal_in_series(self):
+        """One signal after the other to the same gateway, or the same to all in turn."""
+        numbers = [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGKILL, signal.SIGTERM]
+        if self.luck.random() < 0.5:
+            gateway = self.luck.choice(self.gateways)
+            for number in self.luck.sample(numbers, 3):
+                gateway.send(number)
+                await asyncio.sleep(self.luck.uniform(0, 0.3))
+            return
+        number = self.luck.choice(numbers)
+        for gateway in self.gateways:
+            gateway.send(number)
+            await asyncio.sleep(self.luck.uniform(0.1, 0.8))
 
     async def lose_all(self, until):
         """Once, after some seconds, all gateways are killed at the same moment."""
@@ -74,9 +106,14 @@
         engine.failing = self.luck.uniform(0.1, 0.6)
         asyncio.get_running_loop().call_later(self.luck.uniform(1, 4), setattr, engine, "failing", 0.0)
 
+    def set_store(self, available):
+        self.store.available = available
+        for gateway in self.gateways:
+            gateway.disturb()
+
     async def hurt_store(self):
-        self.store.available = False
-        asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 3), setattr, self.store, "available", True)
+        self.set_store(False)
+        asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 3), self.set_store, True)
 
     async def keep_running(self, until):
         while time.monotonic() < until:
--- a/tests/platform/soak_gateway.py
+++ b/tests/platform/soak_gateway.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import subprocess
+import time
 
 from soak_truth import LIMIT_OVERAGE, LIMIT_SLACK, LIMIT_WINDOW_S
 
@@ -30,9 +31,15 @@
         self.store_port, self.duties_port = store_port, duties_port
         self.process, self.seeds, self.life = None, seeds, 0
         self.log_at_start, self.early_signals = 0, set()
+        self.calm_since = time.monotonic()
+
+    def disturb(self):
+        """Something that takes it out of touch for a while began, goes on, or has just ended."""
+        self.calm_since = time.monotonic()
 
     def start(self):
         self.life += 1
+        self.disturb()
         self.log_at_start, self.early_signals = self.log_size(), set()
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(f'node_name = "{self.name}"\nzone = "a"\nclient_listen = "127.0.0.1:{self.client}"\n'
@@ -48,6 +55,7 @@
         return os.fstat(self.log.fileno()).st_size
 
     def send(self, number):
+        self.disturb()
         if self.process.poll() is None:
             if self.log_size() == self.log_at_start:
                 self.early_signals.add(number)
--- a/tests/platform/soak_truth.py
+++ b/tests/platform/soak_truth.py
@@ -8,7 +8,8 @@
 TENANTS = {f"tenant-{index}": f"secret-of-{index}" for index in range(4)}
 WRONG_KEY = "secret-of-nobody"
 LIMIT_WINDOW_S, LIMIT_OVERAGE, LIMIT_SLACK = 4, 0.1, 40  # What gateways are told of how far limits may be passed.
-CONTACT = 3  # Seconds after which gateways in touch know of the third end.
+CONTACT = 3  # Seconds after which gateways in touch know of the third end, and are bound by APPLY.
+APPLY = 2.3  # Seconds from a configuration's acknowledgement until it is in force; 0.3 are the soak's own.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,6 +29,10 @@
         counts = headers.get("x-token-count")
         return sum(int(count) for count in counts.split(",")) if counts else self.plain
 
+    def plain_cost(self):
+        """Units of a request that names no tokens."""
+        return self.plain or 1
+
     def most_in_window(self):
         return (self.rate * LIMIT_WINDOW_S + self.burst) * (1 + LIMIT_OVERAGE) + LIMIT_SLACK
 
@@ -80,6 +85,7 @@
         self.limited = {name: LimitedRuns(limit) for name, limit in LIMITS.items()}
         self.over_limit = dict.fromkeys(LIMITS, 0)  # Requests refused with 429.
         self.newest = {}  # (gateway, life) -> newest generation seen in force there.
+        self.acknowledged = {}  # generation -> when the store had taken it.
 
     def ran(self, request, body):
         self.runs[request] = self.runs.get(request, 0) + 1
@@ -113,8 +119,12 @@
         await asyncio.sleep(0.5)
         await self.restage(engine)
 
-    def probed(self, gateway, generation, status):
+    def probed(self, gateway, generation, status, asked):
         """A route that exists since `generation` was asked for: 404 says that the gateway serves an older one."""
+        late = asked - self.acknowledged[generation]
+        if status == 404 and late > APPLY and asked - gateway.calm_since > CONTACT:
+            self.breaks.append(f"{gateway.name}: generation {generation} is not in force {late:.2f} s after its "
+                               f"acknowledgement, {asked - gateway.calm_since:.1f} s after the last disruption")
         newest = self.newest.get((gateway.name, gateway.life), 0)
         if status == 404 and generation <= newest:
             self.breaks.append(f"{gateway.name}: back before generation {generation}, had served {newest}")
--- a/tests/platform/soak_world.py
+++ b/tests/platform/soak_world.py
@@ -251,10 +251,11 @@
 
 
 class Proxy:
-    """Passes bytes to a port of ours, and hurts them: delay, reset, one way, silence."""
+    """Passes bytes to a port of ours, and hurts them: delay, reset, one way, silence; or silences for good what is open."""
 
     def __init__(self, target_port):
         self.target_port, self.mode, self.writers = target_port, "pass", set()
+        self.silenced = set()  # Writers of connections that say nothing more; new ones work.
 
     async def start(self):
         self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
@@ -266,6 +267,9 @@
             for writer in list(self.writers):
                 writer.transport.abort()
 
+    def silence_open(self):
+        self.silenced |= self.writers
+
     async def end(self):
         """As a process that ends: its connections break and nobody listens any more."""
         self.server.close()
@@ -284,12 +288,15 @@
         self.writers |= {writer, up_writer}
         await asyncio.gather(self._pump(reader, up_writer, True), self._pump(up_reader, writer, False))
         self.writers -= {writer, up_writer}
+        self.silenced -= {writer, up_writer}
 
     async def _pump(self, reader, writer, forward):
         try:
             while data := await reader.read(65536):
                 while self.mode == "silence" or (self.mode == "one way" and not forward):
                     await asyncio.sleep(0.05)
+                if writer in self.silenced:
+                    continue
                 if self.mode == "delay":
                     await asyncio.sleep(random.uniform(0.02, 0.2))
                 writer.write(data)
