An engine's entry that cannot be read names no engine; the others hold

What callers would see: requests sent to an engine whose entry another writer had spoilt, for as long as the entry stays so; an entry with an unknown state counted as leaving, one without slots as an engine with one. Cause: an event whose record did not parse was dropped and the old record stayed in use, without a log line; fields that lack were made up. Class: what cannot be read is taken in part, or passed over in silence. Evidence: RecordsTest.AnEntryOfAnotherWriterNamesNoEngine, 14 texts; by reading, the code before took the unknown state, the missing slots and any born. Not done: answers of the store whose JSON holds bytes that are no UTF-8; flood control of the log line beyond the log's own limit.

--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -39,6 +39,7 @@
   kEngineRecord = 506,
   kRolePlan = 507,
   kEngineEnded = 508,
+  kEngineRecordRefused = 509,
   kUsageSealed = 520,
   kUsageReported = 521,
   kUsageNotReported = 522,
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -168,16 +168,26 @@
 void GatewayProcess::OnEngineList(const ObjectList& list) {
   serving::EnginesReplaced replaced;
   for (const StoredObject& object : list.items) {
-    absl::StatusOr<serving::EngineRecord> record = codec_.parse_engine(object);
-    if (record.ok()) replaced.records.push_back(std::move(*record));
+    if (std::optional<serving::EngineRecord> record = ReadEngine(object)) replaced.records.push_back(*record);
   }
   gateway_.Dispatch(replaced);
 }
 
 void GatewayProcess::OnEngineEvent(const ObjectEvent& event) {
-  if (event.gone) return gateway_.Dispatch(serving::EngineRemoved{event.object.name});
-  absl::StatusOr<serving::EngineRecord> record = codec_.parse_engine(event.object);
-  if (record.ok()) gateway_.Dispatch(serving::EngineChanged{std::move(*record)});
+  std::optional<serving::EngineRecord> record;
+  if (!event.gone) record = ReadEngine(event.object);
+  // What cannot be read names no engine to use; the next record that can brings it back.
+  if (!record) return gateway_.Dispatch(serving::EngineRemoved{event.object.name});
+  gateway_.Dispatch(serving::EngineChanged{*record});
+}
+
+std::optional<serving::EngineRecord> GatewayProcess::ReadEngine(const StoredObject& object) {
+  absl::StatusOr<serving::EngineRecord> record = codec_.parse_engine(object);
+  if (record.ok()) return std::move(*record);
+  gateway_.Log(EventId::kEngineRecordRefused, "",
+               fmt::format(R"("engine":"{}","revision":{},"cause":"{}")", EscapeJson(object.name), object.revision,
+                           EscapeJson(MessageOf(record.status()))));
+  return std::nullopt;
 }
 
 void GatewayProcess::OnContact(const std::string& kind, bool in_contact, const std::string& cause) {
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -53,6 +53,8 @@
   void OnConfigObject(const StoredObject& object);
   void OnEngineList(const ObjectList& list);
   void OnEngineEvent(const ObjectEvent& event);
+  // Nothing where the record cannot be read, which is logged.
+  std::optional<serving::EngineRecord> ReadEngine(const StoredObject& object);
   void OnFreshness(const std::string& kind, const replica::RecordState& state);
   void OnContact(const std::string& kind, bool in_contact, const std::string& cause);
   void WaitForSignal();
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -135,6 +135,37 @@
   EXPECT_EQ(engine->stage, serving::EngineStage::kDecode);
 }
 
+TEST(RecordsTest, AnEngineTellsWhichOfItsLivesItIs) {
+  const auto engine = ParseEngine(
+      {"i-1", 1, R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"ready","born":1796289000123})"});
+  ASSERT_TRUE(engine.ok());
+  EXPECT_EQ(engine->started_ms, 1796289000123);
+}
+
+// Guards against: an entry of another writer is taken for an engine, in part or with what it lacks made up.
+TEST(RecordsTest, AnEntryOfAnotherWriterNamesNoEngine) {
+  for (const char* const text : {
+           R"("bytes")",
+           "",
+           "null",
+           "[]",
+           R"({"service":"s"})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"resting"})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":7})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":4})",
+           R"({"service":"s","address":"1.2.3.4:5","state":"ready"})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":"4","state":"ready"})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":0,"state":"ready"})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"ready","born":1.5})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"ready","born":-1})",
+           R"({"service":["s"],"address":"1.2.3.4:5","slots":4,"state":"ready"})",
+       }) {
+    const auto engine = ParseEngine({"i-1", 1, text});
+    ASSERT_FALSE(engine.ok()) << text;
+    EXPECT_EQ(KindOf(engine.status()), ErrorKind::kCorrupt);
+  }
+}
+
 class StoreTest : public ::testing::Test {
  protected:
   template <typename Result, typename Begin>
