An engine that starts again under its id is another life: nothing known of the one before holds

Cause: all that a node knows of an engine hung on its id, for an id had meant one process: ends under a request counted by id, so that a second end of the same id was no news; kept parts, load, ejection and work under way passed on to the next life. Class: identity by name. Change: a record carries the start of its process; the key that nodes tell each other is of id and start; a newer start drops what was known, an older one is late word and changes nothing; work sent to an earlier life is not taken off the new one; ends count by life. Where an entry tells no start, the key is of the id as before.

--- a/src/core/serving/crash_steps.cc
+++ b/src/core/serving/crash_steps.cc
@@ -33,7 +33,7 @@
   const EngineState* engine = engines_.Find(engine_id);
   // Who had announced its end, or had gone before, ends by plan.
   if (engine == nullptr || engine->gone || engine->record.leaving) return;
-  const bool check = end_watch_.NoteBroken(engine_id, fingerprint, now_);
+  const bool check = end_watch_.NoteBroken(engine_id, engine->key, fingerprint, now_);
   if (check) actions_->push_back(CheckEngine{engine_id, engine->record.address});
 }
 
@@ -49,7 +49,7 @@
         fmt::format(R"("engine":"{}","after_ms":{},"requests":{},"fingerprints":{})", ended.engine_id,
                     (now_ - ended.broke_at).count() / 1000, ended.requests.size(), HexList(ended.requests)));
     for (const std::uint64_t request : ended.requests) {
-      if (crashes_.NoteEnd(request, ended.engine_id, ended.broke_at, now_)) OnMoreEnds(request, "own");
+      if (crashes_.NoteEnd(request, ended.life, ended.broke_at, now_)) OnMoreEnds(request, "own");
     }
     // The next repeat may reach any node: what a round of reports takes is too long for it.
     if (!ended.requests.empty()) actions_->push_back(TellCrashes{});
--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -3,12 +3,20 @@
 #include <algorithm>
 #include <set>
 
+#include <fmt/format.h>
+
 namespace saltquay::serving {
 
 namespace {
 
 constexpr Duration kOutcomeHalf = 1s;
 
+// What one life keeps and has under way is never taken for another's, here and in what nodes tell each other.
+EngineKey KeyOf(const EngineRecord& record) {
+  if (record.started_ms == 0) return EngineKey(record.id);
+  return EngineKey(fmt::format("{}@{}", record.id, record.started_ms));
+}
+
 }  // namespace
 
 void RecentOutcomes::Turn(Time now) {
@@ -46,10 +54,13 @@
 
 bool EngineDirectory::Update(const EngineRecord& record) {
   EngineState& engine = engines_[record.id];
+  if (record.started_ms < engine.record.started_ms) return false;  // Late word of an earlier life.
+  // It started again under its id: nothing that was known of the earlier life holds.
+  if (record.started_ms > engine.record.started_ms) engine = EngineState{};
   const bool changed = engine.gone || engine.record != record;
   if (engine.record.stage != record.stage) engine.changing_until = engine.held_until = Time{};
   engine.record = record;
-  engine.key = EngineKey(record.id);
+  engine.key = KeyOf(record);
   engine.gone = false;
   if (changed) NoteRecords();
   return changed;
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -29,7 +29,9 @@
 enum class EngineStage { kUniform, kPrefill, kDecode };
 
 struct EngineRecord {
-  std::string id;  // One run of the engine's process.
+  std::string id;
+  // When its process started, in milliseconds since the epoch; 0: not told. With the id it names one life of the engine.
+  std::int64_t started_ms = 0;
   std::string service;
   std::string address;
   std::string zone;
@@ -70,7 +72,7 @@
 
 struct EngineState {
   EngineRecord record;
-  EngineKey key;  // Of the record's id.
+  EngineKey key;  // Of this life.
   bool gone = false;
   std::optional<Time> leaving_since;  // When this node learnt that it leaves.
 
--- a/src/core/serving/engine_end_watch.cc
+++ b/src/core/serving/engine_end_watch.cc
@@ -10,9 +10,12 @@
 
 }  // namespace
 
-bool EngineEndWatch::NoteBroken(const std::string& engine_id, std::uint64_t request, Time now) {
+bool EngineEndWatch::NoteBroken(const std::string& engine_id, EngineKey life, std::uint64_t request, Time now) {
   const auto [entry, is_new] = suspects_.try_emplace(engine_id);
-  if (is_new) entry->second.since = now;
+  if (is_new) {
+    entry->second.life = life;
+    entry->second.since = now;
+  }
   if (request != 0) entry->second.requests.insert(request);
   return is_new;
 }
--- a/src/core/serving/engine_end_watch.h
+++ b/src/core/serving/engine_end_watch.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/core/serving/engine_key.h"
 
 namespace saltquay::serving {
 
@@ -27,14 +28,15 @@
 // An engine that ended, and the fingerprints of the requests that were at it.
 struct EndedEngine {
   std::string engine_id;
+  EngineKey life;  // That ended; another may have begun under the same id.
   Time broke_at{};
   std::vector<std::uint64_t> requests;
 };
 
 class EngineEndWatch {
  public:
-  // An answer broke; `request`: its fingerprint, 0: none. Returns whether the engine is to be checked now.
-  bool NoteBroken(const std::string& engine_id, std::uint64_t request, Time now);
+  // An answer of that life broke; `request`: its fingerprint, 0: none. Returns whether the engine is to be checked now.
+  bool NoteBroken(const std::string& engine_id, EngineKey life, std::uint64_t request, Time now);
   void NoteChecked(const std::string& engine_id, EngineCheckOutcome outcome);
   // The engine answered: a request that was sent at `sent_at`, or at `now` more of an answer.
   void NoteHeard(const std::string& engine_id, Time sent_at, Time now);
@@ -43,7 +45,7 @@
   std::vector<EndedEngine> TakeEnded(HasWork has_work, Time now) {
     std::vector<EndedEngine> ended;
     for (auto& [id, suspect] : suspects_) {
-      if (suspect.refused && !has_work(id)) ended.push_back({id, suspect.since, Listed(suspect)});
+      if (suspect.refused && !has_work(id)) ended.push_back({id, suspect.life, suspect.since, Listed(suspect)});
     }
     for (const EndedEngine& engine : ended) suspects_.erase(engine.engine_id);
     Forget(now);
@@ -53,6 +55,7 @@
 
  private:
   struct Suspect {
+    EngineKey life;
     Time since{};
     bool refused = false;
     std::set<std::uint64_t> requests;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -78,6 +78,7 @@
   Attempt attempt;
   attempt.id = ++last_attempt_;
   attempt.engine_id = engine.record.id;
+  attempt.engine_key = engine.key;
   attempt.mode = mode;
   attempt.sent_at = now_;
   attempt.alone_at_start = engine.outstanding + engine.peers_outstanding == 0;
@@ -388,7 +389,8 @@
     entry->second.window->note_over();
     dispatch_wanted_ = true;
   }
-  if (EngineState* engine = engines_.Find(entry->second.engine_id)) {
+  EngineState* engine = engines_.Find(entry->second.engine_id);
+  if (engine != nullptr && engine->key == entry->second.engine_key) {
     --engine->outstanding;
     engine->outstanding_prompt_tokens -= entry->second.prompt_tokens;
   }
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -54,8 +54,9 @@
   if (!engines_.Update(event.record)) return;
   NoteLeaving(event.record.id);
   Log(EventId::kEngineRecord, nullptr,
-      fmt::format(R"("engine":"{}","service":"{}","zone":"{}","leaving":{},"stage":{})", event.record.id,
-                  event.record.service, event.record.zone, event.record.leaving, static_cast<int>(event.record.stage)));
+      fmt::format(R"("engine":"{}","started_ms":{},"service":"{}","zone":"{}","leaving":{},"stage":{})",
+                  event.record.id, event.record.started_ms, event.record.service, event.record.zone,
+                  event.record.leaving, static_cast<int>(event.record.stage)));
 }
 
 void ServingCore::NoteLeaving(const std::string& engine_id) {
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -32,6 +32,7 @@
 struct Attempt {
   AttemptId id = 0;
   std::string engine_id;
+  EngineKey engine_key;  // Of the life that it was sent to.
   AttemptMode mode = AttemptMode::kWhole;
   Time sent_at{};
   std::int64_t prompt_tokens = 0;  // That it reads, by our reckoning.
--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -274,6 +274,16 @@
   }
 }
 
+TEST_F(FlowTest, WorkAtAnEarlierLifeIsNotTakenOffTheNewOne) {
+  Arrive("once");
+  const auto start = One<StartAttempt>();
+  EngineRecord record = core_.engines().Find(start.engine_id)->record;
+  record.started_ms = 5000;
+  Send(EngineChanged{record});
+  Fail(start, AttemptFailure::kBroken);
+  EXPECT_EQ(core_.engines().Find(start.engine_id)->outstanding, 0);
+}
+
 TEST_F(FlowTest, ASilentEngineIsTakenOutAndTheRequestStays) {
   Arrive("once");
   const auto first = One<StartAttempt>();
--- a/tests/core/serving/poison_request_test.cc
+++ b/tests/core/serving/poison_request_test.cc
@@ -62,6 +62,23 @@
   }
 }
 
+// Guards against: ends of one engine that starts again under its id count as one end.
+TEST_F(PoisonRequestTest, AlsoWhereEnginesStartAgainUnderTheirIds) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServingFleet fleet(7, MakeConfig(), Knobs(), seed);
+    FleetEngine only;
+    only.record = MakeEngine("d0", "model", EngineStage::kUniform);
+    only.slots = 40;
+    fleet.AddEngine(only);
+    fleet.set_same_ids();
+    fleet.Begin();
+    fleet.OfferFatal("chat", LongPrompt("own"), 300ms, fleet.now() + 60s);
+    fleet.RunUntil(fleet.now() + 64s);
+    EXPECT_LE(LaterRuns(fleet), kMostLaterRuns)
+        << "seed " << seed << ", " << fleet.engine_ends().size() << " lives ended";
+  }
+}
+
 TEST_F(PoisonRequestTest, AlsoWhileAThirdOfTheMessagesBetweenNodesIsLost) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     ServingFleet fleet(7, MakeConfig(), Knobs(), seed);
--- a/tests/support/serving_fleet.cc
+++ b/tests/support/serving_fleet.cc
@@ -235,11 +235,16 @@
   }
   At(now_ + kRecordKept, [this, id = world.engine.record.id] { SendAll(EngineRemoved{id}); });
   FleetEngine next = world.engine;
-  next.record.id += "+";
+  if (same_ids_) {
+    next.record.started_ms = (now_ + EngineRestart()).time_since_epoch().count() / 1000;
+  } else {
+    next.record.id += "+";
+  }
   At(now_ + EngineRestart(), [this, next] { Replace(next); });
 }
 
 void ServingFleet::Replace(const FleetEngine& engine) {
+  engines_[engine.record.id] = EngineWorld{};
   AddEngine(engine);
   SendAll(EngineChanged{engine.record});
 }
--- a/tests/support/serving_fleet.h
+++ b/tests/support/serving_fleet.h
@@ -57,6 +57,8 @@
   static Duration EngineRestart() { return 4s; }
   // Cuts the nodes from each other: those of one side hear only that side. Empty: nobody is cut off.
   void set_sides(std::vector<int> sides) { sides_ = std::move(sides); }
+  // Engines that end start again under their id, as another life.
+  void set_same_ids() { same_ids_ = true; }
   // The share of messages between nodes that are lost.
   void set_loss(double share) { loss_ = share; }
   // The node starts anew: it knows nothing, and what it had under way is lost.
@@ -137,6 +139,7 @@
   std::vector<CountedArrival> counted_;
   std::multiset<std::string> ejected_;
   ServingKnobs knobs_;
+  bool same_ids_ = false;
   double loss_ = 0;
   std::vector<int> sides_;  // By node.
   Random random_;
