--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -30,7 +30,8 @@
 
 struct EngineRecord {
   std::string id;
-  // When its process started, in milliseconds since the epoch; 0: not told. With the id it names one life of the engine.
+  // When its process started, in milliseconds since the epoch; 0: not told. With the id it names one life of the
+  // engine.
   std::int64_t started_ms = 0;
   std::string service;
   std::string address;
