--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -10,7 +10,6 @@
 
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 constexpr int kMisdirected = 421;
 constexpr int kFirstError = 500;
 constexpr int kFirstRedirect = 300;
@@ -318,22 +317,6 @@
   return flow.route.repeatable() && flow.runs < flow.route.max_attempts;
 }
 
-void ServingCore::TimeOut(Flow& flow) {
-  if (flow.relaying) {
-    CancelAttempts(flow, 0);
-    return BreakOffFlow(flow, "time is up");
-  }
-  const bool may_have_run = flow.runs > 0;
-  CountUnanswered(flow);
-  for (const auto& [id, attempt] : flow.attempts) {
-    const EngineState* engine = engines_.Find(attempt.engine_id);
-    if (engine != nullptr && engine->last_heard < attempt.sent_at) DropConnectionsOf(attempt);
-  }
-  CancelAttempts(flow, 0);
-  if (may_have_run) return Fail(flow, kGatewayTimeout, "time is up; it may have run");
-  Refuse(flow, "time is up; not run");
-}
-
 void ServingCore::Refuse(Flow& flow, std::string_view cause) { Refuse(flow, cause, knobs_.retry_after); }
 
 void ServingCore::Refuse(Flow& flow, std::string_view cause, Duration retry_after) {
--- a/src/core/serving/patience_steps.cc
+++ b/src/core/serving/patience_steps.cc
@@ -6,6 +6,11 @@
 #include "src/core/serving/serving_core.h"
 
 namespace saltquay::serving {
+namespace {
+
+constexpr int kGatewayTimeout = 504;
+
+}  // namespace
 
 void ServingCore::Hedge(Flow& flow) {
   flow.hedge_at.reset();
@@ -33,8 +38,7 @@
   for (auto& [id, attempt] : flow.attempts) {
     if (attempt.silence_noted || attempt.head_seen || now_ < attempt.patience_ends) continue;
     attempt.silence_noted = true;
-    const EngineState* engine = engines_.Find(attempt.engine_id);
-    const bool silent = engine == nullptr || engine->last_heard < attempt.sent_at;
+    const bool silent = IsSilentSince(attempt);
     if (silent) {
       DropConnectionsOf(attempt);
       LogStanding(engines_.NoteFailure(attempt.engine_id, "silent", now_));
@@ -48,6 +52,11 @@
   }
 }
 
+bool ServingCore::IsSilentSince(const Attempt& attempt) {
+  const EngineState* engine = engines_.Find(attempt.engine_id);
+  return engine == nullptr || engine->last_heard < attempt.sent_at;
+}
+
 void ServingCore::DropConnectionsOf(const Attempt& attempt) {
   const EngineState* engine = engines_.Find(attempt.engine_id);
   if (engine != nullptr) actions_->push_back(DropRestingConnections{attempt.engine_id, engine->record.address});
@@ -62,6 +71,21 @@
   return silent && flow.route.kind == RouteKind::kStreaming && MayRunAgain(flow);
 }
 
+void ServingCore::TimeOut(Flow& flow) {
+  if (flow.relaying) {
+    CancelAttempts(flow, 0);
+    return BreakOffFlow(flow, "time is up");
+  }
+  const bool may_have_run = flow.runs > 0;
+  CountUnanswered(flow);
+  for (const auto& [id, attempt] : flow.attempts) {
+    if (IsSilentSince(attempt)) DropConnectionsOf(attempt);
+  }
+  CancelAttempts(flow, 0);
+  if (may_have_run) return Fail(flow, kGatewayTimeout, "time is up; it may have run");
+  Refuse(flow, "time is up; not run");
+}
+
 // What waits at an engine that is taken to be lost is looked into at once.
 void ServingCore::HurryAttempts(const std::string& engine_id) {
   for (auto& [id, flow] : flows_) {
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -200,12 +200,14 @@
   // The first reading of the prompt is free if the engine took it up, and counts if it did not.
   void SettleFirstReading(const Flow& flow, bool taken_up);
   bool MayRunAgain(const Flow& flow) const;
-  void TimeOut(Flow& flow);
   // What is waited for, and for how long (patience_steps.cc).
+  void TimeOut(Flow& flow);
   void Hedge(Flow& flow);
   void CheckPatience(Flow& flow);
   bool GivesUpOn(const Flow& flow, const Attempt& attempt, bool silent);
   Duration PatienceFor(const Attempt& attempt, const EngineState& engine) const;
+  // Whether the engine has told nobody here anything since the attempt was sent.
+  bool IsSilentSince(const Attempt& attempt);
   // The engine has been silent since the attempt: what else rests on the way to it may be dead as well.
   void DropConnectionsOf(const Attempt& attempt);
   void HurryAttempts(const std::string& engine_id);
--- a/tests/core/serving/beliefs_test.cc
+++ b/tests/core/serving/beliefs_test.cc
@@ -103,41 +103,6 @@
   EXPECT_EQ(changes[0].engine, "a");
 }
 
-// Guards against: an engine that started again under its id is taken for the life before.
-TEST(EngineDirectoryTest, ANewLifeDropsWhatWasKnownOfTheOneBefore) {
-  EngineDirectory engines{EjectionPolicy{}};
-  EngineRecord record;
-  record.id = "e";
-  record.service = "s";
-  record.started_ms = 1000;
-  engines.Update(record);
-  EngineState& before = *engines.Find("e");
-  const EngineKey key_before = before.key;
-  before.outstanding = 3;
-  before.ejected_until = Time{9s};
-  engines.NoteLoad("e", {4, 5, 8}, Time{1s});
-  record.started_ms = 2000;
-  EXPECT_TRUE(engines.Update(record));
-  const EngineState& after = *engines.Find("e");
-  EXPECT_EQ(after.outstanding, 0);
-  EXPECT_FALSE(after.ever_told);
-  EXPECT_EQ(after.ejected_until, Time{});
-  EXPECT_NE(after.key, key_before);
-}
-
-TEST(EngineDirectoryTest, LateWordOfAnEarlierLifeChangesNothing) {
-  EngineDirectory engines{EjectionPolicy{}};
-  EngineRecord record;
-  record.id = "e";
-  record.service = "s";
-  record.started_ms = 2000;
-  engines.Update(record);
-  record.started_ms = 1000;
-  record.leaving = true;
-  EXPECT_FALSE(engines.Update(record));
-  EXPECT_FALSE(engines.Find("e")->record.leaving);
-}
-
 TEST(EngineDirectoryTest, OutcomesAreForgottenAfterTwoSeconds) {
   RecentOutcomes outcomes;
   outcomes.Note(true, Time{10s});
--- /dev/null
+++ b/tests/core/serving/connections_test.cc
@@ -0,0 +1,52 @@
+// Kept connections to engines that fall silent without an end.
+#include "tests/support/serving_fixture.h"
+
+namespace saltquay::serving {
+namespace {
+
+class ConnectionsTest : public ServingFixture {};
+
+// Guards against: kept connections to an engine that fell silent are tried one after the other, a request each.
+TEST_F(ConnectionsTest, AnAttemptThatNobodyAnsweredDropsTheOtherConnectionsToItsEngine) {
+  Arrive("once");
+  const auto start = One<StartAttempt>();
+  Pass(4s);
+  const auto dropped = All<DropRestingConnections>();
+  ASSERT_FALSE(dropped.empty());
+  EXPECT_EQ(dropped.front().engine_id, start.engine_id);
+  EXPECT_EQ(dropped.front().address, start.address);
+}
+
+// Guards against: a request and its repeat both wait on kept connections that fell silent together.
+TEST_F(ConnectionsTest, TheRepeatOfAnAttemptWithoutAnAnswerTakesANewConnection) {
+  Arrive("safe");
+  EXPECT_FALSE(One<StartAttempt>().on_new_connection);
+  Pass(400ms);
+  EXPECT_TRUE(One<StartAttempt>().on_new_connection);
+}
+
+TEST_F(ConnectionsTest, TheRepeatOfAnAttemptThatItsEngineRefusedTakesAnyConnection) {
+  Arrive("safe");
+  Answer(One<StartAttempt>(), 503, true);
+  EXPECT_FALSE(One<StartAttempt>().on_new_connection);
+}
+
+TEST_F(ConnectionsTest, AnEngineThatAnswersOthersKeepsItsConnections) {
+  Arrive("once");
+  const auto first = One<StartAttempt>();
+  std::optional<StartAttempt> second;
+  while (!second) {
+    Arrive("once");
+    const auto start = One<StartAttempt>();
+    if (start.engine_id == first.engine_id) second = start;
+  }
+  Pass(1s);
+  Answer(*second, 200);
+  Pass(4s);
+  for (const DropRestingConnections& dropped : All<DropRestingConnections>()) {
+    EXPECT_NE(dropped.engine_id, first.engine_id);
+  }
+}
+
+}  // namespace
+}  // namespace saltquay::serving
--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -232,58 +232,6 @@
   EXPECT_FALSE(core_.engines().Find("p1")->leaving_since);
 }
 
-// Guards against: kept connections to an engine that fell silent are tried one after the other, a request each.
-TEST_F(FlowTest, AnAttemptThatNobodyAnsweredDropsTheOtherConnectionsToItsEngine) {
-  Arrive("once");
-  const auto start = One<StartAttempt>();
-  Pass(4s);
-  const auto dropped = All<DropRestingConnections>();
-  ASSERT_FALSE(dropped.empty());
-  EXPECT_EQ(dropped.front().engine_id, start.engine_id);
-  EXPECT_EQ(dropped.front().address, start.address);
-}
-
-// Guards against: a request and its repeat both wait on kept connections that fell silent together.
-TEST_F(FlowTest, TheRepeatOfAnAttemptWithoutAnAnswerTakesANewConnection) {
-  Arrive("safe");
-  EXPECT_FALSE(One<StartAttempt>().on_new_connection);
-  Pass(400ms);
-  EXPECT_TRUE(One<StartAttempt>().on_new_connection);
-}
-
-TEST_F(FlowTest, TheRepeatOfAnAttemptThatItsEngineRefusedTakesAnyConnection) {
-  Arrive("safe");
-  Answer(One<StartAttempt>(), 503, true);
-  EXPECT_FALSE(One<StartAttempt>().on_new_connection);
-}
-
-TEST_F(FlowTest, AnEngineThatAnswersOthersKeepsItsConnections) {
-  Arrive("once");
-  const auto first = One<StartAttempt>();
-  std::optional<StartAttempt> second;
-  while (!second) {
-    Arrive("once");
-    const auto start = One<StartAttempt>();
-    if (start.engine_id == first.engine_id) second = start;
-  }
-  Pass(1s);
-  Answer(*second, 200);
-  Pass(4s);
-  for (const DropRestingConnections& dropped : All<DropRestingConnections>()) {
-    EXPECT_NE(dropped.engine_id, first.engine_id);
-  }
-}
-
-TEST_F(FlowTest, WorkAtAnEarlierLifeIsNotTakenOffTheNewOne) {
-  Arrive("once");
-  const auto start = One<StartAttempt>();
-  EngineRecord record = core_.engines().Find(start.engine_id)->record;
-  record.started_ms = 5000;
-  Send(EngineChanged{record});
-  Fail(start, AttemptFailure::kBroken);
-  EXPECT_EQ(core_.engines().Find(start.engine_id)->outstanding, 0);
-}
-
 TEST_F(FlowTest, ASilentEngineIsTakenOutAndTheRequestStays) {
   Arrive("once");
   const auto first = One<StartAttempt>();
