--- a/src/core/serving/retry_allowance.h
+++ b/src/core/serving/retry_allowance.h
@@ -3,7 +3,7 @@
 // The budget: within every window, arrivals at a service's engines beyond the
 // first of each request stay under ratio x requests + slack, summed over all
 // nodes. Each node spends its own ratio and an equal share of the slack. It has
-// no share of the slack in the first window of its process, whose forerunner may have
+// no share of the slack in the first window of its process, whose predecessor may have
 // spent it, and shares it with all nodes that it knew for a long time: those that it hears no
 // more may be cut off and spend theirs.
 #pragma once
