--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -22,9 +22,6 @@
     auto& family = prometheus::BuildHistogram().Name(name).Help(help).Labels(labels).Register(*registry_);
     return &family.Add({}, LatencyBounds());
   };
-  const auto gauge = [&](const char* name, const char* help) {
-    return &prometheus::BuildGauge().Name(name).Help(help).Labels(labels).Register(*registry_).Add({});
-  };
   requests_ = counter("saltquay_requests_total", "Client requests by final status");
   attempts_ = counter("saltquay_attempts_total", "Calls to engines by mode and outcome");
   extra_arrivals_ =
@@ -45,6 +42,13 @@
   store_seconds_ = histogram("saltquay_store_call_seconds", "Calls to the store, watches aside");
   knowledge_age_seconds_ =
       histogram("saltquay_knowledge_age_seconds", "Mean age of the parts of the fleet's digest when it was taken over");
+  RegisterGauges(labels);
+}
+
+void GatewayMetrics::RegisterGauges(const prometheus::Labels& labels) {
+  const auto gauge = [&](const char* name, const char* help) {
+    return &prometheus::BuildGauge().Name(name).Help(help).Labels(labels).Register(*registry_).Add({});
+  };
   config_version_ = gauge("saltquay_config_version", "Version of the configuration in force");
   engines_ = gauge("saltquay_engines", "Engines known");
   open_requests_ = gauge("saltquay_open_requests", "Requests under way");
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -46,6 +46,9 @@
   std::string Text() const;
 
  private:
+  // Registers what tells a state, not a count.
+  void RegisterGauges(const prometheus::Labels& labels);
+
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>* requests_;
   prometheus::Family<prometheus::Counter>* attempts_;
