--- a/tests/replica/replica_fleet.cc
+++ b/tests/replica/replica_fleet.cc
@@ -53,7 +53,7 @@
 {
     ++calls;
     ++under_way_;
-    auto const call = std::make_shared<Call>();
+    auto call = std::make_shared<Call>();
     call->since = since;
     call->until = BootNow() + wait;
     call->given_up = call->until + call_timeout;
