--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -36,6 +36,7 @@
 class Soak(Callers, Faults):
     def __init__(self, arguments, folder):
         self.arguments, self.folder = arguments, folder
+        self.fault_log = open(os.path.join(folder, "faults.log"), "w", encoding="utf-8")
         self.luck, self.truth, self.store = random.Random(arguments.seed), Truth(), Store()
         self.duties = DutyPlatform(self.truth, self.luck)
         self.engines, self.proxies, self.gateways, self.number = [], {}, [], 0
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -10,9 +10,14 @@
 class Faults:
     """The faults' part of a soak; works on its gateways, engines, proxies and store."""
 
+    def note(self, what, name, change):
+        """One line for each fault that begins or ends, with the clock of the gateways' logs."""
+        print(int(time.time() * 1000), what, name, change, file=self.fault_log, flush=True)
+
     async def heal(self):
         """Ends all faults; then, within some seconds, every gateway must serve the newest configuration, and tenants
         that stay within their limits."""
+        self.note("all", "faults", "end")
         self.store.available = True
         for proxy in self.proxies.values():
             proxy.set("pass")
@@ -50,6 +55,7 @@
                                     self.silence_open, self.signal_in_series])()
 
     def set_link(self, name, mode):
+        self.note("link", name, mode)
         if name in self.proxies:  # An engine may have ended meanwhile, and its proxy with it.
             self.proxies[name].set(mode)
         if name.startswith("store of "):
@@ -64,6 +70,7 @@
         """All connections that are open now say nothing more, without an end; new ones work."""
         if self.luck.random() < 0.6:
             return  # It hits every gateway, so it comes less often than the others.
+        self.note("connections", "all", "silent")
         for proxy in self.proxies.values():
             proxy.silence_open()
         for gateway in self.gateways:
@@ -75,26 +82,30 @@
         if self.luck.random() < 0.5:
             gateway = self.luck.choice(self.gateways)
             for number in self.luck.sample(numbers, 3):
-                gateway.send(number)
+                self.signal(gateway, number)
                 await asyncio.sleep(self.luck.uniform(0, 0.3))
             return
         number = self.luck.choice(numbers)
         for gateway in self.gateways:
-            gateway.send(number)
+            self.signal(gateway, number)
             await asyncio.sleep(self.luck.uniform(0.1, 0.8))
 
     async def lose_all(self, until):
         """Once, after some seconds, all gateways are killed at the same moment."""
         await asyncio.sleep(self.luck.uniform(0.4, 0.7) * (until - time.monotonic()))
         for gateway in self.gateways:
-            gateway.send(signal.SIGKILL)
+            self.signal(gateway, signal.SIGKILL)
+
+    def signal(self, gateway, number):
+        self.note("signal", gateway.name, signal.Signals(number).name)
+        gateway.send(number)
 
     async def hurt_gateway(self):
         gateway = self.luck.choice(self.gateways)
         number = self.luck.choice([signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP])
-        gateway.send(number)
+        self.signal(gateway, number)
         if number == signal.SIGSTOP:
-            asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 4), gateway.send, signal.SIGCONT)
+            asyncio.get_running_loop().call_later(self.luck.uniform(0.5, 4), self.signal, gateway, signal.SIGCONT)
 
     async def hurt_engine(self):
         engine = self.luck.choice(self.engines)
@@ -104,9 +115,11 @@
                 3, lambda: asyncio.get_running_loop().create_task(self.publish(engine)))
             return
         engine.failing = self.luck.uniform(0.1, 0.6)
+        self.note("engine", engine.identity, f"loses {engine.failing:.2f} of its answers")
         asyncio.get_running_loop().call_later(self.luck.uniform(1, 4), setattr, engine, "failing", 0.0)
 
     def set_store(self, available):
+        self.note("store", "all", "answers" if available else "refuses")
         self.store.available = available
         for gateway in self.gateways:
             gateway.disturb()
