Relays that the store turned away at their start do not wait for each other

What callers saw: after all gateways had been killed while the store refused calls, all of them answered 503 'no configuration yet' on after the store was back. Soak: store back at 6.354 s, refusing again at 7.293 s, and no node asked it in between; the configuration came at 8.1 to 9.2 s.

Cause: a node that knows nothing yet answers its peers 'starting'. Each relay whose own call had failed followed the other relays, found them starting, and waited for them for start_patience (2 s). They waited for each other.

Change: a relay that the store has turned away asks the store again at each try of its watcher, before it would wait. Followers wait as before, so the calls of a fleet do not grow.

Test: RelaysThatStartWhileTheStoreRefusesAskItAgainAtEachTry: calls of four tries from 10.6 to 12.4 s: 0, 0, 0, 0 before; 2 each now.

--- a/src/replica/upstream_selector.cc
+++ b/src/replica/upstream_selector.cc
@@ -124,8 +124,10 @@
     auto const fleet_readers = is_large(peers) ? readers(peers, !turned_away) : std::vector<Ranked> {};
     if (contains_self(fleet_readers))
         return {};
+    // Where nobody else hears the store, those whose place it is ask it again.
+    auto const asks_again = turned_away && is_reader_by_rank(peers);
     auto const* peer = is_relay ? nullptr : pick(zone_relays);
-    if (peer == nullptr && !is_relay && waits_for(zone_relays, now))
+    if (peer == nullptr && !is_relay && !asks_again && waits_for(zone_relays, now))
         return { Upstream::Source::Nobody, {} };
     if (peer == nullptr)
         peer = pick(readers_near(fleet_readers));
@@ -135,8 +137,6 @@
         return { Upstream::Source::Peer, *peer };
     auto const store_answers = store_answered_ && now - *store_answered_ < knobs_.avoid_for;
     auto const store_unheard = !unheard_until_.empty() || !starting_until_.empty();
-    // Where nobody else hears the store, those whose place it is ask it again.
-    auto const asks_again = turned_away && is_reader_by_rank(peers);
     if (!store_unheard || is_relay || asks_again || store_answers || may_probe(peers.size() + 1, now))
         return {};
     return { Upstream::Source::Nobody, {} };
--- a/tests/replica/upstream_selector_test.cc
+++ b/tests/replica/upstream_selector_test.cc
@@ -199,6 +199,34 @@
     EXPECT_EQ(alone.choose({}, now).source, Upstream::Source::Store);
 }
 
+// Guards against relays that wait for each other: all had just started, the store had turned each away, and when it
+// answered again nobody asked it for up to two seconds.
+TEST(UpstreamSelectorTest, RelaysThatStartWhileTheStoreRefusesAskItAgainAtEachTry)
+{
+    auto const fleet = make_zone("a", 4);
+    std::vector<UpstreamSelector> selectors;
+    for (auto const& node : fleet)
+        selectors.emplace_back(node, UpstreamKnobs {});
+    auto const try_all = [&](Time now) {
+        int calls = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            auto const peers = without(fleet, fleet[i].node);
+            auto upstream = selectors[i].choose(peers, now);
+            while (upstream.source == Upstream::Source::Peer) {
+                selectors[i].note_starting(upstream.peer.node, now);
+                upstream = selectors[i].choose(peers, now);
+            }
+            if (upstream.source != Upstream::Source::Store)
+                continue;
+            ++calls;
+            selectors[i].note_store_failed(now);
+        }
+        return calls;
+    };
+    for (Time now { 10s }; now < Time { 14s }; now += 600ms) // The watcher's longest pause between tries.
+        EXPECT_EQ(try_all(now), 2) << "at " << now.time_since_epoch() / 1ms << " ms, both relays and no other node";
+}
+
 TEST(UpstreamSelectorTest, ANodeThatTheStoreTurnsAwayAsksItsPeersAgainSoon)
 {
     auto const peers = make_zone("a", 30, 10);
