Soak: engines start again under their id, and another writer spoils their entries

Engines tell when they started, in their entry and their report; one that starts again knows no order, no handle and no fence of before, breaks its connections, and comes back at once or after up to a second. A handle is taken once, and only from the life that gave it. Another writer puts other types, missing fields, unknown states and services and 300 kB of text into an engine's place, and beside it under a name that is no id; the engine writes its entry again.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -4,7 +4,8 @@
 usage: soak.py PATH/saltquay-gateway [--seconds 60] [--seed N] [--gateways 4]
 
 Faults, several at a time: proxies in front of engines and store (delay, reset, one way, silence), connections that fall
-silent for good while new ones work, the store refusing, engines that lose answers or leave, gateways stopped, paused, told
+silent for good while new ones work, the store refusing, engines that lose answers, leave or start again under their id,
+entries of engines that another writer has spoilt, gateways stopped, paused, told
 to reload, killed and started again, alone, in series and all at once. Callers use open connections until they end. Promises, from what callers and engines see: an answer is the own one, whole and signed; what may run once ran at most once; what was refused never ran; a stream that
 ends well has each event once, in order; no two holders of one fencing token; within one life of its process a gateway
 never goes back to an older configuration; a gateway that nothing has disturbed
@@ -41,7 +42,7 @@
         self.arguments, self.folder, self.fault_log = arguments, folder, fault_log
         self.luck, self.truth, self.store = random.Random(arguments.seed), Truth(), Store()
         self.duties = DutyPlatform(self.truth, self.luck)
-        self.engines, self.proxies, self.gateways, self.number = [], {}, [], 0
+        self.engines, self.proxies, self.gateways, self.number = self.truth.engines, {}, [], 0
         self.routes, self.generation = [], 0
 
     async def build(self):
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -59,7 +59,8 @@
         while time.monotonic() < until:
             await asyncio.sleep(self.luck.uniform(0.3, 1.5))
             await self.luck.choice([self.hurt_link, self.hurt_gateway, self.hurt_engine, self.hurt_store,
-                                    self.silence_open, self.signal_in_series])()
+                                    self.silence_open, self.signal_in_series, self.restart_engine,
+                                    self.spoil_entry])()
 
     def set_link(self, name, mode):
         self.note("link", name, mode)
@@ -125,6 +126,30 @@
         self.note("engine", engine.identity, f"loses {engine.failing:.2f} of its answers")
         asyncio.get_running_loop().call_later(self.luck.uniform(1, 4), setattr, engine, "failing", 0.0)
 
+    async def restart_engine(self):
+        """The engine's process ends and starts again under its id, at its address; sometimes at once."""
+        engine = self.luck.choice(self.engines)
+        proxy, pause = self.proxies[engine.identity], self.luck.choice([0.0, 0.05, 1.0])
+        self.note("engine", engine.identity, f"starts again after {pause} s")
+        proxy.set("reset")
+        engine.begin_life()
+        asyncio.get_running_loop().call_later(pause, proxy.set, "pass")
+        await asyncio.sleep(pause)
+        await self.publish(engine)
+
+    async def spoil_entry(self):
+        """Another writer puts something in an engine's place, and beside it; the engine writes its entry again."""
+        engine = self.luck.choice(self.engines)
+        record = engine.record(f"127.0.0.1:{self.proxies[engine.identity].port}")
+        spoilt = self.luck.choice([{}, [], None, 7, "x" * 300_000, {**record, "state": "resting"},
+                                   {**record, "service": 5}, {**record, "service": "unknown"}, {**record, "slots": "8"},
+                                   {**record, "born": -1}, {**record, "born": 1.5}, {**record, "address": ["nowhere"]}])
+        self.note("entry", engine.identity, f"is {str(spoilt)[:120]}")
+        await self.store.put("servers", engine.identity, spoilt)
+        await self.store.put("servers", "no engine's", spoilt)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.luck.uniform(0.1, 2), lambda: loop.create_task(self.publish(engine)))
+
     def set_store(self, available):
         self.note("store", "all", "answers" if available else "refuses")
         self.store.set_available(available)
--- a/tests/platform/soak_truth.py
+++ b/tests/platform/soak_truth.py
@@ -81,6 +81,7 @@
     def __init__(self):
         self.runs, self.told, self.breaks, self.counts = {}, {}, [], {}
         self.restage = self.end_engine = None
+        self.engines = []  # Those that run.
         self.fatals = {}  # body -> Fatal
         self.tenants = {}  # request -> tenant that holds its caller's key; nothing where none does.
         self.limited = {name: LimitedRuns(limit) for name, limit in LIMITS.items()}
--- a/tests/platform/soak_world.py
+++ b/tests/platform/soak_world.py
@@ -139,12 +139,18 @@
 
     def __init__(self, identity, service, stage, truth, luck):
         self.identity, self.service, self.stage, self.truth, self.luck = identity, service, stage, truth, luck
-        self.sequence, self.fence, self.handles, self.running = 0, (0, ""), {}, 0
-        self.failing = 0.0
+        self.lives, self.failing = 0, 0.0
+        self.begin_life()
+
+    def begin_life(self):
+        """Starts, or starts again under its id: it holds and knows nothing of before."""
+        self.lives += 1
+        self.sequence, self.fence, self.handles, self.running = 0, (0, ""), set(), 0
+        self.born = int(time.time() * 1000)
 
     def record(self, address, state="ready"):
         spec = {"service": self.service, "address": address, "zone": "a", "slots": 8, "state": state,
-                "sequence": self.sequence}
+                "sequence": self.sequence, "born": self.born}
         if self.stage:
             spec["stage"] = self.stage
         return spec
@@ -154,12 +160,12 @@
         if headers.get("x-expect-instance", self.identity) != self.identity:
             writer.write(answer(421, headers={"X-Instance-Id": self.identity}))
         elif target == "/report":
-            report = {"stage": self.stage, "busy": False, "sequence": self.sequence}
+            report = {"stage": self.stage, "busy": False, "sequence": self.sequence, "born": self.born}
             writer.write(answer(200, json.dumps(report).encode()))
         elif target == "/order":
             writer.write(self._order(json.loads(body)))
         elif method == "DELETE":
-            self.handles.pop(target.rsplit("/", 1)[1], None)
+            self.handles.discard(target.rsplit("/", 1)[1])
             writer.write(answer(200))
         else:
             return await self._request(headers, body, writer)
@@ -185,11 +191,11 @@
                 writer.write(answer(421, headers=common))
                 return True
             handle = f"{self.luck.getrandbits(48):x}"
-            self.handles[handle] = request
+            self.handles.add(handle)
             await asyncio.sleep(0.02)
             writer.write(answer(200, json.dumps({"kv_handle": handle, "tokens": 1, "version": 1}).encode(), common))
             return True
-        if self.stage == "prefill" or self.running >= 8:
+        if self.stage == "prefill" or self.running >= 8 or not self.take_handle(headers):
             writer.write(answer(503, headers={**common, "X-Not-Executed": "1"}))
             return True
         if body.startswith(b"fatal"):
@@ -201,10 +207,23 @@
         self.truth.named(request, headers)
         self.truth.charged(time.monotonic(), request, headers)
         self.running += 1
+        life = self.lives
         try:
             return await self._run(request, headers, common, writer)
         finally:
-            self.running -= 1
+            if self.lives == life:
+                self.running -= 1
+
+    def take_handle(self, headers):
+        """Whether the prompt's memory is where the request says, if it says so; it is taken once."""
+        handle = headers.get("x-kv-source", "").rpartition("/")[2]
+        if not handle:
+            return True
+        for engine in self.truth.engines:
+            if handle in engine.handles:
+                engine.handles.discard(handle)
+                return True
+        return False
 
     async def _run(self, request, headers, common, writer):
         signed = {**common, "X-Server-Stamp": f"{self.identity}.{request}"}
@@ -277,17 +296,19 @@
     def set(self, mode):
         self.mode = mode
         if mode == "reset":
-            for writer in list(self.writers):
-                writer.transport.abort()
+            self.cut_open()
 
     def silence_open(self):
         self.silenced |= self.writers
 
+    def cut_open(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def end(self):
         """As a process that ends: its connections break and nobody listens any more."""
         self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        self.cut_open()
 
     async def _accept(self, reader, writer):
         if self.mode == "reset":
@@ -299,7 +320,10 @@
             writer.transport.abort()
             return
         self.writers |= {writer, up_writer}
-        await asyncio.gather(self._pump(reader, up_writer, True), self._pump(up_reader, writer, False))
+        try:
+            await asyncio.gather(self._pump(reader, up_writer, True), self._pump(up_reader, writer, False))
+        except asyncio.CancelledError:
+            pass  # The soak has ended.
         self.writers -= {writer, up_writer}
         self.silenced -= {writer, up_writer}
 
