An entry with bytes that can't be read does not hide the others of its list

What callers would see: one entry of another writer with bytes that are no UTF-8, half of a surrogate pair (a Python writer makes '\udcff' of a bad byte), no revision or no object at all made the whole list or watch fail as 'does not decode'. No node learned of any engine, or of any configuration where it was of that kind, until somebody removed the entry; a node that started had neither.

Cause: the adapter parsed the answer as one text and each entry strictly, so the least readable entry decided for all.

Single answers (Read, Write) stay strict.

Tests: AnEntryThatCannotBeReadDoesNotHideTheOthers (list.ok() false before), three of ReadableText.

--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -1,7 +1,12 @@
 // The adapter: objects into types, and the store's calls over real sockets.
 #include <gtest/gtest.h>
 
+#include <rapidcheck/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_join.h"
 #include "platform/object_store_client.h"
+#include "platform/readable_text.h"
 #include "platform/records.h"
 #include "tests/support/scripted_server.h"
 
@@ -166,6 +171,27 @@
   }
 }
 
+TEST(ReadableTextTest, OnlyWhatCannotBeReadIsReplaced) {
+  const std::string pair = R"({"a":"\ud83d\ude00 \\ud800 \n é"})";
+  EXPECT_EQ(MakeReadable(pair), pair);
+  EXPECT_EQ(MakeReadable(R"("\ud800\ud83d\ude00\udc00")"), R"("\ufffd\ud83d\ude00\ufffd")");
+  EXPECT_EQ(MakeReadable("\"a\xff\""), "\"a\xEF\xBF\xBD\"");
+  for (const std::string cut : {"\\", "\\u", "\\ud8", "\\ud800", "\\ud800\\"}) {
+    EXPECT_LE(MakeReadable(cut).size(), cut.size() + 2) << cut;
+  }
+}
+
+RC_GTEST_PROP(ReadableTextProperty, ItsTextIsReadOnceAndStaysAsItIs, (const std::string& text)) {
+  const std::string readable = MakeReadable(text);
+  RC_ASSERT(MakeReadable(readable) == readable);
+}
+
+// Whatever a string holds, the JSON around it can be read.
+RC_GTEST_PROP(ReadableTextProperty, AnyBytesInAStringLeaveTheJsonReadable, (std::string bytes)) {
+  std::erase_if(bytes, [](char byte) { return byte == '"' || byte == '\\' || (byte >= 0 && byte < ' '); });
+  RC_ASSERT(nlohmann::json::accept(MakeReadable("{\"a\":\"" + bytes + "\"}")));
+}
+
 class StoreTest : public ::testing::Test {
  protected:
   template <typename Result, typename Begin>
@@ -205,6 +231,50 @@
   EXPECT_NE(targets[1].find("/objects/servers?after=a "), std::string::npos);
 }
 
+// Guards against one entry of another writer, with bytes or a form that can't be read, that hides all others.
+TEST_F(StoreTest, AnEntryThatCannotBeReadDoesNotHideTheOthers) {
+  const std::string bad_bytes = "{\"metadata\":{\"name\":\"b\",\"revision\":6},\"spec\":{\"y\":\"\xff\xc3(\"}}";
+  const std::string bad_name = "{\"metadata\":{\"name\":\"a\xff\",\"revision\":7},\"spec\":{}}";
+  const std::vector<std::string> entries = {kObject,
+                                            bad_bytes,
+                                            bad_name,
+                                            R"({"metadata":{"name":"c"},"spec":{"x":1}})",
+                                            R"({"metadata":{"name":8,"revision":"9"},"spec":{"x":1}})",
+                                            "[]",
+                                            "7",
+                                            R"({"metadata":{"name":"d","revision":8},"spec":{"z":"\ud800\\ud800"}})"};
+  const std::string items = absl::StrJoin(entries, ",");
+  ScriptedServer server({[&](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(Reply(200, R"({"items":[)" + items + R"(],"more":false,"at":10})"));
+    connection.ReadToEnd();
+  }});
+  const auto list =
+      Run<gateway::ObjectList>(server.address(), [](auto& client, auto done) { client.List("servers", done); });
+  ASSERT_TRUE(list.ok()) << list.status();
+  ASSERT_EQ(list->items.size(), entries.size());
+  EXPECT_EQ(list->items[0].name, "a");
+  EXPECT_EQ(list->items[0].content, R"({"x":1})");
+  EXPECT_EQ(list->items[1].name, "b");
+  EXPECT_NE(list->items[2].name, "a");
+  EXPECT_EQ(list->items[3].name, "c");
+  EXPECT_EQ(list->items[3].content, "") << "an entry without a revision is not taken in part";
+  for (std::size_t i = 4; i < 7; ++i) EXPECT_EQ(list->items[i].name, "") << entries[i];
+  EXPECT_EQ(list->items[7].name, "d");
+
+  ScriptedServer changes({[&](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(Reply(200, R"({"events":[{"object":)" + bad_bytes + R"(},{"gone":5,"object":[]},7,{"object":)" +
+                                    kObject + R"(}],"at":11})"));
+    connection.ReadToEnd();
+  }});
+  const auto watch = [](auto& client, auto done) { client.Watch("k", 3, std::chrono::milliseconds(100), done); };
+  const auto events = Run<gateway::ObjectEvents>(changes.address(), watch);
+  ASSERT_TRUE(events.ok()) << events.status();
+  ASSERT_EQ(events->events.size(), 4U);
+  EXPECT_EQ(events->events[3].object.content, R"({"x":1})");
+}
+
 TEST_F(StoreTest, ErrorsSayWhetherAWriteMayHaveHappened) {
   const auto write = [](auto& client, auto done) { client.Write("k", {"a", 4, "{}"}, done); };
   ScriptedServer conflict({[](ScriptedConnection& connection) {
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -143,6 +143,7 @@
         record = engine.record(f"127.0.0.1:{self.proxies[engine.identity].port}")
         spoilt = self.luck.choice([{}, [], None, 7, "x" * 300_000, {**record, "state": "resting"},
                                    {**record, "service": 5}, {**record, "service": "unknown"}, {**record, "slots": "8"},
+                                   {**record, "state": "\udcff"},
                                    {**record, "born": -1}, {**record, "born": 1.5}, {**record, "address": ["nowhere"]}])
         self.note("entry", engine.identity, f"is {str(spoilt)[:120]}")
         await self.store.put("servers", engine.identity, spoilt)
