--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -164,6 +164,14 @@
            R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"ready","born":1.5})",
            R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"ready","born":-1})",
            R"({"service":["s"],"address":"1.2.3.4:5","slots":4,"state":"ready"})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":5000000000,"state":"ready"})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"ready","sequence":1.5})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"ready","sequence":-1})",
+           R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":"ready","sequence":18446744073709551615})",
+           R"({"service":"s","address":"nowhere","slots":4,"state":"ready"})",
+           R"({"service":"s","address":":5","slots":4,"state":"ready"})",
+           R"({"service":"s","address":"1.2.3.4:99999","slots":4,"state":"ready"})",
+           R"({"service":"s","address":"1.2.3.4:5\r\nX: y:5","slots":4,"state":"ready"})",
        }) {
     const auto engine = ParseEngine({"i-1", 1, text});
     ASSERT_FALSE(engine.ok()) << text;
@@ -171,6 +179,43 @@
   }
 }
 
+constexpr char kEngine[] = R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":4,"state":"ready",
+    "stage":"decode","sequence":4,"spot":false,"born":1796289000123})";
+
+// Guards against a name that is passed on in fields of requests and breaks out of them.
+TEST(RecordsTest, AnEntryWhoseNameIsNoIdNamesNoEngine) {
+  for (const std::string name : {"", "a b", "a\r\nX-Stage: decode", "\xC3\xA9"}) {
+    EXPECT_FALSE(ParseEngine({name, 1, kEngine}).ok()) << name;
+  }
+  EXPECT_FALSE(ParseEngine({std::string(1000, 'a'), 1, kEngine}).ok());
+  EXPECT_TRUE(ParseEngine({"s1-2.a_b", 1, kEngine}).ok());
+}
+
+// Any value in place of any field: a record in whole or a typed error.
+TEST(RecordsTest, AnEngineIsTakenInWholeOrRefused) {
+  const std::vector<nlohmann::json> values = {nullptr, true,       0,  -1,  7,     1.5,
+                                              1e300,   UINT64_MAX, "", "x", {"x"}, {{"x", 1}}};
+  const nlohmann::json whole = nlohmann::json::parse(kEngine);
+  for (const auto& [field, usual] : whole.items()) {
+    for (const nlohmann::json& value : values) {
+      nlohmann::json entry = whole;
+      entry[field] = value;
+      const auto engine = ParseEngine({"i-1", 1, entry.dump()});
+      if (!engine.ok()) {
+        EXPECT_EQ(KindOf(engine.status()), ErrorKind::kCorrupt) << entry;
+        continue;
+      }
+      EXPECT_EQ(nlohmann::json(engine->service), entry["service"]);
+      EXPECT_EQ(nlohmann::json(engine->address), entry["address"]);
+      EXPECT_EQ(nlohmann::json(engine->zone), entry["zone"]);
+      EXPECT_EQ(nlohmann::json(engine->slots), entry["slots"]);
+      EXPECT_EQ(nlohmann::json(engine->order_sequence), entry["sequence"]);
+      EXPECT_EQ(nlohmann::json(engine->started_ms), entry["born"]);
+      EXPECT_EQ(nlohmann::json(engine->spot), entry["spot"]);
+    }
+  }
+}
+
 TEST(ReadableTextTest, OnlyWhatCannotBeReadIsReplaced) {
   const std::string pair = R"({"a":"\ud83d\ude00 \\ud800 \n é"})";
   EXPECT_EQ(MakeReadable(pair), pair);
