--- a/tests/replica/upstream_selector_test.cc
+++ b/tests/replica/upstream_selector_test.cc
@@ -205,6 +205,7 @@
 {
     auto const fleet = make_zone("a", 4);
     std::vector<UpstreamSelector> selectors;
+    selectors.reserve(fleet.size());
     for (auto const& node : fleet)
         selectors.emplace_back(node, UpstreamKnobs {});
     auto const try_all = [&](Time now) {
