--- a/src/limits/limit_home.cc
+++ b/src/limits/limit_home.cc
@@ -16,29 +16,35 @@
     return static_cast<double>(limit.burst) + knobs_.slack_share * static_cast<double>(tolerance_.slack);
 }
 
-double LimitHome::share_of(Bucket const& bucket) const
+double LimitHome::share_of(Bucket const& bucket, double reach) const
 {
-    return bucket.settled_at ? std::min(bucket.share.value_or(1), reach_share()) : reach_share();
+    return bucket.settled_at ? std::min(bucket.share.value_or(1), reach) : reach;
 }
 
-double LimitHome::rate_of(Bucket const& bucket) const
+double LimitHome::rate_of(Bucket const& bucket, double reach) const
 {
     auto const part = bucket.settled_at && !bucket.share ? knobs_.settling_share : 1.0;
-    return static_cast<double>(bucket.limit.rate_per_s) * share_of(bucket) * part;
+    return static_cast<double>(bucket.limit.rate_per_s) * share_of(bucket, reach) * part;
 }
 
 // Each side of a cut may come to a full bucket: together they hold one.
-double LimitHome::depth_of(Bucket const& bucket) const { return share_of(bucket) * depth_of(bucket.limit); }
+double LimitHome::depth_of(Bucket const& bucket) const
+{
+    return share_of(bucket, reach_share()) * depth_of(bucket.limit);
+}
 
 // A request larger than the bucket could never be served but from a full one, into debt. Only one side of a cut may do
 // that: a smaller one waits for what it would need of the whole bucket.
 double LimitHome::enough_of(Bucket const& bucket) const
 {
     constexpr double majority = 0.5;
-    return share_of(bucket) > majority ? depth_of(bucket) : depth_of(bucket.limit);
+    return share_of(bucket, reach_share()) > majority ? depth_of(bucket) : depth_of(bucket.limit);
 }
 
-void LimitHome::apply(Time now, Bucket& bucket) { bucket.tokens.set_limit(now, rate_of(bucket), depth_of(bucket)); }
+void LimitHome::apply(Time now, Bucket& bucket)
+{
+    bucket.tokens.set_limit(now, rate_of(bucket, reach_share()), depth_of(bucket));
+}
 
 void LimitHome::refresh(Time now, Bucket& bucket)
 {
@@ -51,20 +57,16 @@
 void LimitHome::set_reach(Time now, Reach const& reach)
 {
     auto const share_before = reach_share();
-    std::map<std::uint64_t, double> rates_before;
-    for (auto& [tenant, bucket] : buckets_) {
-        refresh(now, bucket);
-        rates_before.emplace(tenant, rate_of(bucket));
-    }
     reach_ = reach;
     largest_reach_.Note(reach.nodes, now);
     if (reach_share() == share_before)
         return;
     for (auto& [tenant, bucket] : buckets_) {
         // The other side of a cut has filled its own part since the cut, and this one still filled the whole.
-        auto const too_much = rates_before.at(tenant) - rate_of(bucket);
+        auto const too_much = rate_of(bucket, share_before) - rate_of(bucket, reach_share());
         if (too_much > 0)
             bucket.tokens.take_back(now, too_much, reach.heard_within);
+        refresh(now, bucket);
         apply(now, bucket);
     }
 }
--- a/src/limits/limit_home.h
+++ b/src/limits/limit_home.h
@@ -78,9 +78,10 @@
         std::int64_t cost = 0;
     };
 
-    double rate_of(Bucket const&) const;
+    // At a share of the fleet that this node is in touch with.
+    double rate_of(Bucket const&, double reach) const;
+    double share_of(Bucket const&, double reach) const;
     double depth_of(Bucket const&) const;
-    double share_of(Bucket const&) const;
     // The level at which any request is admitted, however large.
     double enough_of(Bucket const&) const;
     void apply(Time, Bucket&);
