Serving: an idle node's interval no longer visits every engine

Cause: for its own report and for each digest (20 to 30 times a second) a node looked up every engine by its id: 10,000 string lookups each time, requests or not. A removal swept all engines as well, and the prefill windows were sized over all engines although no prompt waited.

Change: the directory keeps the engines that have local work or outcomes and those that have peers' work, finds engines by key, and drops a removed engine directly. Windows are sized when a prompt waits.

--- a/bench/serving_bench.cc
+++ b/bench/serving_bench.cc
@@ -1,10 +1,12 @@
-// Cost of one request's decisions in the serving core, from its arrival to its answer, by the number of engines.
+// Cost of one request's decisions in the serving core, from its arrival to its answer, by the number of engines; and of
+// a node that has no requests.
 #include <string>
 #include <vector>
 
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
 
+#include "src/core/serving/peer_table.h"
 #include "src/core/serving/serving_core.h"
 
 namespace saltquay::serving {
@@ -45,6 +47,19 @@
     Respond(Started(), "");
   }
 
+  void ReportAndReceiveDigest() {
+    constexpr int kBusyEngines = 200;
+    now_ += 100ms;
+    benchmark::DoNotOptimize(core_.LocalWork(now_));
+    PeersChanged digest;
+    digest.nodes = 985;
+    for (int i = 0; i < kBusyEngines; ++i) {
+      const EngineKey key(fmt::format("engine-{}", i));
+      digest.work[key] = {key, 1, 9000, 1, 0};
+    }
+    Send(digest);
+  }
+
  private:
   static ServingParameters MakeParameters() {
     ServingParameters parameters;
@@ -109,5 +124,31 @@
 }
 BENCHMARK(ChooseAndServe)->Arg(12)->Arg(45)->Arg(300)->Arg(3000)->Unit(benchmark::kMicrosecond);
 
+// What a node without requests does in each interval: its own report and the newest digest.
+void IdleInterval(benchmark::State& state) {
+  ServingBench bench(static_cast<int>(state.range(0)));
+  for (auto _ : state) bench.ReportAndReceiveDigest();
+}
+BENCHMARK(IdleInterval)->Arg(300)->Arg(1000)->Arg(3000)->Arg(10000)->Arg(20000)->Unit(benchmark::kMicrosecond);
+
+// What a node does with the list of members in each interval, by the number of nodes.
+void ReadMembers(benchmark::State& state) {
+  PeerTable peers("self");
+  PeerReport report;
+  report.node = "sender";
+  for (int i = 0; i < state.range(0); ++i) {
+    report.peers.push_back({fmt::format("front-{}", i), fmt::format("10.10.{}.{}:7100", i / 250, i % 250), "zone", 20});
+  }
+  peers.RecordReport(report, Time{1s});
+  std::size_t total = 0;
+  for (auto _ : state) {
+    peers.Expire(Time{1s});
+    for (int reader = 0; reader < 5; ++reader) total += peers.Nodes().size();
+    total += peers.NextPeersToMention(24).size();
+  }
+  benchmark::DoNotOptimize(total);
+}
+BENCHMARK(ReadMembers)->Arg(100)->Arg(300)->Arg(1000)->Arg(2000)->Unit(benchmark::kMicrosecond);
+
 }  // namespace
 }  // namespace saltquay::serving
--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kOutcomeBucket = 1s;
+// Statistics of services are updated incrementally; recomputing them bounds the accumulated rounding errors.
+constexpr Duration kStatsLifetime = 5s;
 
 // The key differs between incarnations of an engine, so that cached parts and work in flight of one are never
 // attributed to another, on this node or in reports between nodes.
@@ -46,22 +48,26 @@
     present.insert(record.id);
     Update(record);
   }
-  for (auto& [id, engine] : engines_) {
-    if (!present.contains(id)) engine.gone = true;
+  std::vector<std::string> removed;
+  for (const auto& [id, engine] : engines_) {
+    if (!present.contains(id)) removed.push_back(id);
   }
+  for (const std::string& id : removed) Remove(id);
   OnRecordsChanged();
-  Sweep();
 }
 
 bool EngineDirectory::Update(const EngineRecord& record) {
   EngineState& engine = engines_[record.id];
   if (record.started_ms < engine.record.started_ms) return false;  // Delayed update about an earlier incarnation.
   // The engine restarted under the same id: all state of the earlier incarnation is invalid.
+  const EngineKey key = KeyOf(record);
+  if (engine.key != key) by_key_.erase(engine.key.hash);
   if (record.started_ms > engine.record.started_ms) engine = EngineState{};
   const bool changed = engine.gone || engine.record != record;
   if (engine.record.stage != record.stage) engine.changing_until = engine.held_until = Time{};
+  by_key_[key.hash] = &engine;
   engine.record = record;
-  engine.key = KeyOf(record);
+  engine.key = key;
   engine.gone = false;
   if (changed) OnRecordsChanged();
   return changed;
@@ -69,9 +75,13 @@
 
 void EngineDirectory::Remove(const std::string& id) {
   const auto entry = engines_.find(id);
-  if (entry != engines_.end()) entry->second.gone = true;
+  if (entry != engines_.end() && !entry->second.gone) {
+    entry->second.gone = true;
+    by_key_.erase(entry->second.key.hash);
+    removed_with_work_.push_back(id);
+  }
   OnRecordsChanged();
-  Sweep();
+  std::erase_if(removed_with_work_, [this](const std::string& removed) { return DropIfDone(removed); });
 }
 
 void EngineDirectory::OnRecordsChanged() {
@@ -79,9 +89,13 @@
   service_stats_.clear();
 }
 
-void EngineDirectory::Sweep() {
-  // Removed engines are in no index and no statistics.
-  std::erase_if(engines_, [](const auto& entry) { return entry.second.gone && entry.second.outstanding == 0; });
+// Removed engines are in no index and no statistics.
+bool EngineDirectory::DropIfDone(const std::string& id) {
+  const auto entry = engines_.find(id);
+  if (entry == engines_.end() || !entry->second.gone) return true;
+  if (entry->second.outstanding > 0) return false;
+  engines_.erase(entry);
+  return true;
 }
 
 EngineState* EngineDirectory::Find(const std::string& id) {
@@ -89,6 +103,52 @@
   return entry == engines_.end() ? nullptr : &entry->second;
 }
 
+EngineState* EngineDirectory::FindPresent(const EngineKey& key) {
+  const auto entry = by_key_.find(key.hash);
+  return entry == by_key_.end() ? nullptr : entry->second;
+}
+
+void EngineDirectory::BeginWork(EngineState& engine, std::int64_t prompt_tokens) {
+  ++engine.outstanding;
+  engine.outstanding_prompt_tokens += prompt_tokens;
+  active_engines_.insert(engine.record.id);
+}
+
+void EngineDirectory::EndWork(EngineState& engine, std::int64_t prompt_tokens) {
+  --engine.outstanding;
+  engine.outstanding_prompt_tokens -= prompt_tokens;
+}
+
+std::vector<EngineWork> EngineDirectory::LocalWork(Time now) {
+  std::vector<EngineWork> all;
+  std::erase_if(active_engines_, [&](const std::string& id) {
+    EngineState* engine = Find(id);
+    if (engine == nullptr) return true;
+    EngineWork work = engine->outcomes.Counts(now);
+    work.engine = engine->key;
+    work.outstanding = engine->outstanding;
+    work.prompt_tokens = engine->outstanding_prompt_tokens;
+    if (work.outstanding + work.response_count + work.failures == 0) return true;
+    all.push_back(work);
+    return false;
+  });
+  return all;
+}
+
+void EngineDirectory::SetPeerWork(const std::map<EngineKey, EngineWork>& work) {
+  for (const EngineKey& key : peer_work_) {
+    if (EngineState* engine = FindPresent(key)) engine->peers_outstanding = 0, engine->peers_prompt_tokens = 0;
+  }
+  peer_work_.clear();
+  for (const auto& [key, peers] : work) {
+    EngineState* engine = FindPresent(key);
+    if (engine == nullptr) continue;
+    engine->peers_outstanding = peers.outstanding;
+    engine->peers_prompt_tokens = peers.prompt_tokens;
+    peer_work_.push_back(key);
+  }
+}
+
 void EngineDirectory::ForEachPresent(const std::function<void(EngineState&)>& visit) {
   for (auto& [id, engine] : engines_) {
     if (!engine.gone) visit(engine);
@@ -123,6 +183,7 @@
   engine->consecutive_failures = 0;
   engine->backoff = 0s;
   engine->outcomes.RecordOutcome(failed, now);
+  active_engines_.insert(id);
   if (!failed) RaiseProbationLimit(*engine);
   ServiceStats& stats = StatsOf(engine->record.service);
   stats.Count(*engine, -1);
@@ -157,6 +218,7 @@
   if (engine == nullptr) return std::nullopt;
   ++engine->consecutive_failures;
   engine->outcomes.RecordOutcome(true, now);
+  active_engines_.insert(id);
   const bool on_probation = engine->ejection > 0s && now < engine->ejected_until + engine->ejection;
   if (engine->consecutive_failures < policy_.failures && !on_probation) return std::nullopt;
   auto change = Eject(*engine, cause, policy_.max_unreachable_share, now);
@@ -195,22 +257,25 @@
 
 std::vector<HealthChange> EngineDirectory::EjectByFleetOutcomes(const std::map<EngineKey, EngineWork>& peers,
                                                                 double draw, Time now) {
-  service_stats_.clear();  // Recomputed regularly so that rounding errors of incremental updates do not accumulate.
-  std::map<std::string, EngineWork> service_totals;
-  std::map<EngineKey, EngineWork> totals;
-  for (auto& [id, engine] : engines_) {
-    if (engine.gone) continue;
-    EngineWork& outcomes = totals[engine.key];
-    outcomes = engine.outcomes.Counts(now);
-    const auto others = peers.find(engine.key);
-    if (others != peers.end()) outcomes.Add(others->second);
-    service_totals[engine.record.service].Add(outcomes);
+  if (now - stats_recomputed_at_ >= kStatsLifetime) {
+    stats_recomputed_at_ = now;
+    service_stats_.clear();
+  }
+  std::map<std::string, EngineWork> totals;  // By id, of the engines with outcomes.
+  for (const std::string& id : active_engines_) {
+    EngineState* engine = Find(id);
+    if (engine != nullptr && !engine->gone) totals[id] = engine->outcomes.Counts(now);
+  }
+  for (const auto& [key, work] : peers) {
+    const EngineState* engine = FindPresent(key);
+    if (engine != nullptr) totals[engine->record.id].Add(work);
   }
+  std::map<std::string, EngineWork> service_totals;
+  for (const auto& [id, outcomes] : totals) service_totals[engines_.at(id).record.service].Add(outcomes);
   std::vector<HealthChange> changes;
-  for (auto& [id, engine] : engines_) {
-    if (engine.gone) continue;
-    const auto change =
-        EjectOneByFleetOutcomes(engine, totals[engine.key], service_totals[engine.record.service], draw, now);
+  for (const auto& [id, outcomes] : totals) {
+    EngineState& engine = engines_.at(id);
+    const auto change = EjectOneByFleetOutcomes(engine, outcomes, service_totals[engine.record.service], draw, now);
     if (change) changes.push_back(*change);
   }
   return changes;
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -14,9 +14,11 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "src/base/time.h"
 #include "src/core/serving/engine_key.h"
 #include "src/core/serving/peer_table.h"
@@ -153,10 +155,10 @@
   // Returns whether the record changed.
   bool Update(const EngineRecord& record);
   void Remove(const std::string& id);
-  // Drops removed engines without requests in flight.
-  void Sweep();
 
   EngineState* Find(const std::string& id);
+  // The engine's incarnation with that key; nullptr if it is not known or has been removed.
+  EngineState* FindPresent(const EngineKey& key);
   const std::map<std::string, EngineState>& all() const { return engines_; }
   // Increases whenever a record is added, changed or removed; pointers to engines are valid until then.
   std::uint64_t generation() const { return generation_; }
@@ -171,6 +173,14 @@
   // removed.
   void ForEachPresent(const std::string& service, const std::function<void(EngineState&)>& visit);
 
+  // A request with that many prompt tokens to prefill was sent to the engine, or has ended.
+  void BeginWork(EngineState& engine, std::int64_t prompt_tokens);
+  void EndWork(EngineState& engine, std::int64_t prompt_tokens);
+  // This node's work in flight and recent outcomes, of the engines that have any; by id.
+  std::vector<EngineWork> LocalWork(Time now);
+  // Replaces the work in flight of other nodes; engines that are not listed have none.
+  void SetPeerWork(const std::map<EngineKey, EngineWork>& work);
+
   void RecordLoad(const std::string& id, const EngineLoad& load, Time now);
   // A response from the engine itself; `failed`: an error of its own.
   std::optional<HealthChange> RecordResponse(const std::string& id, bool failed, Time now);
@@ -191,6 +201,8 @@
   // Ejects the engine regardless of how many others are ejected.
   std::optional<HealthChange> EjectUnconditionally(EngineState& engine, const std::string& cause, Time now);
   void OnRecordsChanged();
+  // Drops the engine if it was removed and has no requests in flight; returns whether it did.
+  bool DropIfDone(const std::string& id);
   // A successful response from an engine on probation.
   void RaiseProbationLimit(EngineState& engine) const;
   double PeerEnginesErrorShare(const EngineState& engine);
@@ -211,6 +223,11 @@
 
   EjectionPolicy policy_;
   std::map<std::string, EngineState> engines_;
+  absl::flat_hash_map<std::uint64_t, EngineState*> by_key_;
+  std::set<std::string> active_engines_;        // May have local work or outcomes; a superset.
+  std::vector<EngineKey> peer_work_;            // Engines with work of other nodes.
+  std::vector<std::string> removed_with_work_;  // Removed while requests were in flight.
+  Time stats_recomputed_at_{};
   std::uint64_t generation_ = 0;
   std::map<std::string, ServiceStats> service_stats_;  // Recomputed on the next query when empty.
 };
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -86,8 +86,7 @@
   attempt.engine_was_idle = engine.outstanding + engine.peers_outstanding == 0;
   StartAttempt start;
   if (mode != AttemptMode::kContinue && flow.language) PlanPrefillWork(flow, engine, attempt, start);
-  ++engine.outstanding;
-  engine.outstanding_prompt_tokens += attempt.prompt_tokens;
+  engines_.BeginWork(engine, attempt.prompt_tokens);
   const double connect_seconds = ToSeconds(flow.route.objective) * parameters_.connect_share;
   start.flow = flow.id;
   start.attempt = attempt.id;
@@ -378,8 +377,7 @@
   }
   EngineState* engine = engines_.Find(entry->second.engine_id);
   if (engine != nullptr && engine->key == entry->second.engine_key) {
-    --engine->outstanding;
-    engine->outstanding_prompt_tokens -= entry->second.prompt_tokens;
+    engines_.EndWork(*engine, entry->second.prompt_tokens);
   }
   flow.attempts.erase(entry);
 }
--- a/src/core/serving/prefill_steps.cc
+++ b/src/core/serving/prefill_steps.cc
@@ -77,6 +77,10 @@
   dispatch_pending_ = false;
   next_dispatch_.reset();
   for (auto& [service, state] : prefill_states_) {
+    if (state.queue->size() == 0) {
+      state.wait_deadlines.clear();
+      continue;
+    }
     SizeWindows(service, state);
     DispatchPrefills(state);
     if (state.queue->size() == 0) continue;
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -82,12 +82,7 @@
   peer_report_age_ = event.age;
   nodes_ = std::max(1, event.nodes);
   selector_.set_has_peer_reports(event.nodes > 1);
-  for (const auto& [id, known] : engines_.all()) {
-    EngineState& engine = *engines_.Find(id);
-    const auto work = event.work.find(engine.key);
-    engine.peers_outstanding = work == event.work.end() ? 0 : work->second.outstanding;
-    engine.peers_prompt_tokens = work == event.work.end() ? 0 : work->second.prompt_tokens;
-  }
+  engines_.SetPeerWork(event.work);
   for (const HealthChange& change : engines_.EjectByFleetOutcomes(event.work, random_.Unit(), now_))
     LogEngineHealth(change);
   for (const KeptPart& kept : event.kept) selector_.RecordCachedPart(kept, now_);
@@ -102,19 +97,6 @@
   dispatch_pending_ = true;
 }
 
-std::vector<EngineWork> ServingCore::LocalWork(Time now) {
-  std::vector<EngineWork> all;
-  for (const auto& [id, known] : engines_.all()) {
-    EngineState& engine = *engines_.Find(id);
-    EngineWork work = engine.outcomes.Counts(now);
-    work.engine = engine.key;
-    work.outstanding = engine.outstanding;
-    work.prompt_tokens = engine.outstanding_prompt_tokens;
-    if (work.outstanding + work.response_count + work.failures > 0) all.push_back(work);
-  }
-  return all;
-}
-
 std::vector<ServiceDemand> ServingCore::LocalDemand(Time now) {
   std::vector<ServiceDemand> demand;
   for (auto& [service, meter] : demand_) {
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -140,7 +140,7 @@
   EngineSelector& selector() { return selector_; }
   CrashLedger& crashes() { return crashes_; }
   // This node's work and demand, for its report to the peers.
-  std::vector<EngineWork> LocalWork(Time now);
+  std::vector<EngineWork> LocalWork(Time now) { return engines_.LocalWork(now); }
   std::vector<ServiceDemand> LocalDemand(Time now);
 
  private:
