Members: computed when membership changes, not in every tick

Cause: a tick copied the list of all known nodes five times or more, and the replica was given a copy of its own.

Change: PeerTable keeps its lists until a node joins, leaves or changes, and counts versions; the replica is given the list when the version changes. TakeRoundRobin copies only what it takes.

--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -69,9 +69,10 @@
     void Read(std::string const& kind, std::string const& name,
         std::function<void(absl::StatusOr<gateway::StoredObject>)> done) override;
 
-    // Updates the known peers from their reports; call it several times a second. `last_changes`: for each kind, the
-    // newest change that any peer has.
+    // Updates the known peers from their reports. `last_changes`: see update_last_changes.
     void update_peers(std::vector<serving::PeerNode> nodes, std::span<serving::RecordMark const> last_changes);
+    // Compares the replicas with the newest change of each kind that any peer has; call it several times a second.
+    void update_last_changes(std::span<serving::RecordMark const> last_changes);
     // The newest revision of each kind in this node's replicas, for its own report.
     std::vector<serving::RecordMark> marks() const;
 
--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -351,9 +351,9 @@
   };
   add_senders(zone_senders_);
   if (scope == ReportScope::kRegion)
-    return TakeRoundRobin(std::move(members), parameters_.mentioned_across_regions, next_mentioned_peer_);
+    return TakeRoundRobin(members, parameters_.mentioned_across_regions, next_mentioned_peer_);
   add_senders(region_senders_);
-  return TakeRoundRobin(std::move(members), parameters_.mentioned_nodes, next_mentioned_peer_);
+  return TakeRoundRobin(members, parameters_.mentioned_nodes, next_mentioned_peer_);
 }
 
 // Subtracts this node's own contribution, which is up to two intervals old; the node knows its current work itself.
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -13,6 +13,11 @@
 constexpr Duration kReportExpiryPerPeer = 60ms;
 constexpr Duration kMentionExpiry = 6s;
 
+// The sender of a report as a member.
+PeerNode DescribeSender(const PeerReport& report) {
+  return {report.node, report.address, report.zone, report.link_mbps, report.stopping};
+}
+
 }  // namespace
 
 void EngineWork::Add(const EngineWork& other) {
@@ -41,6 +46,7 @@
   const bool newer =
       report.boot > entry.report.boot || (report.boot == entry.report.boot && report.sequence > entry.report.sequence);
   if (known && !newer) return false;
+  if (!known || DescribeSender(entry.report) != DescribeSender(report)) RecordMembershipChange();
   entry.report = report;
   entry.received_at = now;
   RecordMentionedPeers(report, now);
@@ -49,32 +55,48 @@
 
 void PeerTable::RecordMentionedPeers(const PeerReport& report, Time now) {
   for (const PeerNode& peer : report.peers) {
-    if (peer.node != local_node_) mentioned_[peer.node] = {peer, now};
+    if (peer.node == local_node_) continue;
+    Mentioned& mentioned = mentioned_[peer.node];
+    if (mentioned.node != peer) {
+      mentioned.node = peer;
+      RecordMembershipChange();
+    }
+    mentioned.received_at = now;
   }
 }
 
 void PeerTable::Expire(Time now) {
   const Duration expiry = kReportExpiry + kReportExpiryPerPeer * static_cast<int>(peers_.size());
-  std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.received_at > expiry; });
-  std::erase_if(mentioned_, [&](const auto& entry) { return now - entry.second.received_at > kMentionExpiry; });
+  const auto expired =
+      std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.received_at > expiry; }) +
+      std::erase_if(mentioned_, [&](const auto& entry) { return now - entry.second.received_at > kMentionExpiry; });
+  if (expired > 0) RecordMembershipChange();
 }
 
-std::vector<PeerNode> PeerTable::ReportingNodes() const {
-  std::vector<PeerNode> nodes;
-  nodes.reserve(peers_.size() + mentioned_.size());
-  for (const auto& [node, entry] : peers_) {
-    const PeerReport& report = entry.report;
-    nodes.push_back({node, report.address, report.zone, report.link_mbps, report.stopping});
-  }
-  return nodes;
+void PeerTable::RecordMembershipChange() {
+  ++version_;
+  lists_valid_ = false;
 }
 
-std::vector<PeerNode> PeerTable::Nodes() const {
-  std::vector<PeerNode> nodes = ReportingNodes();
+void PeerTable::UpdateLists() const {
+  if (lists_valid_) return;
+  lists_valid_ = true;
+  reporting_nodes_.clear();
+  for (const auto& [node, entry] : peers_) reporting_nodes_.push_back(DescribeSender(entry.report));
+  nodes_ = reporting_nodes_;
   for (const auto& [node, mentioned] : mentioned_) {
-    if (!peers_.contains(node)) nodes.push_back(mentioned.node);
+    if (!peers_.contains(node)) nodes_.push_back(mentioned.node);
   }
-  return nodes;
+}
+
+const std::vector<PeerNode>& PeerTable::ReportingNodes() const {
+  UpdateLists();
+  return reporting_nodes_;
+}
+
+const std::vector<PeerNode>& PeerTable::Nodes() const {
+  UpdateLists();
+  return nodes_;
 }
 
 std::vector<PeerNode> PeerTable::RecentNodes(Time now, Duration age) const {
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -82,6 +82,8 @@
   std::string zone;
   int link_mbps = 0;  // 0: unknown.
   bool stopping = false;
+
+  bool operator==(const PeerNode&) const = default;
 };
 
 // Whose work a report covers. kRegionForwarded: another region's, forwarded within this region; kUsage: only a node's
@@ -127,10 +129,12 @@
 
   // Number of nodes that this node receives reports from, including itself.
   int Count() const { return static_cast<int>(peers_.size()) + 1; }
-  // The same nodes without this one, as described by themselves.
-  std::vector<PeerNode> ReportingNodes() const;
+  // The same nodes without this one, as described by themselves. Like Nodes(), valid until the table changes.
+  const std::vector<PeerNode>& ReportingNodes() const;
   // Nodes that reports are received from, and nodes recently mentioned by others.
-  std::vector<PeerNode> Nodes() const;
+  const std::vector<PeerNode>& Nodes() const;
+  // Increases whenever Nodes() or ReportingNodes() changes.
+  std::uint64_t version() const { return version_; }
   // Nodes that sent a report or were mentioned in one within the last `age`, and are not stopping.
   std::vector<PeerNode> RecentNodes(Time now, Duration age) const;
   // Number of nodes that sent a report within the last `age`, including this one.
@@ -163,8 +167,16 @@
     PeerNode node;
     Time received_at{};
   };
+  void RecordMembershipChange();
+  void UpdateLists() const;
+
   std::size_t next_node_ = 0;                   // Position for the next call of NextPeersToMention.
   std::map<std::string, Mentioned> mentioned_;  // Mentioned by others.
+  std::uint64_t version_ = 0;
+  // Computed on demand from the two maps, since membership changes rarely and is read several times in every tick.
+  mutable bool lists_valid_ = false;
+  mutable std::vector<PeerNode> reporting_nodes_;
+  mutable std::vector<PeerNode> nodes_;
 };
 
 }  // namespace saltquay::serving
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -91,7 +91,7 @@
   handlers.on_rejected_report = [this](const absl::Status& cause, const std::string& sender) {
     OnRejectedReport(cause, sender);
   };
-  handlers.peers = [this] { return peers_.Nodes(); };
+  handlers.peers = [this]() -> const std::vector<serving::PeerNode>& { return peers_.Nodes(); };
   handlers.on_sent = [this](const std::string& address, serving::ReportScope scope, std::size_t bytes) {
     gateway_.traffic().Count(KindOf(scope), LocalityOf(address), bytes);
   };
@@ -134,8 +134,8 @@
 
 // In a small fleet, the nodes that this node receives reports from. In a large one it receives reports from few nodes,
 // so nodes that other nodes mention are members too.
-std::vector<serving::PeerNode> FleetCoordinator::Members() const {
-  std::vector<serving::PeerNode> nodes = peers_.Nodes();
+const std::vector<serving::PeerNode>& FleetCoordinator::Members() const {
+  const std::vector<serving::PeerNode>& nodes = peers_.Nodes();
   return fleet_.IsLarge(nodes) ? nodes : peers_.ReportingNodes();
 }
 
@@ -179,7 +179,7 @@
   constexpr std::size_t kMaxAddresses = 4096;  // Bounds the cache: replaced nodes get new addresses.
   const auto known = peer_localities_.find(address);
   if (known != peer_localities_.end()) return known->second;
-  const std::vector<serving::PeerNode> nodes = peers_.Nodes();
+  const std::vector<serving::PeerNode>& nodes = peers_.Nodes();
   const auto peer =
       std::find_if(nodes.begin(), nodes.end(), [&](const serving::PeerNode& node) { return node.address == address; });
   if (peer == nodes.end()) return TrafficLocality::kOtherRegion;
@@ -263,7 +263,7 @@
   const Time now = gateway_.Now();
   if (exchange_ == nullptr || now < next_digests_) return;
   next_digests_ = now + DigestParameters().interval;
-  const std::vector<serving::PeerNode> nodes = peers_.Nodes();
+  const std::vector<serving::PeerNode>& nodes = peers_.Nodes();
   if (!fleet_.IsLarge(nodes)) return exchange_->set_reduced_rate(false);
   serving::PeerReport own;
   FillReport(own);
@@ -278,6 +278,10 @@
   const serving::PeerReport* digest = fleet_.View(gateway_.Now());
   std::vector<serving::RecordMark> marks = peers_.LastChanges();
   if (digest != nullptr) marks.insert(marks.end(), digest->records.begin(), digest->records.end());
+  const bool large = fleet_.IsLarge(peers_.Nodes());
+  const std::pair membership(peers_.version(), large);
+  if (store_membership_ == membership) return store_.update_last_changes(marks);
+  store_membership_ = membership;
   store_.update_peers(Members(), marks);
 }
 
@@ -305,7 +309,7 @@
   UpdateStorePeers();
   ExchangeDigests();
   DispatchNodesChanged();
-  const std::vector<serving::PeerNode> members = Members();
+  const std::vector<serving::PeerNode>& members = Members();
   const std::optional<serving::ServingConfig>& config = gateway_.core().config();
   serving::DemandSum demand;
   if (config) demand = TotalDemand();
--- a/src/gateway/fleet_coordinator.h
+++ b/src/gateway/fleet_coordinator.h
@@ -5,9 +5,11 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "saltquay/fetch/fetcher.h"
@@ -55,7 +57,7 @@
   TrafficLocality LocalityOf(const std::string& address);
   void LogTraffic();
   // Live members: peers that reported themselves; in a large fleet also those listed in other nodes' reports.
-  std::vector<serving::PeerNode> Members() const;
+  const std::vector<serving::PeerNode>& Members() const;
   // Demand of this node's clients, and of the clients of all nodes.
   std::vector<serving::ServiceDemand> LocalDemand();
   serving::DemandSum TotalDemand();
@@ -94,6 +96,8 @@
   std::set<std::string> rejected_senders_;
   std::unordered_map<std::string, TrafficLocality> peer_localities_;  // By address.
   Time next_traffic_log_{};
+  // The version of the peer table that the store was given, and whether the fleet was large then.
+  std::optional<std::pair<std::uint64_t, bool>> store_membership_;
   bool stopping_ = false;
   bool store_connected_ = false;
 };
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -60,8 +60,9 @@
   report.address = options_.address;
   handlers_.fill(report);
   std::vector<std::string> targets;
-  for (const serving::PeerNode& peer : handlers_.peers()) targets.push_back(peer.address);
-  targets = serving::TakeRoundRobin(std::move(targets), fan_out, next_);
+  for (const serving::PeerNode& peer : serving::TakeRoundRobin(handlers_.peers(), fan_out, next_)) {
+    targets.push_back(peer.address);
+  }
   // Seeds are added only while fewer peers than seeds are known, since the configured seeds may be stale.
   if (!reduced_rate_ && targets.size() < options_.seeds.size()) {
     targets.insert(targets.end(), options_.seeds.begin(), options_.seeds.end());
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -295,6 +295,11 @@
 void RelayedStore::update_peers(std::vector<serving::PeerNode> nodes, std::span<serving::RecordMark const> last_changes)
 {
     peers_ = std::move(nodes);
+    update_last_changes(last_changes);
+}
+
+void RelayedStore::update_last_changes(std::span<serving::RecordMark const> last_changes)
+{
     for (auto const& mark : last_changes) {
         auto const entry = kinds_.find(mark.kind);
         if (entry != kinds_.end() && entry->second.watching)
