Roles: a stage gains engines only while that saves waiting

Cause: the planner moved towards the ideal split of all spare capacity with a deadband in engines. Worked out for 9,695 engines with 0.41 for prefill: some 2,500 changes before any demand and as many under a load of 2%.

Change: beyond P + sqrt(w P / saving) engines one more saves less than 0.001 waiting requests, and the stage's target ends there. Without measured demand, 0.1 engines a node are assumed. Services of up to some hundred engines stay below that limit and are planned as before.

Tests: no change at 10,000, 20,000 and 40,000 engines with room; a stage that runs out gains what it needs at 2,000 to 20,000; changes bounded by demand from any split (property).

--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -103,6 +103,7 @@
                                   EngineDirectory& engines, std::vector<RoleAction>& actions) {
   StageCounts counts = CountStages(now, engines, pool);
   counts.slots_per_engine = service.language ? service.language->slots : 0;
+  counts.nodes = nodes_;
   const bool idle = planner.IsIdle(pool_demand);
   accepted_cooldown_[pool] = idle ? parameters_.idle_cooldown : parameters_.cooldown;
   LogPlan(now, pool, pool_demand, counts, actions);
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -82,6 +82,8 @@
   // `lease` and `topology` must outlive the object. The lease's driver renews it as long as it is requested.
   RoleController(const RoleControllerParameters& parameters, DutyLease& lease, const Topology& topology, Time started);
 
+  // Number of nodes of the fleet, for the demand that is assumed until it is measured; unlimited if never set.
+  void set_nodes(int nodes) { nodes_ = nodes; }
   // `candidate`: whether this node should plan now. `demand`: of all nodes.
   void OnTick(Time now, bool candidate, const ServingConfig& config, const DemandSum& demand, EngineDirectory& engines,
               std::vector<RoleAction>& actions);
@@ -145,6 +147,7 @@
   DutyLease& lease_;
   const Topology& topology_;
   Time started_;
+  int nodes_ = 0;
   Time next_plan_{};
   std::map<RolePool, Time> next_plan_log_;
   std::map<std::string, Change> changes_;    // By engine: the change that has not been ordered yet.
--- a/src/core/serving/role_planner.cc
+++ b/src/core/serving/role_planner.cc
@@ -34,6 +34,33 @@
   return std::min({wanted, serving - min_per_stage, allowed});
 }
 
+// The number of engines of a stage beyond which one more saves less waiting than `min_saving`.
+double SufficientEngines(double demand, double weight, double min_saving) {
+  return demand + std::sqrt(weight * demand / min_saving);
+}
+
+// The ideal split, with each stage limited to the engines that still save waiting.
+struct StageTargets {
+  double prefill = 0;
+  double decode = 0;
+};
+
+StageTargets TargetsOf(const RolePlannerParameters& parameters, const ServiceDemand& demand, const StageCounts& counts,
+                       int engines, int min_per_stage) {
+  const double ideal = std::clamp(IdealPrefillEngines(parameters, demand, engines, counts.slots_per_engine),
+                                  static_cast<double>(min_per_stage), static_cast<double>(engines - min_per_stage));
+  StageTargets targets{ideal, engines - ideal};
+  const bool idle = parameters.IsIdle(demand);
+  if (idle && counts.nodes == 0) return targets;
+  const double assumed = parameters.assumed_demand_per_node * counts.nodes;
+  const double prefill_demand = idle ? assumed : demand.prefill_engines;
+  const double decode_demand = idle ? assumed : demand.decode_engines;
+  targets.prefill =
+      std::min(targets.prefill, SufficientEngines(prefill_demand, parameters.prefill_weight, parameters.min_saving));
+  targets.decode = std::min(targets.decode, SufficientEngines(decode_demand, 1, parameters.min_saving));
+  return targets;
+}
+
 int MaxConcurrentChanges(const RolePlannerParameters& parameters, bool idle, int known) {
   const double share = idle ? parameters.idle_change_share : parameters.change_share;
   return std::max(1, static_cast<int>(share * known));
@@ -55,8 +82,7 @@
   const int min_per_stage = std::min(std::clamp(counts.known / 3, 1, parameters.min_per_stage), serving / 2);
   const int engines = serving + changing;
   const int prefill = counts.prefill + counts.to_prefill;
-  const double ideal = std::clamp(IdealPrefillEngines(parameters, demand, engines, counts.slots_per_engine),
-                                  static_cast<double>(min_per_stage), static_cast<double>(engines - min_per_stage));
+  const StageTargets targets = TargetsOf(parameters, demand, counts, engines, min_per_stage);
   const double normal_deadband = idle ? parameters.initial_deadband : parameters.deadband;
   const bool prefill_saturated = demand.prefill_engines > parameters.saturated_load * counts.prefill;
   const bool decode_saturated = demand.decode_engines > parameters.saturated_load * counts.decode;
@@ -64,8 +90,8 @@
       prefill_saturated && !decode_saturated ? parameters.saturated_deadband : normal_deadband;
   const double decode_deadband =
       decode_saturated && !prefill_saturated ? parameters.saturated_deadband : normal_deadband;
-  const double to_prefill = ideal - prefill - prefill_deadband;
-  const double to_decode = prefill - ideal - decode_deadband;
+  const double to_prefill = targets.prefill - prefill - prefill_deadband;
+  const double to_decode = targets.decode - (engines - prefill) - decode_deadband;
   StageChangePlan plan;
   if (counts.prefill < min_per_stage || to_prefill > 0) {
     plan = {EngineStage::kPrefill, EnginesToChange(to_prefill, counts.decode, min_per_stage, allowed)};
--- a/src/core/serving/role_planner.h
+++ b/src/core/serving/role_planner.h
@@ -2,7 +2,9 @@
 //
 // With demands P and D (engines kept busy) and N engines, spare capacity is divided in proportion to the square roots
 // of the weighted demands. This split minimises the sum of the waiting times of both queues, w * P / (p - P) + D / (N -
-// p - D). An engine is moved only if the ideal split is further away than a deadband.
+// p - D). An engine is moved only if the ideal split is further away than a deadband, and only while the move saves a
+// minimum of waiting: beyond P + sqrt(w * P / saving) engines (square-root staffing) a stage gains nothing from more
+// engines, so a service with much spare capacity is left alone whatever its split and size.
 #pragma once
 
 #include <optional>
@@ -25,6 +27,9 @@
   int min_per_stage = 3;                // Minimum per stage, or a third of the engines if that is fewer.
   double change_share = 0.08;           // Share of a service's engines that may change at once under load,
   double idle_change_share = 0.34;      // and while there is no demand. One engine always may.
+  double min_saving = 0.001;            // Waiting requests, on average, that a change of one engine has to save.
+  // Demand on each stage, in engines per node, that is assumed until it is measured.
+  double assumed_demand_per_node = 0.1;
 
   bool IsIdle(const ServiceDemand& demand) const {
     return demand.prefill_engines + demand.decode_engines < idle_demand;
@@ -41,6 +46,7 @@
   int prefill_ejected = 0;
   int decode_ejected = 0;
   int slots_per_engine = 0;  // Slots per engine; 0: unknown.
+  int nodes = 0;             // Nodes that send requests to the engines; 0: unknown.
 };
 
 struct StageChangePlan {
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -315,6 +315,7 @@
   if (config) demand = TotalDemand();
   if (config && settings_.changes_roles) {
     std::vector<serving::RoleAction> actions;
+    roles_.set_nodes(static_cast<int>(members.size()) + 1);
     roles_.OnTick(gateway_.Now(), IsCandidate(members), *config, demand, gateway_.core().engines(), actions);
     Perform(actions);
   }
--- a/tests/core/serving/role_controller_test.cc
+++ b/tests/core/serving/role_controller_test.cc
@@ -1,4 +1,6 @@
 // Role planner, and the steps of a stage change.
+#include <cmath>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -72,6 +74,52 @@
   EXPECT_FALSE(PlanStageChange(parameters, {"s", 40, 5}, {35, 55 - missing, missing, 0, 90}));
 }
 
+// Changes that are carried out until the plan is satisfied, starting from that split.
+int CountChanges(const ServiceDemand& demand, int prefill, int decode, int nodes) {
+  int changes = 0;
+  for (int step = 0; step < 100; ++step) {
+    StageCounts counts{prefill, decode, 0, 0, prefill + decode};
+    counts.slots_per_engine = 64;
+    counts.nodes = nodes;
+    const auto plan = PlanStageChange(RolePlannerParameters{}, demand, counts);
+    if (!plan) return changes;
+    const int gained = plan->stage == EngineStage::kPrefill ? plan->engines : -plan->engines;
+    prefill += gained;
+    decode -= gained;
+    changes += plan->engines;
+  }
+  return changes;
+}
+
+TEST(RolePlannerTest, AFleetWithSpareCapacityIsNotRearranged) {
+  for (const int size : {1, 2, 4}) {
+    const int prefill = 4000 * size;
+    const int decode = 5700 * size;
+    EXPECT_EQ(CountChanges({"s", 0, 0}, prefill, decode, 1000 * size), 0);
+    EXPECT_EQ(CountChanges({"s", 10.0 * size, 1.0 * size}, prefill, decode, 1000 * size), 0);
+    EXPECT_EQ(CountChanges({"s", 150.0 * size, 15.0 * size}, prefill, decode, 1000 * size), 0);
+  }
+}
+
+TEST(RolePlannerTest, AStageThatRunsOutGainsWhatItNeedsAndNoMore) {
+  for (const int engines : {2000, 10000, 20000}) {
+    const int changes = CountChanges({"s", 150, 15}, 40, engines - 40, 1000);
+    EXPECT_GE(changes, 150) << engines;
+    EXPECT_LE(changes, 700) << engines;  // 150 + sqrt(2 * 150 / 0.001) engines are enough for prefill.
+  }
+}
+
+// From any split, a service with the same demand needs no more changes the more engines it has.
+RC_GTEST_PROP(RolePlannerProperty, ChangesAreBoundedByDemandNotBySize, ()) {
+  const double prefill_demand = *rc::gen::inRange(0, 200);
+  const double decode_demand = *rc::gen::inRange(0, 200);
+  const int prefill = *rc::gen::inRange(10, 9000);
+  const double enough = prefill_demand + decode_demand + std::sqrt(2000 * prefill_demand) +
+                        std::sqrt(1000 * decode_demand) + 2 * RolePlannerParameters{}.min_per_stage;
+  RC_PRE(prefill_demand + decode_demand > 1);
+  RC_ASSERT(CountChanges({"s", prefill_demand, decode_demand}, prefill, 10000 - prefill, 1000) <= enough);
+}
+
 class ControllerTest : public ::testing::Test {
  protected:
   ControllerTest() {
