Records of engines: compact where the store is read, compressed between nodes

Cause: relays passed the store's JSON on as it stood, about 300 bytes an engine: 3 MB for each of 985 nodes, and each node parsed 10,000 JSON texts. A relay copied and encoded the whole list anew for each follower.

Change: CompactingStore turns readable engine records into a FlatBuffers table where the store is read; what does not parse is passed on unchanged, so that every node still refuses it with its cause.

Damaged, truncated and out-of-range records give typed errors; a list of 10,000 records is under 60 bytes each (test).

--- a/include/saltquay/replica/record_replica.h
+++ b/include/saltquay/replica/record_replica.h
@@ -33,6 +33,12 @@
     Provenance from;
 };
 
+// The objects of a list in their compressed form, which is independent of who asks for them.
+struct PackedList {
+    std::string bytes;
+    std::size_t inflated_bytes = 0; // 0: not compressed.
+};
+
 class RecordReplica {
 public:
     // Limit of the history in bytes of content; older changes are evicted.
@@ -46,6 +52,8 @@
     std::int64_t at() const { return at_; }
     // The revision of the newest change in this copy.
     std::int64_t changed_at() const { return changed_at_; }
+    // Increases whenever the objects change.
+    std::uint64_t version() const { return version_; }
 
     gateway::ObjectList list() const;
     // Returns the changes after `revision` in order; changes that the requester already has may be included. Returns
@@ -65,6 +73,7 @@
     bool has_snapshot_ = false;
     std::int64_t at_ = 0;
     std::int64_t changed_at_ = 0;
+    std::uint64_t version_ = 0;
     std::int64_t history_from_ = 0; // history_ holds the changes after this revision.
     std::size_t history_size_ = 0;
     std::deque<Batch> history_;
--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -80,6 +80,8 @@
     // kUnavailable: the replica is stale; kOutOfRange: the changes were evicted from the history.
     absl::StatusOr<RelayedList> list_for_peer(std::string const& kind, bool allow_stale);
     absl::StatusOr<RelayedEvents> changes_for_peer(std::string const& kind, std::int64_t since);
+    // The encoded list_for_peer(). Followers that ask for the same objects share the work.
+    absl::StatusOr<std::string> encoded_list_for_peer(std::string const& kind, bool allow_stale);
     // The time as of which the replica of that kind is confirmed to be complete.
     Time confirmed(std::string const& kind) const;
 
@@ -97,6 +99,8 @@
 private:
     struct Kind {
         RecordReplica replica;
+        PackedList packed_list; // Of this version of the replica.
+        std::uint64_t packed_version = 0;
         std::unique_ptr<FreshnessTracker> freshness;
         bool reported_fresh = false;   // Last reported to on_freshness_change.
         bool retried_at_store = false; // The watch was repeated at the store since the replica became stale.
@@ -151,6 +155,7 @@
     void on_stale(std::string const& kind);
     void report_freshness_change(std::string const& kind);
     bool may_relay(Kind const&) const;
+    absl::Status check_list_request(std::string const& kind, bool allow_stale) const;
     static Provenance provenance(Kind const&);
     void report_store_call(std::string const& kind, std::string_view call, std::string_view cause);
     fetch::FetchId send_peer_request(serving::PeerNode const&, std::string const& target, fetch::Fetcher::Handler);
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 flatc --cpp --scoped-enums -o src/wire src/wire/peer.fbs
-flatc --cpp --scoped-enums -o src/gateway src/gateway/peer_report.fbs
+flatc --cpp --scoped-enums -o src/gateway src/gateway/peer_report.fbs src/gateway/engine_record.fbs
 flatc --cpp --scoped-enums -o src/replica src/replica/records.fbs
--- a/src/wire/deflate.cc
+++ b/src/base/deflate.cc
@@ -1,12 +1,10 @@
-#include "src/wire/deflate.h"
+#include "src/base/deflate.h"
 
 #include <zlib.h>
 
-#include "src/wire/codec.h"
-
 namespace saltquay {
 
-std::string Deflate(const std::string& bytes) {
+std::string Deflate(std::string_view bytes) {
   uLongf length = compressBound(bytes.size());
   std::string deflated(length, '\0');
   compress(reinterpret_cast<Bytef*>(deflated.data()), &length, reinterpret_cast<const Bytef*>(bytes.data()),
@@ -15,8 +13,8 @@
   return deflated;
 }
 
-std::optional<std::string> Inflate(const std::string& deflated, std::uint32_t size) {
-  if (size > kMaxPeerMessageBytes) return std::nullopt;
+std::optional<std::string> Inflate(std::string_view deflated, std::size_t size, std::size_t max_size) {
+  if (size > max_size) return std::nullopt;
   std::string bytes(size, '\0');
   uLongf length = size;
   const int result = uncompress(reinterpret_cast<Bytef*>(bytes.data()), &length,
--- /dev/null
+++ b/src/gateway/compacting_store.h
@@ -0,0 +1,40 @@
+// The platform's store as this system's nodes keep its objects: engine records are converted to their compact form
+// where the store is read. Records that do not parse keep their content, so that each node can say why it refuses them.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "src/core/serving/engine_directory.h"
+#include "src/gateway/object_store.h"
+
+namespace saltquay::gateway {
+
+class CompactingStore final : public ObjectStore {
+ public:
+  using EngineParser = std::function<absl::StatusOr<serving::EngineRecord>(const StoredObject&)>;
+
+  // `store` must outlive the object. `engine_kind`: the kind of the engine records, which `parse_engine` parses.
+  CompactingStore(ObjectStore& store, std::string engine_kind, EngineParser parse_engine)
+      : store_(store), engine_kind_(std::move(engine_kind)), parse_engine_(std::move(parse_engine)) {}
+
+  void List(const std::string& kind, std::function<void(absl::StatusOr<ObjectList>)> done) override;
+  void Watch(const std::string& kind, std::int64_t revision, std::chrono::milliseconds wait,
+             std::function<void(absl::StatusOr<ObjectEvents>)> done) override;
+  void Write(const std::string& kind, const StoredObject& object,
+             std::function<void(absl::StatusOr<StoredObject>)> done) override;
+  void Read(const std::string& kind, const std::string& name,
+            std::function<void(absl::StatusOr<StoredObject>)> done) override;
+
+  // Parses an engine record in either form.
+  absl::StatusOr<serving::EngineRecord> ParseEngine(const StoredObject& object) const;
+
+ private:
+  void Compact(StoredObject& object) const;
+
+  ObjectStore& store_;
+  std::string engine_kind_;
+  EngineParser parse_engine_;
+};
+
+}  // namespace saltquay::gateway
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -66,7 +66,8 @@
       settings_(settings),
       settings_path_(std::move(settings_path)),
       parsers_(std::move(codec)),
-      store_(loop, store, RelayOptions(settings)),
+      compacting_store_(store, parsers_.engine_kind, parsers_.parse_engine),
+      store_(loop, compacting_store_, RelayOptions(settings)),
       relay_(loop, store_),
       log_(LogOptions(settings)),
       gateway_(loop, settings, protocol, log_, RandomSeed()),
@@ -182,7 +183,7 @@
 }
 
 std::optional<serving::EngineRecord> GatewayProcess::ParseEngineRecord(const StoredObject& object) {
-  absl::StatusOr<serving::EngineRecord> record = parsers_.parse_engine(object);
+  absl::StatusOr<serving::EngineRecord> record = compacting_store_.ParseEngine(object);
   if (record.ok()) return std::move(*record);
   gateway_.Log(EventId::kEngineRecordRefused, "",
                fmt::format(R"("engine":"{}","revision":{},"cause":"{}")", EscapeJson(object.name), object.revision,
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -19,6 +19,7 @@
 #include "saltquay/replica/relay_server.h"
 #include "saltquay/replica/relayed_store.h"
 #include "src/gateway/collection_watcher.h"
+#include "src/gateway/compacting_store.h"
 #include "src/gateway/fleet_coordinator.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/stop_schedule.h"
@@ -73,6 +74,7 @@
   GatewaySettings settings_;
   std::string settings_path_;
   RecordParsers parsers_;
+  CompactingStore compacting_store_;
   replica::RelayedStore store_;
   replica::RelayServer relay_;
   LogStream log_;
--- a/src/replica/record_replica.cc
+++ b/src/replica/record_replica.cc
@@ -7,6 +7,7 @@
 void RecordReplica::replace(gateway::ObjectList const& list)
 {
     has_snapshot_ = true;
+    ++version_;
     objects_.clear();
     for (auto const& object : list.items) {
         objects_[object.name] = object;
@@ -21,6 +22,7 @@
 void RecordReplica::apply(gateway::ObjectEvents const& changes)
 {
     if (!changes.events.empty()) {
+        ++version_;
         Batch batch;
         batch.up_to = changes.at;
         batch.events = changes.events;
--- a/src/replica/records_generated.h
+++ b/src/replica/records_generated.h
@@ -20,6 +20,9 @@
 struct Record;
 struct RecordBuilder;
 
+struct RecordList;
+struct RecordListBuilder;
+
 struct Records;
 struct RecordsBuilder;
 
@@ -112,20 +115,76 @@
       gone);
 }
 
+struct RecordList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RecordListBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<saltquay::replica::wire::Record>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::replica::wire::Record>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RecordListBuilder {
+  typedef RecordList Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::replica::wire::Record>>> records) {
+    fbb_.AddOffset(RecordList::VT_RECORDS, records);
+  }
+  explicit RecordListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RecordList> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RecordList>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RecordList> CreateRecordList(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::replica::wire::Record>>> records = 0) {
+  RecordListBuilder builder_(_fbb);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RecordList> CreateRecordListDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<saltquay::replica::wire::Record>> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<saltquay::replica::wire::Record>>(*records) : 0;
+  return saltquay::replica::wire::CreateRecordList(
+      _fbb,
+      records__);
+}
+
 struct Records FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RecordsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_AT = 4,
-    VT_RECORDS = 6,
-    VT_HOPS = 8,
-    VT_AGE_MS = 10,
-    VT_HELD_MS = 12
+    VT_LIST = 6,
+    VT_LIST_BYTES = 8,
+    VT_HOPS = 10,
+    VT_AGE_MS = 12,
+    VT_HELD_MS = 14
   };
   int64_t at() const {
     return GetField<int64_t>(VT_AT, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<saltquay::replica::wire::Record>> *records() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::replica::wire::Record>> *>(VT_RECORDS);
+  const flatbuffers::Vector<uint8_t> *list() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_LIST);
+  }
+  uint32_t list_bytes() const {
+    return GetField<uint32_t>(VT_LIST_BYTES, 0);
   }
   int32_t hops() const {
     return GetField<int32_t>(VT_HOPS, 0);
@@ -139,9 +198,9 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_AT, 8) &&
-           VerifyOffset(verifier, VT_RECORDS) &&
-           verifier.VerifyVector(records()) &&
-           verifier.VerifyVectorOfTables(records()) &&
+           VerifyOffset(verifier, VT_LIST) &&
+           verifier.VerifyVector(list()) &&
+           VerifyField<uint32_t>(verifier, VT_LIST_BYTES, 4) &&
            VerifyField<int32_t>(verifier, VT_HOPS, 4) &&
            VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_HELD_MS, 8) &&
@@ -156,8 +215,11 @@
   void add_at(int64_t at) {
     fbb_.AddElement<int64_t>(Records::VT_AT, at, 0);
   }
-  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::replica::wire::Record>>> records) {
-    fbb_.AddOffset(Records::VT_RECORDS, records);
+  void add_list(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> list) {
+    fbb_.AddOffset(Records::VT_LIST, list);
+  }
+  void add_list_bytes(uint32_t list_bytes) {
+    fbb_.AddElement<uint32_t>(Records::VT_LIST_BYTES, list_bytes, 0);
   }
   void add_hops(int32_t hops) {
     fbb_.AddElement<int32_t>(Records::VT_HOPS, hops, 0);
@@ -182,7 +244,8 @@
 inline flatbuffers::Offset<Records> CreateRecords(
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t at = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::replica::wire::Record>>> records = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> list = 0,
+    uint32_t list_bytes = 0,
     int32_t hops = 0,
     int64_t age_ms = -1LL,
     int64_t held_ms = 0) {
@@ -191,22 +254,25 @@
   builder_.add_age_ms(age_ms);
   builder_.add_at(at);
   builder_.add_hops(hops);
-  builder_.add_records(records);
+  builder_.add_list_bytes(list_bytes);
+  builder_.add_list(list);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Records> CreateRecordsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t at = 0,
-    const std::vector<flatbuffers::Offset<saltquay::replica::wire::Record>> *records = nullptr,
+    const std::vector<uint8_t> *list = nullptr,
+    uint32_t list_bytes = 0,
     int32_t hops = 0,
     int64_t age_ms = -1LL,
     int64_t held_ms = 0) {
-  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<saltquay::replica::wire::Record>>(*records) : 0;
+  auto list__ = list ? _fbb.CreateVector<uint8_t>(*list) : 0;
   return saltquay::replica::wire::CreateRecords(
       _fbb,
       at,
-      records__,
+      list__,
+      list_bytes,
       hops,
       age_ms,
       held_ms);
--- a/src/replica/relay_server.cc
+++ b/src/replica/relay_server.cc
@@ -80,8 +80,8 @@
     std::string const kind(path.substr(prefix.size()));
     auto const since = query_number(target, "since");
     if (!since) {
-        auto const list = store_.list_for_peer(kind, query_number(target, "stale").has_value());
-        return respond(*exchange, list.ok() ? ok : to_http_status(list.status()), list.ok() ? encode(*list) : "");
+        auto const list = store_.encoded_list_for_peer(kind, query_number(target, "stale").has_value());
+        return respond(*exchange, list.ok() ? ok : to_http_status(list.status()), list.ok() ? *list : "");
     }
     auto const wait = std::chrono::milliseconds(query_number(target, "wait_ms").value_or(0));
     auto const requested_at = BootNow();
--- a/src/replica/relayed_store_freshness.cc
+++ b/src/replica/relayed_store_freshness.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "saltquay/replica/relayed_store.h"
+#include "src/replica/record_codec.h"
 
 namespace saltquay::replica {
 namespace {
@@ -96,14 +97,36 @@
     return marks;
 }
 
-absl::StatusOr<RelayedList> RelayedStore::list_for_peer(std::string const& kind, bool allow_stale)
+absl::Status RelayedStore::check_list_request(std::string const& kind, bool allow_stale) const
 {
     auto const entry = kinds_.find(kind);
     if (entry == kinds_.end() || !entry->second.replica.has_snapshot())
         return absl::FailedPreconditionError("this node has no replica yet");
     if (!allow_stale && !may_relay(entry->second))
         return absl::UnavailableError("this node's replica is stale");
-    return RelayedList { entry->second.replica.list(), provenance(entry->second) };
+    return absl::OkStatus();
+}
+
+absl::StatusOr<RelayedList> RelayedStore::list_for_peer(std::string const& kind, bool allow_stale)
+{
+    auto const status = check_list_request(kind, allow_stale);
+    if (!status.ok())
+        return status;
+    auto const& state = kind_state(kind);
+    return RelayedList { state.replica.list(), provenance(state) };
+}
+
+absl::StatusOr<std::string> RelayedStore::encoded_list_for_peer(std::string const& kind, bool allow_stale)
+{
+    auto const status = check_list_request(kind, allow_stale);
+    if (!status.ok())
+        return status;
+    auto& state = kind_state(kind);
+    if (state.packed_version != state.replica.version()) {
+        state.packed_version = state.replica.version();
+        state.packed_list = pack(state.replica.list());
+    }
+    return encode(state.packed_list, state.replica.at(), provenance(state));
 }
 
 absl::StatusOr<RelayedEvents> RelayedStore::changes_for_peer(std::string const& kind, std::int64_t since)
--- a/src/wire/decode.cc
+++ b/src/wire/decode.cc
@@ -2,7 +2,7 @@
 #include <optional>
 
 #include "src/wire/codec.h"
-#include "src/wire/deflate.h"
+#include "src/base/deflate.h"
 #include "src/wire/peer_generated.h"
 
 namespace saltquay {
@@ -106,7 +106,7 @@
 ObjectPush Decode(Check& check, const wire::ObjectPush& body) {
   if (!check.Present(body.digest())) return {};
   const ObjectDigest digest = FromWire(check, *body.digest());
-  std::optional<std::string> bytes = Inflate(ToText(body.bytes()), body.size());
+  std::optional<std::string> bytes = Inflate(ToText(body.bytes()), body.size(), kMaxPeerMessageBytes);
   if (!bytes.has_value()) check.ok = false;
   return {digest.kind, digest.version, bytes.value_or("")};
 }
--- a/src/wire/encode.cc
+++ b/src/wire/encode.cc
@@ -2,7 +2,7 @@
 #include <vector>
 
 #include "src/wire/codec.h"
-#include "src/wire/deflate.h"
+#include "src/base/deflate.h"
 #include "src/wire/peer_generated.h"
 
 namespace saltquay {
