--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -5,15 +5,12 @@
 
 #include "src/core/serving/demand_sum.h"
 #include "src/core/serving/node_ranking.h"
+#include "src/core/serving/report_news.h"
 #include "src/core/serving/round_robin.h"
 
 namespace saltquay::serving {
 namespace {
 
-bool IsNewer(const PeerReport& report, const PeerReport& known) {
-  return report.boot > known.boot || (report.boot == known.boot && report.sequence > known.sequence);
-}
-
 // Sums the parts of reports that are identified by a key.
 class ReportSum {
  public:
@@ -56,6 +53,17 @@
 
 }  // namespace
 
+bool RepeatedMessage::IsDue(const PeerReport& report, Time now, Duration keepalive_interval) const {
+  return sent_at_ == Time{} || repeats_ || now - sent_at_ >= keepalive_interval || HasNews(sent_, report);
+}
+
+void RepeatedMessage::RecordSent(const PeerReport& report, Time now) {
+  const bool is_news = sent_at_ == Time{} || HasNews(sent_, report);
+  sent_ = report;
+  sent_at_ = now;
+  repeats_ = is_news;
+}
+
 bool FleetExchange::aggregates(Time now) const {
   return std::any_of(nodes_.begin(), nodes_.end(),
                      [&](const auto& entry) { return now - entry.second.at < parameters_.report_expiry; });
@@ -92,17 +100,6 @@
   RecordCacheUpdates(report, now);
 }
 
-void FleetExchange::RecordRegionDigest(const PeerReport& report, Time now) {
-  if (IsLocalZone(report.zone)) return;
-  Received& sender = region_senders_[report.node];
-  if (sender.at != Time{} && !IsNewer(report, sender.report)) return;
-  sender = {report, now};
-  Received& region = regions_[std::string(topology_.RegionOf(report.zone))];
-  if (!IsMoreComplete(region.report, region.at, report, now, parameters_.region_interval)) region = sender;
-  if (report.scope == ReportScope::kRegion) to_forward_[report.node] = sender;
-  RecordCacheUpdates(report, now);
-}
-
 bool FleetExchange::IsMoreComplete(const PeerReport& known, Time known_received_at, const PeerReport& report, Time now,
                                    Duration interval) const {
   const bool fresh = known_received_at != Time{} && now - known_received_at <= 2 * interval;
@@ -166,37 +163,69 @@
     contacts_.clear();
     return messages;
   }
-  FleetMessage report{{}, own};
-  report.report.aggregate = true;
-  bool aggregates_itself = false;
   const std::vector<PeerNode> aggregators = ChooseAggregators(now, peers);
-  for (const PeerNode& aggregator : aggregators) {
-    aggregates_itself |= aggregator.node == self_.node;
-    if (aggregator.node != self_.node) report.addresses.push_back(aggregator.address);
-  }
+  const bool aggregates_itself = std::any_of(aggregators.begin(), aggregators.end(),
+                                             [&](const PeerNode& aggregator) { return aggregator.node == self_.node; });
   if (aggregates_itself || !nodes_.empty()) {
     RecordCacheUpdates(own, now);
     SendZoneDigest(now, own, peers, messages);
     SendRegionDigest(now, own, peers, aggregators, messages);
-    FleetMessage digest{{}, Sum(ReportScope::kFleet, own, now)};
-    for (const auto& [node, received] : nodes_) digest.addresses.push_back(received.report.address);
-    if (!IsMoreComplete(view_, view_received_at_, digest.report, now, parameters_.interval))
-      UpdateView(digest.report, now);
-    messages.push_back(std::move(digest));
+    SendFleetDigest(now, own, messages);
   }
   ForwardRegionDigests(now, peers, aggregators, messages);
-  local_reported_work_.clear();
-  for (const EngineWork& work : own.work) local_reported_work_[work.engine] = work;
-  local_demand_ = own.demand;
-  messages.push_back(std::move(report));
+  SendReport(now, own, aggregators, aggregates_itself, messages);
   return messages;
 }
 
+void FleetExchange::SendReport(Time now, const PeerReport& own, const std::vector<PeerNode>& aggregators,
+                               bool aggregates_itself, std::vector<FleetMessage>& messages) {
+  if (aggregators != reported_to_) report_.Reset();
+  const bool is_due = report_.IsDue(own, now, parameters_.keepalive_interval);
+  // An aggregator's own contribution to its digests is always current.
+  if (!is_due && !aggregates_itself) return;
+  report_.RecordSent(own, now);
+  reported_to_ = aggregators;
+  FleetMessage message{{}, own};
+  message.report.aggregate = true;
+  for (const PeerNode& aggregator : aggregators) {
+    if (aggregator.node != self_.node) message.addresses.push_back(aggregator.address);
+  }
+  messages.push_back(std::move(message));
+}
+
+Duration FleetExchange::DigestInterval(const PeerReport& digest) const {
+  const Duration by_size = FromSeconds(static_cast<double>(EstimateBytes(digest)) / parameters_.digest_bytes_per_s);
+  return std::clamp(by_size, parameters_.interval, 2 * parameters_.keepalive_interval);
+}
+
+void FleetExchange::SendFleetDigest(Time now, const PeerReport& own, std::vector<FleetMessage>& messages) {
+  PeerReport digest = Sum(ReportScope::kFleet, own, now);
+  if (!IsMoreComplete(view_, view_received_at_, digest, now, parameters_.interval)) UpdateView(digest, now);
+  if (now < next_fleet_digest_ || !fleet_digest_.IsDue(digest, now, parameters_.keepalive_interval)) return;
+  fleet_digest_.RecordSent(digest, now);
+  // Ticks are not exactly one interval apart; the margin keeps a slightly early tick from skipping a digest.
+  next_fleet_digest_ = now + DigestInterval(digest) - parameters_.interval / 2;
+  digest.peers = NextMentionedPeers(ReportScope::kFleet);
+  LimitWork(digest, parameters_.max_digest_engines);
+  std::vector<PeerNode> receivers;
+  receivers.reserve(nodes_.size());
+  for (const auto& [node, received] : nodes_) {
+    receivers.push_back({node, received.report.address, received.report.zone, received.report.link_mbps, false});
+  }
+  for (FleetMessage& message :
+       DistributeDigest(digest, std::move(receivers), parameters_.max_digest_copies, HashText(self_.node))) {
+    messages.push_back(std::move(message));
+  }
+}
+
 // Sent to one aggregator of each other zone of the region, round-robin over those that digests were received from, plus
 // the first of the zone's ranking while there are too few.
 void FleetExchange::SendZoneDigest(Time now, const PeerReport& own, const std::vector<PeerNode>& peers,
                                    std::vector<FleetMessage>& messages) {
   FleetMessage digest{{}, Sum(ReportScope::kZone, own, now)};
+  if (!zone_digest_.IsDue(digest.report, now, parameters_.keepalive_interval)) return;
+  zone_digest_.RecordSent(digest.report, now);
+  digest.report.peers = NextMentionedPeers(ReportScope::kZone);
   std::set<std::string> zones;
   for (const PeerNode& peer : peers) zones.insert(peer.zone);
   zones.erase(self_.zone);
@@ -225,93 +254,12 @@
   return addresses;
 }
 
-void FleetExchange::SendRegionDigest(Time now, const PeerReport& own, const std::vector<PeerNode>& peers,
-                                     const std::vector<PeerNode>& local_aggregators,
-                                     std::vector<FleetMessage>& messages) {
-  if (!topology_.HasMultipleRegions() || now < next_region_digest_ || !IsRegionRepresentative(local_aggregators))
-    return;
-  // Ticks are not exactly one interval apart; the margin keeps a slightly early tick from skipping a digest.
-  next_region_digest_ = now + parameters_.region_interval - parameters_.interval / 2;
-  std::set<std::string_view> regions;
-  for (const PeerNode& peer : peers) regions.insert(topology_.RegionOf(peer.zone));
-  regions.erase(topology_.LocalRegion());
-  FleetMessage digest{{}, Sum(ReportScope::kRegion, own, now)};
-  ++region_round_robin_;
-  for (const std::string_view region : regions) {
-    const std::vector<std::string> aggregators = AggregatorsOfRegion(region, peers);
-    if (!aggregators.empty()) digest.addresses.push_back(aggregators[region_round_robin_ % aggregators.size()]);
-  }
-  messages.push_back(std::move(digest));
-}
-
-void FleetExchange::ForwardRegionDigests(Time now, const std::vector<PeerNode>& peers,
-                                         const std::vector<PeerNode>& local_aggregators,
-                                         std::vector<FleetMessage>& messages) {
-  if (to_forward_.empty()) return;
-  std::vector<std::string> addresses;
-  for (const PeerNode& aggregator : local_aggregators) {
-    if (aggregator.node != self_.node) addresses.push_back(aggregator.address);
-  }
-  std::set<std::string> zones;
-  for (const PeerNode& peer : peers) {
-    if (peer.zone != self_.zone && IsLocalZone(peer.zone)) zones.insert(peer.zone);
-  }
-  for (const std::string& zone : zones) {
-    for (std::string& address : AggregatorsOf(zone, peers)) addresses.push_back(std::move(address));
-  }
-  for (auto& [node, received] : to_forward_) {
-    PeerReport& report = received.report;
-    report.scope = ReportScope::kRegionForwarded;
-    report.age += now - received.at;
-    report.wall_ms = 0;  // The wall-clock time is stale by now.
-    messages.push_back({addresses, std::move(report)});
-  }
-  to_forward_.clear();
-}
-
-// Whether this node is among the first aggregators of the region that it knows. Two halves of a region that cannot
-// reach each other both send digests: this costs bandwidth, and receivers use the more complete digest.
-bool FleetExchange::IsRegionRepresentative(const std::vector<PeerNode>& local_aggregators) const {
-  std::vector<PeerNode> others;
-  for (const PeerNode& aggregator : local_aggregators) {
-    if (aggregator.node != self_.node) others.push_back(aggregator);
-  }
-  for (const auto& [node, received] : zone_senders_) {
-    const PeerReport& report = received.report;
-    others.push_back({node, report.address, report.zone, report.link_mbps, false});
-  }
-  const std::vector<RankedNode> region_representatives =
-      PickAcrossZones(RankNodes(self_, others), parameters_.region_representatives);
-  return std::any_of(region_representatives.begin(), region_representatives.end(),
-                     [&](const RankedNode& representative) { return representative.node == &self_; });
-}
-
-// The region's known representatives, plus the first of its ranking while there are too few.
-std::vector<std::string> FleetExchange::AggregatorsOfRegion(std::string_view region,
-                                                            const std::vector<PeerNode>& peers) const {
-  std::vector<std::string> addresses;
-  for (const auto& [node, received] : region_senders_) {
-    if (topology_.RegionOf(received.report.zone) == region) addresses.push_back(received.report.address);
-  }
-  std::vector<RankedNode> ranked = RankNodes(self_, peers);
-  std::erase_if(ranked, [&](const RankedNode& candidate) {
-    return topology_.RegionOf(candidate.node->zone) != region || region_senders_.contains(candidate.node->node);
-  });
-  const std::size_t wanted =
-      addresses.empty() ? parameters_.unresponsive_zone_candidates : parameters_.region_representatives;
-  for (const RankedNode& candidate : PickAcrossZones(ranked, wanted)) {
-    if (addresses.size() >= wanted) break;
-    addresses.push_back(candidate.node->address);
-  }
-  return addresses;
-}
-
 PeerReport FleetExchange::Sum(ReportScope scope, const PeerReport& own, Time now) {
   ReportSum sum;
   sum.Add(own, 0s);
-  for (const auto& [node, received] : nodes_) sum.Add(received.report, now - received.at);
+  for (const auto& [node, received] : nodes_) sum.Add(received.report, Staleness(now - received.at));
   if (scope != ReportScope::kZone) {
-    for (const auto& [zone, received] : zones_) sum.Add(received.report, now - received.at);
+    for (const auto& [zone, received] : zones_) sum.Add(received.report, Staleness(now - received.at));
   }
   if (scope == ReportScope::kFleet) {
     for (const auto& [region, received] : regions_) sum.Add(received.report, now - received.at);
@@ -326,11 +274,13 @@
   report.wall_ms = own.wall_ms;
   report.sequence = ++sequence_;
   sum.MoveTo(report);
+  // Large digests are sent less often, and each update has to be in two of them.
+  const Duration forward_time =
+      std::max(parameters_.cache_update_forward_time, 2 * DigestInterval(fleet_digest_.sent()));
   report.crashes = own.crashes;  // Crash marks reported by others are already merged into `own`.
   for (const auto& [kept, forwarded] : cache_updates_) {
-    if (now - forwarded.first < parameters_.cache_update_forward_time) report.kept.push_back(kept);
+    if (now - forwarded.first < forward_time) report.kept.push_back(kept);
   }
-  report.peers = NextMentionedPeers(scope);
   return report;
 }
 
@@ -360,19 +310,22 @@
 void FleetExchange::UpdateView(const PeerReport& digest, Time now) {
   view_ = digest;
   view_received_at_ = now;
+  const PeerReport& reported = report_.sent();
+  std::map<EngineKey, const EngineWork*> reported_work;
+  for (const EngineWork& work : reported.work) reported_work[work.engine] = &work;
   for (EngineWork& work : view_.work) {
-    const auto own = local_reported_work_.find(work.engine);
-    if (own == local_reported_work_.end()) continue;
-    work.outstanding = std::max(0, work.outstanding - own->second.outstanding);
-    work.prompt_tokens = std::max<std::int64_t>(0, work.prompt_tokens - own->second.prompt_tokens);
-    work.response_count = std::max(0, work.response_count - own->second.response_count);
-    work.failures = std::max(0, work.failures - own->second.failures);
+    const auto own = reported_work.find(work.engine);
+    if (own == reported_work.end()) continue;
+    work.outstanding = std::max(0, work.outstanding - own->second->outstanding);
+    work.prompt_tokens = std::max<std::int64_t>(0, work.prompt_tokens - own->second->prompt_tokens);
+    work.response_count = std::max(0, work.response_count - own->second->response_count);
+    work.failures = std::max(0, work.failures - own->second->failures);
   }
   for (ServiceDemand& demand : view_.demand) {
-    const auto own = std::find_if(local_demand_.begin(), local_demand_.end(), [&](const ServiceDemand& reported) {
-      return reported.service == demand.service && reported.region == demand.region;
+    const auto own = std::find_if(reported.demand.begin(), reported.demand.end(), [&](const ServiceDemand& part) {
+      return part.service == demand.service && part.region == demand.region;
     });
-    if (own == local_demand_.end()) continue;
+    if (own == reported.demand.end()) continue;
     demand.prefill_engines = std::max(0.0, demand.prefill_engines - own->prefill_engines);
     demand.decode_engines = std::max(0.0, demand.decode_engines - own->decode_engines);
     demand.unloaded_prefill_engines = std::max(0.0, demand.unloaded_prefill_engines - own->unloaded_prefill_engines);
--- a/src/core/serving/fleet_exchange.h
+++ b/src/core/serving/fleet_exchange.h
@@ -1,12 +1,13 @@
 // Distributes the work of all nodes of a large fleet to every node within half a second.
 //
 // Protocol. In a small fleet, each node's reports reach all others in every round and this class does nothing. In a
-// larger fleet, each node sends its report to the first two nodes of its zone several times a second. A node that
-// receives such reports acts as an aggregator: it sends their sum to the aggregators of the other zones, one per zone
-// round-robin, and the sum over all zones (the fleet digest) back to the nodes that report to it. Any node that is
-// asked aggregates, so nodes need not agree on the ranking. The number of messages and the work grow with the number of
-// nodes per zone and with the number of zones, never with their product, and a node's information is as recent in a
-// fleet of 800 nodes as in one of 12.
+// larger fleet, each node sends its report to the first two nodes of its zone: at once if it has news, otherwise a few
+// times a second. A node that receives such reports acts as an aggregator: it sends their sum to the aggregators of the
+// other zones, one per zone round-robin, and the sum over all zones (the fleet digest) back to the nodes that report to
+// it, in a large zone through some of them (digest_tree.h). Any node that is asked aggregates, so nodes need not agree
+// on the ranking. The number of messages and the work grow with the number of nodes per zone and with the number of
+// zones, never with their product. A digest lists a bounded number of engines, and its interval follows its size, so
+// that the bytes that a node receives do not grow with the fleet.
 //
 // If the fleet spans several regions, zones exchange digests only within their region. Two aggregators of a region, in
 // different zones, send the region's sum to one aggregator of each other region, less often, and the receiver forwards
@@ -26,6 +27,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/core/serving/digest_tree.h"
 #include "src/core/serving/peer_table.h"
 #include "src/core/serving/topology.h"
 
@@ -34,9 +36,15 @@
 struct FleetExchangeParameters {
   // Up to this many peers, a report reaches all of them in every round; see PeerExchangeOptions::fan_out.
   std::size_t direct_peers = 10;
-  // Interval of reports and of digests. An engine accepts several prompts within half a second.
+  // Shortest interval of reports and of digests. An engine accepts several prompts within half a second.
   Duration interval = 100ms;
-  int aggregators = 2;  // Number of aggregators that a node reports to.
+  // Reports and digests without news are sent this often, so that their receivers know that the sender is alive.
+  Duration keepalive_interval = 300ms;
+  // A node receives at most this from each aggregator; larger digests are sent less often.
+  double digest_bytes_per_s = 25'000;
+  std::size_t max_digest_engines = 200;  // Engines whose work a digest lists.
+  std::size_t max_digest_copies = 16;    // Copies of a digest that one node sends.
+  int aggregators = 2;                   // Number of aggregators that a node reports to.
   // An aggregator that has sent no digest for this long is excluded; up to ten of its digests may be lost.
   Duration aggregator_timeout = 1200ms;
   Duration exclusion_time = 5s;
@@ -62,10 +70,20 @@
   double min_completeness = 0.8;
 };
 
-// One message to several nodes.
-struct FleetMessage {
-  std::vector<std::string> addresses;
-  PeerReport report;
+// Decides when a message is sent that is repeated at intervals: at once if it has news, otherwise as a keep-alive.
+class RepeatedMessage {
+ public:
+  // Whether to send `report` now. News is sent twice, since datagrams may be lost.
+  bool IsDue(const PeerReport& report, Time now, Duration keepalive_interval) const;
+  void RecordSent(const PeerReport& report, Time now);
+  const PeerReport& sent() const { return sent_; }
+  Time sent_at() const { return sent_at_; }
+  void Reset() { sent_at_ = Time{}; }
+
+ private:
+  PeerReport sent_;
+  Time sent_at_{};
+  bool repeats_ = false;  // The last one had news.
 };
 
 class FleetExchange {
@@ -86,8 +104,8 @@
   const PeerReport* View(Time now) const;
   // Number of nodes that the newest digest covers, including this one; 1 if none was received within `age`.
   int Reach(Time now, Duration age) const { return now - view_received_at_ <= age ? std::max(1, view_.nodes) : 1; }
-  // Mean age of the reports in the digest.
-  Duration ViewAge(Time now) const { return now - view_received_at_ + view_.age; }
+  // Mean age of the information in the digest.
+  Duration ViewAge(Time now) const { return Staleness(now - view_received_at_) + view_.age; }
   bool aggregates(Time now) const;
 
  private:
@@ -115,6 +133,17 @@
   void RecordZoneDigest(const PeerReport& report, Time now);
   void RecordRegionDigest(const PeerReport& report, Time now);
   PeerReport Sum(ReportScope scope, const PeerReport& own, Time now);
+  void SendReport(Time now, const PeerReport& own, const std::vector<PeerNode>& aggregators, bool aggregates_itself,
+                  std::vector<FleetMessage>& messages);
+  void SendFleetDigest(Time now, const PeerReport& own, std::vector<FleetMessage>& messages);
+  // By how much information is out of date that was received this long ago. News is sent at once, so until the next
+  // keep-alive is overdue a message is as good as one of the last interval.
+  Duration Staleness(Duration since_received) const {
+    return since_received <= 2 * parameters_.keepalive_interval ? std::min(since_received, parameters_.interval)
+                                                                : since_received;
+  }
+  // The interval between fleet digests of that size.
+  Duration DigestInterval(const PeerReport& digest) const;
   void SendZoneDigest(Time now, const PeerReport& own, const std::vector<PeerNode>& peers,
                       std::vector<FleetMessage>& messages);
   std::vector<std::string> AggregatorsOf(const std::string& zone, const std::vector<PeerNode>& peers) const;
@@ -145,8 +174,11 @@
   // Region digests that no other node of this region has received, by node.
   std::map<std::string, Received> to_forward_;
   std::unordered_map<KeptPart, ForwardedUpdate, KeptPartHash> cache_updates_;
-  std::map<EngineKey, EngineWork> local_reported_work_;  // This node's last report.
-  std::vector<ServiceDemand> local_demand_;
+  RepeatedMessage report_;             // This node's report.
+  std::vector<PeerNode> reported_to_;  // The aggregators that it was last sent to.
+  RepeatedMessage zone_digest_;
+  RepeatedMessage fleet_digest_;
+  Time next_fleet_digest_{};
   PeerReport view_;
   Time view_received_at_{};
   std::uint64_t sequence_ = 0;
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -11,7 +11,10 @@
 // A node reports to a bounded number of peers per round, so each additional peer delays the next report to a given
 // peer.
 constexpr Duration kReportExpiryPerPeer = 60ms;
+// A message mentions a bounded number of nodes, so each additional node delays the next mention of a given one. A node
+// is forgotten when it should have been mentioned about three times.
 constexpr Duration kMentionExpiry = 6s;
+constexpr Duration kMentionExpiryPerNode = 20ms;
 
 // The sender of a report as a member.
 PeerNode DescribeSender(const PeerReport& report) {
@@ -43,9 +46,7 @@
   if (report.node == local_node_ || report.node.empty()) return false;
   Entry& entry = peers_[report.node];
   const bool known = entry.received_at != Time{};
-  const bool newer =
-      report.boot > entry.report.boot || (report.boot == entry.report.boot && report.sequence > entry.report.sequence);
-  if (known && !newer) return false;
+  if (known && !IsNewer(report, entry.report)) return false;
   if (!known || DescribeSender(entry.report) != DescribeSender(report)) RecordMembershipChange();
   entry.report = report;
   entry.received_at = now;
@@ -67,9 +68,10 @@
 
 void PeerTable::Expire(Time now) {
   const Duration expiry = kReportExpiry + kReportExpiryPerPeer * static_cast<int>(peers_.size());
+  const Duration mention_expiry = std::max(kMentionExpiry, kMentionExpiryPerNode * static_cast<int>(mentioned_.size()));
   const auto expired =
       std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.received_at > expiry; }) +
-      std::erase_if(mentioned_, [&](const auto& entry) { return now - entry.second.received_at > kMentionExpiry; });
+      std::erase_if(mentioned_, [&](const auto& entry) { return now - entry.second.received_at > mention_expiry; });
   if (expired > 0) RecordMembershipChange();
 }
 
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -107,6 +107,8 @@
   std::vector<EngineHold> holds;
   std::vector<KeptPart> kept;   // Cache updates of the last rounds.
   std::vector<PeerNode> peers;  // Some of the peers that the sender knows.
+  // Addresses that the receiver forwards the report to, without this list; see digest_tree.h.
+  std::vector<std::string> forward_to;
   std::vector<RecordMark> records;
   LeaseMark lease;
   std::int64_t wall_ms = 0;         // The sender's wall-clock time in milliseconds since 1970; 0: not reported.
@@ -116,6 +118,11 @@
   std::vector<limits::LimitMessage> limits;  // For kLimits.
 };
 
+// Whether `report` was sent after `known`, by the same node.
+inline bool IsNewer(const PeerReport& report, const PeerReport& known) {
+  return report.boot > known.boot || (report.boot == known.boot && report.sequence > known.sequence);
+}
+
 class PeerTable {
  public:
   explicit PeerTable(std::string local_node) : local_node_(std::move(local_node)) {}
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -141,6 +141,7 @@
 
 void FleetCoordinator::OnReport(const serving::PeerReport& report) {
   const Time now = gateway_.Now();
+  if (!report.forward_to.empty()) Forward(report);
   if (report.scope == serving::ReportScope::kUsage) return duties_.OnUsage(report);
   if (report.scope == serving::ReportScope::kLimits) {
     for (const limits::LimitMessage& message : report.limits) gateway_.Dispatch(serving::LimitMessageArrived{message});
@@ -167,6 +168,12 @@
   if (fleet_.View(now) == nullptr) DispatchPeersChanged(report.kept);
 }
 
+void FleetCoordinator::Forward(const serving::PeerReport& report) {
+  serving::FleetMessage copy{report.forward_to, report};
+  copy.report.forward_to.clear();
+  exchange_->Send({std::move(copy)});
+}
+
 void FleetCoordinator::OnRejectedReport(const absl::Status& cause, const std::string& sender) {
   constexpr std::size_t kMaxSenders = 64;
   if (rejected_senders_.size() >= kMaxSenders || !rejected_senders_.insert(sender).second) return;
--- a/src/gateway/fleet_coordinator.h
+++ b/src/gateway/fleet_coordinator.h
@@ -36,6 +36,8 @@
  private:
   void FillReport(serving::PeerReport& report);
   void OnReport(const serving::PeerReport& report);
+  // Sends the report on to the nodes that it names; see digest_tree.h.
+  void Forward(const serving::PeerReport& report);
   void OnRejectedReport(const absl::Status& cause, const std::string& sender);
   // Passes the current peer state to the serving core. `kept`: cache updates from a report.
   void DispatchPeersChanged(const std::vector<serving::KeptPart>& kept);
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -107,7 +107,8 @@
       builder.CreateVector(holds), builder.CreateVector(peers), builder.CreateVectorOfStructs(kept),
       builder.CreateString(report.zone), report.link_mbps, builder.CreateVector(records),
       LeaseToWire(builder, report.lease), report.wall_ms, report.closed_through, UsageToWire(builder, report.usage),
-      CrashesToWire(builder, report.crashes), LimitMessagesToWire(builder, report.limits)));
+      CrashesToWire(builder, report.crashes), LimitMessagesToWire(builder, report.limits),
+      report.forward_to.empty() ? 0 : builder.CreateVectorOfStrings(report.forward_to)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -131,6 +132,7 @@
   }
   report.wall_ms = source.wall_ms();
   report.closed_through = source.closed_through();
+  ForEach(source.forward_to(), [&](const flatbuffers::String& address) { report.forward_to.push_back(address.str()); });
   ForEach(source.usage(), [&](const wire::UsageCount& item) {
     report.usage.push_back({item.window(), Text(item.tenant()), item.requests()});
   });
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -857,7 +857,8 @@
     VT_CLOSED_THROUGH = 44,
     VT_USAGE = 46,
     VT_CRASHES = 48,
-    VT_LIMITS = 50
+    VT_LIMITS = 50,
+    VT_FORWARD_TO = 52
   };
   uint8_t format() const {
     return GetField<uint8_t>(VT_FORMAT, 0);
@@ -931,6 +932,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>> *limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *forward_to() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_FORWARD_TO);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FORMAT, 1) &&
@@ -976,6 +980,9 @@
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
+           VerifyOffset(verifier, VT_FORWARD_TO) &&
+           verifier.VerifyVector(forward_to()) &&
+           verifier.VerifyVectorOfStrings(forward_to()) &&
            verifier.EndTable();
   }
 };
@@ -1056,6 +1063,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>>> limits) {
     fbb_.AddOffset(Report::VT_LIMITS, limits);
   }
+  void add_forward_to(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> forward_to) {
+    fbb_.AddOffset(Report::VT_FORWARD_TO, forward_to);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1092,12 +1102,14 @@
     int64_t closed_through = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::CrashMark *>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> forward_to = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_closed_through(closed_through);
   builder_.add_wall_ms(wall_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_forward_to(forward_to);
   builder_.add_limits(limits);
   builder_.add_crashes(crashes);
   builder_.add_usage(usage);
@@ -1146,7 +1158,8 @@
     int64_t closed_through = 0,
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *usage = nullptr,
     const std::vector<saltquay::gateway::wire::CrashMark> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>> *limits = nullptr) {
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>> *limits = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *forward_to = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::EngineWork>(*work) : 0;
@@ -1159,6 +1172,7 @@
   auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>(*usage) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::CrashMark>(*crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>>(*limits) : 0;
+  auto forward_to__ = forward_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*forward_to) : 0;
   return saltquay::gateway::wire::CreateReport(
       _fbb,
       format,
@@ -1184,7 +1198,8 @@
       closed_through,
       usage__,
       crashes__,
-      limits__);
+      limits__,
+      forward_to__);
 }
 
 inline const saltquay::gateway::wire::Report *GetReport(const void *buf) {
--- a/tests/support/fake_exchange_fleet.h
+++ b/tests/support/fake_exchange_fleet.h
@@ -97,12 +97,15 @@
     std::vector<PeerNode> peers = nodes_;
     std::erase_if(peers, [&](const PeerNode& peer) { return peer.node == nodes_[node].node; });
     for (const FleetMessage& message : at(node).Tick(now_, Report(node), peers)) {
-      for (const std::string& address : message.addresses) {
-        ++sent_[node];
-        if (address[0] != nodes_[node].zone[0]) ++sent_far_[node];
-        if (!topologies_[node]->IsOwnRegion(address.substr(0, 1))) ++sent_across_[node];
-        Deliver(nodes_[node], address, message.report);
-      }
+      Send(node, message);
+    }
+  }
+  void Send(std::size_t node, const FleetMessage& message) {
+    for (const std::string& address : message.addresses) {
+      ++sent_[node];
+      if (address[0] != nodes_[node].zone[0]) ++sent_far_[node];
+      if (!topologies_[node]->IsOwnRegion(address.substr(0, 1))) ++sent_across_[node];
+      Deliver(nodes_[node], address, message.report);
     }
   }
   void Deliver(const PeerNode& from, const std::string& address, const PeerReport& report) {
@@ -110,6 +113,9 @@
     for (std::size_t node = 0; node < size(); ++node) {
       if (nodes_[node].address != address || !up_[node]) continue;
       if (partition_ && partition_(from, nodes_[node])) continue;
+      FleetMessage forwarded{report.forward_to, report};
+      forwarded.report.forward_to.clear();
+      Send(node, forwarded);
       ledger(node).Merge(report.crashes, now_);
       at(node).RecordReport(report, now_);
     }
