--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -86,6 +86,8 @@
 struct EngineRemoved {
   std::string id;
 };
+// The changes of engines that arrived together have all been passed on.
+struct EngineChangesApplied {};
 // Whether the node is connected to the store, so that its view of configuration and engines is current.
 struct StoreConnectivityChanged {
   bool connected = false;
@@ -149,7 +151,7 @@
 struct NodeStopping {};
 struct TimerFired {};
 
-using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved,
+using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
                            StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected,
                            AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted, AttemptFailed, EngineProbed,
                            PeerCrashesReported, NodesChanged, LimitMessageArrived, NodeStopping, TimerFired>;
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -107,6 +107,7 @@
   const bool idle = planner.IsIdle(pool_demand);
   accepted_cooldown_[pool] = idle ? parameters_.idle_cooldown : parameters_.cooldown;
   LogPlan(now, pool, pool_demand, counts, actions);
+  if (IsGrowing(now, pool, counts.known) && idle) return;
   const bool empty_stage = (counts.prefill == 0) != (counts.decode == 0);
   const std::optional<StageChangePlan> plan = PlanStageChange(planner, pool_demand, counts);
   if (idle) pending_plans_.erase(pool);
@@ -118,6 +119,13 @@
   if (persists) BeginChanges(now, service, pool, *plan, engines, actions);
 }
 
+bool RoleController::IsGrowing(Time now, const RolePool& pool, int engines) {
+  PoolSize& size = pool_sizes_[pool];
+  if (engines > size.engines) size.grew_at = now;
+  size.engines = engines;
+  return now - size.grew_at < parameters_.idle_settle_time;
+}
+
 bool RoleController::HasPersisted(Time now, const Service& service, const RolePool& pool,
                                   const std::optional<StageChangePlan>& plan, const StageCounts& counts) {
   if (!plan) {
--- a/src/core/serving/role_controller.h
+++ b/src/core/serving/role_controller.h
@@ -36,6 +36,9 @@
   Duration persistence = 600ms;
   Duration cooldown = 4s;          // Between changes of one service under load.
   Duration idle_cooldown = 300ms;  // The same while there is no demand.
+  // While there is no demand, nothing is changed until no engine has been added for this long: a starting fleet
+  // registers its engines over seconds, and a split of the first of them says nothing about the whole.
+  Duration idle_settle_time = 1s;
   Duration min_hold = 60ms;
   Duration max_hold = 900ms;
   Duration order_time = 300ms;  // Time to read an engine's state and to order its change.
@@ -134,6 +137,8 @@
     return pool.region.empty() || topology_.RegionOf(engine.record.zone) == pool.region;
   }
   StageCounts CountStages(Time now, EngineDirectory& engines, const RolePool& pool) const;
+  // Whether engines have been added to the pool lately.
+  bool IsGrowing(Time now, const RolePool& pool, int engines);
   void BeginChanges(Time now, const Service& service, const RolePool& pool, const StageChangePlan& plan,
                     EngineDirectory& engines, std::vector<RoleAction>& actions);
   const EngineState* PickEngine(EngineDirectory& engines, const RolePool& pool, EngineStage from, Time now);
@@ -150,6 +155,11 @@
   int nodes_ = 0;
   Time next_plan_{};
   std::map<RolePool, Time> next_plan_log_;
+  struct PoolSize {
+    int engines = 0;
+    Time grew_at{};
+  };
+  std::map<RolePool, PoolSize> pool_sizes_;
   std::map<std::string, Change> changes_;    // By engine: the change that has not been ordered yet.
   std::map<RolePool, Time> cooldown_until_;  // When the pool may change again.
   struct PendingPlan {
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -51,8 +51,13 @@
 }
 
 void ServingCore::On(const EngineChanged& event) {
+  const bool is_new = engines_.Find(event.record.id) == nullptr;
   if (!engines_.Update(event.record)) return;
   RecordLeaving(event.record.id);
+  if (is_new && !event.record.leaving) {
+    ++added_engines_;
+    return;
+  }
   Log(EventId::kEngineRecord, nullptr,
       fmt::format(R"("engine":"{}","started_ms":{},"service":"{}","zone":"{}","leaving":{},"stage":{})",
                   event.record.id, event.record.started_ms, event.record.service, event.record.zone,
@@ -71,6 +76,12 @@
   Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engine":"{}","cause":"gone")", event.id));
 }
 
+// One line for all new engines: a starting fleet adds hundreds of them a second.
+void ServingCore::On(const EngineChangesApplied& /*event*/) {
+  const int added = std::exchange(added_engines_, 0);
+  if (added > 0) Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engines":{},"cause":"added")", added));
+}
+
 void ServingCore::On(const StoreConnectivityChanged& event) {
   if (store_connected_ == event.connected) return;
   store_connected_ = event.connected;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -148,6 +148,7 @@
   void On(const EnginesReplaced& event);
   void On(const EngineChanged& event);
   void On(const EngineRemoved& event);
+  void On(const EngineChangesApplied& event);
   void On(const StoreConnectivityChanged& event);
   void On(const PeersChanged& event);
   void On(const RequestArrived& event);
@@ -292,6 +293,7 @@
   std::map<std::string, limits::TenantLimit> limits_;  // From config_, by tenant.
   std::map<std::string, DemandMeter> demand_;          // By service.
   bool engines_listed_ = false;
+  int added_engines_ = 0;  // Not logged yet.
   bool store_connected_ = false;
   std::map<FlowId, std::unique_ptr<Flow>> flows_;
   std::set<std::pair<Time, FlowId>> wake_up_queue_;
--- a/src/gateway/collection_watcher.cc
+++ b/src/gateway/collection_watcher.cc
@@ -37,6 +37,7 @@
                  revision_ = events->at;
                  backoff_ = timings_.initial_backoff;
                  for (const ObjectEvent& event : events->events) handlers_.on_event(event);
+                 if (!events->events.empty() && handlers_.on_events_applied) handlers_.on_events_applied();
                  SetConnected(true, "watched");
                  if (events->events.empty()) return Watch();
                  WatchAfter(timings_.batch_delay);
--- a/src/gateway/collection_watcher.h
+++ b/src/gateway/collection_watcher.h
@@ -24,6 +24,7 @@
 struct WatcherHandlers {
   std::function<void(const ObjectList&)> on_list;
   std::function<void(const ObjectEvent&)> on_event;
+  std::function<void()> on_events_applied{};  // Called after the events that arrived together; may be empty.
   // Called when the store becomes connected or disconnected, with the reason.
   std::function<void(bool, const std::string&)> on_connectivity_changed;
 };
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -143,6 +143,7 @@
   WatcherHandlers engines;
   engines.on_list = [this](const ObjectList& list) { OnEngineList(list); };
   engines.on_event = [this](const ObjectEvent& event) { OnEngineEvent(event); };
+  engines.on_events_applied = [this] { gateway_.Dispatch(serving::EngineChangesApplied{}); };
   engines.on_connectivity_changed = [this](bool connected, const std::string& cause) {
     OnConnectivityChanged(parsers_.engine_kind, connected, cause);
   };
--- a/tests/core/serving/role_controller_test.cc
+++ b/tests/core/serving/role_controller_test.cc
@@ -187,6 +187,14 @@
   EXPECT_GE(order->fencing_token, 21);
 }
 
+TEST_F(ControllerTest, NothingIsRearrangedWhileAStartingFleetRegistersItsEngines) {
+  for (int i = 0; i < 40; ++i) {
+    Add("late" + std::to_string(i), EngineStage::kDecode);
+    EXPECT_FALSE(TickUntil<ReadEngineState>(250ms)) << i;
+  }
+  EXPECT_TRUE(TickUntil<ReadEngineState>(5s));
+}
+
 TEST_F(ControllerTest, AChangingEngineIsHeldUntilItsRecordShowsTheStage) {
   // Found in the first benchmark run: other nodes handed prompts off to engines that were changing (425k tokens
   // processed in vain).
--- a/tests/support/fake_exchange_fleet.h
+++ b/tests/support/fake_exchange_fleet.h
@@ -21,6 +21,7 @@
       for (int i = 0; i < nodes_per_zone; ++i) {
         const std::string name = std::string(1, static_cast<char>('a' + zone)) + std::to_string(i);
         nodes_.push_back({name, name, name.substr(0, 1), i < 2 ? 200 : 20, false});
+        by_address_[name].push_back(nodes_.size() - 1);
         topologies_.push_back(std::make_unique<Topology>(nodes_.back().zone, regions, TopologyParameters{}));
         exchanges_.push_back(
             std::make_unique<FleetExchange>(FleetExchangeParameters{}, nodes_.back(), *topologies_.back()));
@@ -110,8 +111,8 @@
   }
   void Deliver(const PeerNode& from, const std::string& address, const PeerReport& report) {
     if (random_.Unit() < loss_) return;
-    for (std::size_t node = 0; node < size(); ++node) {
-      if (nodes_[node].address != address || !up_[node]) continue;
+    for (const std::size_t node : by_address_[address]) {
+      if (!up_[node]) continue;
       if (partition_ && partition_(from, nodes_[node])) continue;
       FleetMessage forwarded{report.forward_to, report};
       forwarded.report.forward_to.clear();
@@ -126,6 +127,7 @@
   std::function<bool(const PeerNode&, const PeerNode&)> partition_;
   Time now_{1s};
   std::vector<PeerNode> nodes_;
+  std::map<std::string, std::vector<std::size_t>> by_address_;
   std::vector<std::unique_ptr<Topology>> topologies_;
   std::vector<std::unique_ptr<FleetExchange>> exchanges_;
   std::vector<std::unique_ptr<CrashLedger>> ledgers_;
