Replica: a list read anew becomes changes for followers

Change: a list that is not older than the replica is applied as its differences, and the history stays.

Tests: three changes among 102 objects are three events for followers; followers converge when the reader lists again at random (property).

--- a/include/saltquay/replica/record_replica.h
+++ b/include/saltquay/replica/record_replica.h
@@ -44,6 +44,8 @@
     // Limit of the history in bytes of content; older changes are evicted.
     static constexpr std::size_t max_history_bytes = 1024 * 1024;
 
+    // Takes over a complete list. The history is kept, so that followers that have the earlier list need only the
+    // differences, unless the list is older than this copy.
     void replace(gateway::ObjectList const&);
     void apply(gateway::ObjectEvents const&);
 
@@ -67,6 +69,8 @@
         std::vector<gateway::ObjectEvent> events;
     };
 
+    // The changes that lead from this copy to the list.
+    std::vector<gateway::ObjectEvent> differences(gateway::ObjectList const&) const;
     void apply_event(gateway::ObjectEvent const&);
     void evict_old_changes();
 
--- a/src/replica/record_replica.cc
+++ b/src/replica/record_replica.cc
@@ -1,11 +1,15 @@
 #include "saltquay/replica/record_replica.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace saltquay::replica {
 
 void RecordReplica::replace(gateway::ObjectList const& list)
 {
+    if (has_snapshot_ && list.at >= at_)
+        return apply({ differences(list), list.at });
     has_snapshot_ = true;
     ++version_;
     objects_.clear();
@@ -19,6 +23,24 @@
     history_from_ = list.at;
 }
 
+std::vector<gateway::ObjectEvent> RecordReplica::differences(gateway::ObjectList const& list) const
+{
+    std::vector<gateway::ObjectEvent> events;
+    std::set<std::string_view> listed;
+    for (auto const& object : list.items) {
+        listed.insert(object.name);
+        auto const known = objects_.find(object.name);
+        if (known == objects_.end() || known->second.revision != object.revision
+            || known->second.content != object.content)
+            events.push_back({ false, object });
+    }
+    for (auto const& [name, object] : objects_) {
+        if (!listed.contains(name))
+            events.push_back({ true, { name, object.revision, {} } });
+    }
+    return events;
+}
+
 void RecordReplica::apply(gateway::ObjectEvents const& changes)
 {
     if (!changes.events.empty()) {
--- a/tests/replica/record_replica_test.cc
+++ b/tests/replica/record_replica_test.cc
@@ -33,6 +33,36 @@
     EXPECT_EQ(replica.changed_at(), 7);
 }
 
+TEST(RecordReplicaTest, FollowersOfAReaderThatListedAgainNeedOnlyTheDifferences)
+{
+    RecordReplica replica;
+    gateway::ObjectList list { { { "gone", 2, "x" }, { "changed", 3, "x" } }, 10 };
+    for (int i = 0; i < 100; ++i)
+        list.items.push_back({ "same" + std::to_string(i), 4, "x" });
+    replica.replace(list);
+    list.items.erase(list.items.begin());
+    list.items[0] = { "changed", 15, "y" };
+    list.items.push_back({ "new", 16, "z" });
+    list.at = 20;
+    replica.replace(list);
+    auto const changes = replica.changes_since(10);
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes->at, 20);
+    EXPECT_EQ(changes->events.size(), 3U);
+    EXPECT_EQ(replica.list().items.size(), 102U);
+    EXPECT_FALSE(replica.changes_since(9));
+}
+
+TEST(RecordReplicaTest, AnOlderListStartsTheHistoryAnew)
+{
+    RecordReplica replica;
+    replica.replace({ { { "a", 7, "x" } }, 10 });
+    replica.replace({ { { "b", 3, "x" } }, 5 });
+    EXPECT_EQ(replica.at(), 5);
+    EXPECT_EQ(replica.list().items.size(), 1U);
+    EXPECT_FALSE(replica.changes_since(4));
+}
+
 TEST(RecordReplicaTest, HistoryIsBoundedInBytes)
 {
     RecordReplica replica;
@@ -72,6 +102,39 @@
     RC_ASSERT(follower.changed_at() == reader.changed_at());
 }
 
+// The reader now and then lists the store anew, with changes that it has not watched.
+RC_GTEST_PROP(RecordReplicaProperty, FollowersConvergeWhenTheReaderListsAgain, ())
+{
+    RecordReplica reader;
+    reader.replace({ {}, 0 });
+    RecordReplica follower;
+    follower.replace({ {}, 0 });
+    std::map<std::string, gateway::StoredObject> store;
+    std::int64_t revision = 0;
+    for (int step = 0; step < 20; ++step) {
+        auto const name = std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+        auto const change = event(name, ++revision, *rc::gen::inRange(0, 3) == 0);
+        if (change.gone) {
+            store.erase(name);
+        } else {
+            store[name] = change.object;
+        }
+        if (*rc::gen::inRange(0, 3) == 0) {
+            gateway::ObjectList list { {}, revision };
+            for (auto const& [key, object] : store)
+                list.items.push_back(object);
+            reader.replace(list);
+        } else if (reader.at() + 1 == revision) {
+            reader.apply({ { change }, revision });
+        }
+        if (*rc::gen::inRange(0, 2) == 0)
+            follower.apply(*reader.changes_since(follower.at()));
+        RC_ASSERT(follower.at() <= reader.at());
+    }
+    follower.apply(*reader.changes_since(follower.at()));
+    RC_ASSERT(contents(follower) == contents(reader));
+}
+
 TEST(RecordCodecTest, RecordsRoundTrip)
 {
     auto const list = decode_list(encode(RelayedList { { { { "a", 3, "{\"x\":1}" }, { "b", 9, "" } }, 12 },
