Membership: ages go with mentions, compact lists, the best of each zone always listed

Causes: a mention refreshed a node whatever its age, so nodes that repeated each other's mentions kept a lost one known; an aggregator listed 24 nodes from a window of the other zones' last listings, in no fixed order; a list took some 75 bytes a node.

Change: a mention carries the time since the node itself was heard and never makes it younger. A list takes 12 bytes and the name for each node and names 48.

--- a/bench/serving_bench.cc
+++ b/bench/serving_bench.cc
@@ -144,7 +144,7 @@
   for (auto _ : state) {
     peers.Expire(Time{1s});
     for (int reader = 0; reader < 5; ++reader) total += peers.Nodes().size();
-    total += peers.NextPeersToMention(24).size();
+    total += peers.NextPeersToMention(24, Time{1s}).size();
   }
   benchmark::DoNotOptimize(total);
 }
--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -6,7 +6,6 @@
 #include "src/core/serving/demand_sum.h"
 #include "src/core/serving/node_ranking.h"
 #include "src/core/serving/report_news.h"
-#include "src/core/serving/round_robin.h"
 
 namespace saltquay::serving {
 namespace {
@@ -98,6 +97,7 @@
   Received& zone = zones_[report.zone];
   if (!IsMoreComplete(zone.report, zone.at, report, now, parameters_.interval)) zone = sender;
   RecordCacheUpdates(report, now);
+  RecordMembers(report, now);
 }
 
 bool FleetExchange::IsMoreComplete(const PeerReport& known, Time known_received_at, const PeerReport& report, Time now,
@@ -112,6 +112,30 @@
   received.report = report;
   received.at = now;
   RecordCacheUpdates(report, now);
+  if (report.stopping) return;
+  const PeerNode member{report.node, report.address, report.zone, report.link_mbps, false};
+  for (MemberRotation* members : {&zone_members_, &region_members_, &fleet_members_}) members->Record(member, now);
+}
+
+std::vector<PeerNode> FleetExchange::ListMembers(MemberRotation& members, Time now) const {
+  std::vector<PeerNode> known = fleet_members_.All(now);
+  known.push_back(self_);
+  std::vector<PeerNode> listed =
+      BestOfEachZone(known, parameters_.mentioned_best_per_zone, parameters_.mentioned_nodes / 2);
+  for (PeerNode& member : members.Next(parameters_.mentioned_nodes - listed.size(), now)) {
+    if (std::find(listed.begin(), listed.end(), member) == listed.end()) listed.push_back(std::move(member));
+  }
+  return listed;
+}
+
+void FleetExchange::RecordMembers(const PeerReport& digest, Time now) {
+  std::vector<PeerNode> members = digest.peers;
+  members.push_back({digest.node, digest.address, digest.zone, digest.link_mbps, false});
+  for (const PeerNode& member : members) {
+    if (member.node == self_.node) continue;
+    fleet_members_.Record(member, now);
+    if (digest.scope == ReportScope::kZone) region_members_.Record(member, now);
+  }
 }
 
 void FleetExchange::RecordCacheUpdates(const PeerReport& report, Time now) {
@@ -132,6 +156,9 @@
                 [&](const auto& entry) { return now - entry.second.at > parameters_.region_report_expiry; });
   std::erase_if(cache_updates_,
                 [&](const auto& entry) { return now - entry.second.last > parameters_.cache_update_suppress_time; });
+  zone_members_.Expire(now, parameters_.report_expiry, 0s);
+  region_members_.Expire(now, parameters_.member_expiry, parameters_.member_expiry_per_node);
+  fleet_members_.Expire(now, parameters_.member_expiry, parameters_.member_expiry_per_node);
   std::erase_if(excluded_until_, [&](const auto& entry) { return entry.second <= now; });
 }
 
@@ -202,11 +229,11 @@
   PeerReport digest = Sum(ReportScope::kFleet, own, now);
   if (!IsMoreComplete(view_, view_received_at_, digest, now, parameters_.interval)) UpdateView(digest, now);
   if (now < next_fleet_digest_ || !fleet_digest_.IsDue(digest, now, parameters_.keepalive_interval)) return;
+  digest.peers = ListMembers(fleet_members_, now);
+  LimitWork(digest, parameters_.max_digest_engines);
   fleet_digest_.RecordSent(digest, now);
   // Ticks are not exactly one interval apart; the margin keeps a slightly early tick from skipping a digest.
   next_fleet_digest_ = now + DigestInterval(digest) - parameters_.interval / 2;
-  digest.peers = NextMentionedPeers(ReportScope::kFleet);
-  LimitWork(digest, parameters_.max_digest_engines);
   std::vector<PeerNode> receivers;
   receivers.reserve(nodes_.size());
   for (const auto& [node, received] : nodes_) {
@@ -225,7 +252,7 @@
   FleetMessage digest{{}, Sum(ReportScope::kZone, own, now)};
   if (!zone_digest_.IsDue(digest.report, now, parameters_.keepalive_interval)) return;
   zone_digest_.RecordSent(digest.report, now);
-  digest.report.peers = NextMentionedPeers(ReportScope::kZone);
+  digest.report.peers = ListMembers(zone_members_, now);
   std::set<std::string> zones;
   for (const PeerNode& peer : peers) zones.insert(peer.zone);
   zones.erase(self_.zone);
@@ -284,28 +311,6 @@
   return report;
 }
 
-// A round-robin selection of the nodes that this node or other aggregators have received reports from. Other regions
-// are sent only the nodes of this region.
-std::vector<PeerNode> FleetExchange::NextMentionedPeers(ReportScope scope) {
-  std::vector<PeerNode> members;
-  for (const auto& [node, received] : nodes_) {
-    const PeerReport& report = received.report;
-    if (!report.stopping) members.push_back({node, report.address, report.zone, report.link_mbps, false});
-  }
-  const auto add_senders = [&](const std::map<std::string, Received>& senders) {
-    for (const auto& [node, received] : senders) {
-      const PeerReport& report = received.report;
-      members.insert(members.end(), report.peers.begin(), report.peers.end());
-      members.push_back({node, report.address, report.zone, report.link_mbps, false});
-    }
-  };
-  add_senders(zone_senders_);
-  if (scope == ReportScope::kRegion)
-    return TakeRoundRobin(members, parameters_.mentioned_across_regions, next_mentioned_peer_);
-  add_senders(region_senders_);
-  return TakeRoundRobin(members, parameters_.mentioned_nodes, next_mentioned_peer_);
-}
-
 // Subtracts this node's own contribution, which is up to two intervals old; the node knows its current work itself.
 void FleetExchange::UpdateView(const PeerReport& digest, Time now) {
   view_ = digest;
--- a/src/core/serving/fleet_exchange.h
+++ b/src/core/serving/fleet_exchange.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "src/core/serving/digest_tree.h"
+#include "src/core/serving/member_rotation.h"
 #include "src/core/serving/peer_table.h"
 #include "src/core/serving/topology.h"
 
@@ -53,7 +54,11 @@
   // Cache updates are forwarded for this long after they were first received, then suppressed for a while.
   Duration cache_update_forward_time = 300ms;
   Duration cache_update_suppress_time = 8s;  // Well below ServingParameters::cached_part_lifetime.
-  std::size_t mentioned_nodes = 24;
+  std::size_t mentioned_nodes = 48;
+  std::size_t mentioned_best_per_zone = 2;  // As many as `aggregators`.
+  // Nodes of other zones are listed in turn, so each of them is listed less often the more there are.
+  Duration member_expiry = 3s;
+  Duration member_expiry_per_node = 5ms;
   // Interval of region digests from each representative of a region. With two representatives, a region receives
   // another one's digest every fifth of a second, and all information reaches every node within a second.
   Duration region_interval = 400ms;
@@ -64,7 +69,7 @@
   std::size_t unresponsive_zone_candidates = 8;
   // Nodes mentioned in a region digest. These are sent less often, and every node must be mentioned within PeerTable's
   // expiry time.
-  std::size_t mentioned_across_regions = 48;
+  std::size_t mentioned_across_regions = 96;
   // A digest that covers fewer nodes than this share of the last one replaces it only if no more complete one arrives:
   // its sender has just begun to aggregate, or receives only part of its zone's reports.
   double min_completeness = 0.8;
@@ -159,7 +164,11 @@
   // Whether to keep `known` although `report` arrived later; `interval`: interval between digests of one sender.
   bool IsMoreComplete(const PeerReport& known, Time known_received_at, const PeerReport& report, Time now,
                       Duration interval) const;
-  std::vector<PeerNode> NextMentionedPeers(ReportScope scope);
+  // The nodes to list in a digest: the best of each zone, and others of `members` in turn. A node that does not know
+  // the best of its zone would report to others, and they would form a fleet of their own.
+  std::vector<PeerNode> ListMembers(MemberRotation& members, Time now) const;
+  // Records the nodes that another zone's or region's aggregator lists.
+  void RecordMembers(const PeerReport& digest, Time now);
 
   FleetExchangeParameters parameters_;
   PeerNode self_;
@@ -182,7 +191,10 @@
   PeerReport view_;
   Time view_received_at_{};
   std::uint64_t sequence_ = 0;
-  std::size_t next_mentioned_peer_ = 0;
+  // Nodes to list: of this zone, of this region, and of the fleet.
+  MemberRotation zone_members_;
+  MemberRotation region_members_;
+  MemberRotation fleet_members_;
   std::size_t zone_round_robin_ = 0;
   Time next_region_digest_{};
   std::size_t region_round_robin_ = 0;
--- a/src/core/serving/fleet_exchange_regions.cc
+++ b/src/core/serving/fleet_exchange_regions.cc
@@ -16,6 +16,7 @@
   if (!IsMoreComplete(region.report, region.at, report, now, parameters_.region_interval)) region = sender;
   if (report.scope == ReportScope::kRegion) to_forward_[report.node] = sender;
   RecordCacheUpdates(report, now);
+  RecordMembers(report, now);
 }
 
 void FleetExchange::SendRegionDigest(Time now, const PeerReport& own, const std::vector<PeerNode>& peers,
@@ -29,7 +30,7 @@
   for (const PeerNode& peer : peers) regions.insert(topology_.RegionOf(peer.zone));
   regions.erase(topology_.LocalRegion());
   FleetMessage digest{{}, Sum(ReportScope::kRegion, own, now)};
-  digest.report.peers = NextMentionedPeers(ReportScope::kRegion);
+  digest.report.peers = region_members_.Next(parameters_.mentioned_across_regions, now);
   ++region_round_robin_;
   for (const std::string_view region : regions) {
     const std::vector<std::string> aggregators = AggregatorsOfRegion(region, peers);
--- a/src/core/serving/node_ranking.cc
+++ b/src/core/serving/node_ranking.cc
@@ -40,6 +40,24 @@
   return nodes;
 }
 
+std::vector<PeerNode> BestOfEachZone(std::span<const PeerNode> nodes, std::size_t per_zone, std::size_t max_count) {
+  std::map<std::string_view, std::vector<RankedNode>> best;
+  for (const PeerNode& node : nodes) {
+    if (node.stopping) continue;
+    std::vector<RankedNode>& zone = best[node.zone];
+    zone.push_back({&node, HashText(node.node)});
+    SortBestFirst(zone);
+    if (zone.size() > per_zone) zone.pop_back();
+  }
+  std::vector<PeerNode> chosen;
+  for (const auto& [zone, ranked] : best) {
+    for (const RankedNode& node : ranked) {
+      if (chosen.size() < max_count) chosen.push_back(*node.node);
+    }
+  }
+  return chosen;
+}
+
 std::vector<RankedNode> PickAcrossZones(std::span<const RankedNode> ranked, std::size_t count) {
   struct Positioned {
     std::size_t position_in_zone = 0;  // Position within its zone.
--- a/src/core/serving/node_ranking.h
+++ b/src/core/serving/node_ranking.h
@@ -26,6 +26,9 @@
 // into `self` and `peers`.
 std::vector<RankedNode> RankZone(const PeerNode& self, std::span<const PeerNode> peers, std::string_view zone);
 
+// The best `per_zone` nodes of each zone, without those that are stopping; at most `max_count` in all.
+std::vector<PeerNode> BestOfEachZone(std::span<const PeerNode> nodes, std::size_t per_zone, std::size_t max_count);
+
 // The first `count` nodes of a ranking, from as many different zones as possible.
 std::vector<RankedNode> PickAcrossZones(std::span<const RankedNode> ranked, std::size_t count);
 
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -13,8 +13,9 @@
 constexpr Duration kReportExpiryPerPeer = 60ms;
 // A message mentions a bounded number of nodes, so each additional node delays the next mention of a given one. A node
 // is forgotten when it should have been mentioned about three times.
+constexpr Duration kMaxReportExpiry = 12s;
 constexpr Duration kMentionExpiry = 6s;
-constexpr Duration kMentionExpiryPerNode = 20ms;
+constexpr Duration kMentionExpiryPerNode = 10ms;
 
 // The sender of a report as a member.
 PeerNode DescribeSender(const PeerReport& report) {
@@ -56,22 +57,31 @@
 
 void PeerTable::RecordMentionedPeers(const PeerReport& report, Time now) {
   for (const PeerNode& peer : report.peers) {
-    if (peer.node == local_node_) continue;
+    const Time heard_at = now - peer.age;
+    if (peer.node == local_node_ || IsExpired(heard_at, now)) continue;
     Mentioned& mentioned = mentioned_[peer.node];
-    if (mentioned.node != peer) {
+    if (mentioned.node != peer && heard_at >= mentioned.heard_at) {
       mentioned.node = peer;
       RecordMembershipChange();
     }
-    mentioned.received_at = now;
+    mentioned.heard_at = std::max(mentioned.heard_at, heard_at);
   }
 }
 
+// Of a mentioned node that was last heard at that time.
+bool PeerTable::IsExpired(Time heard_at, Time now) const { return now - heard_at > MentionExpiry(); }
+
+Duration PeerTable::MentionExpiry() const {
+  return std::max(kMentionExpiry, kMentionExpiryPerNode * static_cast<int>(mentioned_.size()));
+}
+
 void PeerTable::Expire(Time now) {
-  const Duration expiry = kReportExpiry + kReportExpiryPerPeer * static_cast<int>(peers_.size());
-  const Duration mention_expiry = std::max(kMentionExpiry, kMentionExpiryPerNode * static_cast<int>(mentioned_.size()));
+  // In a large fleet, nodes are known by mentions, and most of those that once sent a report will not send another.
+  const Duration by_peers = kReportExpiry + kReportExpiryPerPeer * static_cast<int>(peers_.size());
+  const Duration expiry = std::min(by_peers, std::max(kMaxReportExpiry, MentionExpiry()));
   const auto expired =
       std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.received_at > expiry; }) +
-      std::erase_if(mentioned_, [&](const auto& entry) { return now - entry.second.received_at > mention_expiry; });
+      std::erase_if(mentioned_, [&](const auto& entry) { return IsExpired(entry.second.heard_at, now); });
   if (expired > 0) RecordMembershipChange();
 }
 
@@ -107,12 +117,12 @@
     const PeerReport& report = entry.report;
     const auto mentioned = mentioned_.find(node);
     const Time last =
-        mentioned == mentioned_.end() ? entry.received_at : std::max(entry.received_at, mentioned->second.received_at);
+        mentioned == mentioned_.end() ? entry.received_at : std::max(entry.received_at, mentioned->second.heard_at);
     if (now - last > age || report.stopping) continue;
     nodes.push_back({node, report.address, report.zone, report.link_mbps, false});
   }
   for (const auto& [node, mentioned] : mentioned_) {
-    const bool recent = now - mentioned.received_at <= age && !mentioned.node.stopping;
+    const bool recent = now - mentioned.heard_at <= age && !mentioned.node.stopping;
     if (recent && !peers_.contains(node)) nodes.push_back(mentioned.node);
   }
   return nodes;
@@ -124,8 +134,16 @@
   return static_cast<int>(received) + 1;
 }
 
-std::vector<PeerNode> PeerTable::NextPeersToMention(std::size_t max_count) {
-  return TakeRoundRobin(Nodes(), max_count, next_node_);
+std::vector<PeerNode> PeerTable::NextPeersToMention(std::size_t max_count, Time now) {
+  std::vector<PeerNode> listed = TakeRoundRobin(Nodes(), max_count, next_node_);
+  for (PeerNode& node : listed) {
+    const auto peer = peers_.find(node.node);
+    const auto mentioned = mentioned_.find(node.node);
+    Time heard_at = peer == peers_.end() ? Time{} : peer->second.received_at;
+    if (mentioned != mentioned_.end()) heard_at = std::max(heard_at, mentioned->second.heard_at);
+    node.age = now - heard_at;
+  }
+  return listed;
 }
 
 std::vector<RecordMark> PeerTable::LastChanges() const {
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "saltquay/limits/limit_messages.h"
@@ -82,8 +83,13 @@
   std::string zone;
   int link_mbps = 0;  // 0: unknown.
   bool stopping = false;
+  // In a list of nodes: how long ago the node itself was last heard. Not part of the description.
+  Duration age = 0s;
 
-  bool operator==(const PeerNode&) const = default;
+  bool operator==(const PeerNode& other) const {
+    return std::tie(node, address, zone, link_mbps, stopping) ==
+           std::tie(other.node, other.address, other.zone, other.link_mbps, other.stopping);
+  }
 };
 
 // Whose work a report covers. kRegionForwarded: another region's, forwarded within this region; kUsage: only a node's
@@ -131,7 +137,7 @@
   bool RecordReport(const PeerReport& report, Time now);
   void Expire(Time now);
 
-  // Adds the peers that a report mentions; for digests of a zone or of the fleet.
+  // Adds the peers that a report or digest mentions.
   void RecordMentionedPeers(const PeerReport& report, Time now);
 
   // Number of nodes that this node receives reports from, including itself.
@@ -146,8 +152,9 @@
   std::vector<PeerNode> RecentNodes(Time now, Duration age) const;
   // Number of nodes that sent a report within the last `age`, including this one.
   int CountReportingNodes(Time now, Duration age) const;
-  // The next `max_count` nodes or fewer, round-robin, to mention in a report.
-  std::vector<PeerNode> NextPeersToMention(std::size_t max_count);
+  // The next `max_count` nodes or fewer, round-robin, to mention in a report. Their ages go with them: nodes that
+  // repeated each other's mentions as new would keep a lost node known.
+  std::vector<PeerNode> NextPeersToMention(std::size_t max_count, Time now);
   // The newest mark of the duty lease in any peer's report.
   LeaseMark NewestLease() const;
   // For each kind of stored objects, the last change that any peer reports.
@@ -172,8 +179,10 @@
   std::map<std::string, Entry> peers_;
   struct Mentioned {
     PeerNode node;
-    Time received_at{};
+    Time heard_at{};  // When the node itself was last heard, by whoever mentioned it.
   };
+  Duration MentionExpiry() const;
+  bool IsExpired(Time heard_at, Time now) const;
   void RecordMembershipChange();
   void UpdateLists() const;
 
--- a/src/core/serving/report_news.cc
+++ b/src/core/serving/report_news.cc
@@ -12,7 +12,7 @@
 constexpr std::size_t kWorkBytes = 24;
 constexpr std::size_t kKeptPartBytes = 16;
 constexpr std::size_t kCrashBytes = 24;
-constexpr std::size_t kPeerBytes = 64;
+constexpr std::size_t kPeerBytes = 30;
 constexpr std::size_t kHoldBytes = 48;
 constexpr std::size_t kDemandBytes = 64;
 
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -12,7 +12,7 @@
 constexpr std::chrono::milliseconds kCacheUpdateRepeatTime{900};
 constexpr std::chrono::milliseconds kDigestCacheUpdateRepeatTime{600};
 // Maximum number of peers listed in a report, so that its size does not grow with the fleet.
-constexpr std::size_t kMaxListedPeers = 24;
+constexpr std::size_t kMaxListedPeers = 48;
 // The first reports of a node are immediately responded to with a full report, since it knows few other nodes.
 constexpr std::uint64_t kIntroductionReports = 3;
 // A node that was not listed by any peer for this long, plus two full cycles of the peer listing, counts as lost.
@@ -122,7 +122,7 @@
   report.kept = gateway_.core().selector().CacheUpdatesSince(
       now - (in_digests ? kDigestCacheUpdateRepeatTime : kCacheUpdateRepeatTime));
   report.crashes = gateway_.core().crashes().MarksToReport(now);
-  report.peers = peers_.NextPeersToMention(kMaxListedPeers);
+  report.peers = peers_.NextPeersToMention(kMaxListedPeers, now);
   report.zone = settings_.zone;
   report.link_mbps = settings_.link_mbps;
   report.records = store_.marks();
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -6,6 +6,7 @@
 
 #include "src/base/status.h"
 #include "src/gateway/limit_codec.h"
+#include "src/gateway/member_list_codec.h"
 #include "src/gateway/peer_report_generated.h"
 
 namespace saltquay::gateway {
@@ -92,9 +93,11 @@
     holds.push_back(wire::CreateEngineHold(builder, builder.CreateString(item.engine_id), Milliseconds(item.left)));
   }
   std::vector<flatbuffers::Offset<wire::PeerNode>> peers;
-  for (const auto& item : report.peers) {
+  const MemberList members = PackMembers(report.peers);
+  for (const auto& item : members.others) {
     peers.push_back(wire::CreatePeerNode(builder, builder.CreateString(item.node), builder.CreateString(item.address),
-                                         builder.CreateSharedString(item.zone), item.link_mbps));
+                                         builder.CreateSharedString(item.zone), item.link_mbps,
+                                         Milliseconds(item.age)));
   }
   std::vector<flatbuffers::Offset<wire::RecordMark>> records;
   for (const auto& item : report.records) {
@@ -108,7 +111,10 @@
       builder.CreateString(report.zone), report.link_mbps, builder.CreateVector(records),
       LeaseToWire(builder, report.lease), report.wall_ms, report.closed_through, UsageToWire(builder, report.usage),
       CrashesToWire(builder, report.crashes), LimitMessagesToWire(builder, report.limits),
-      report.forward_to.empty() ? 0 : builder.CreateVectorOfStrings(report.forward_to)));
+      report.forward_to.empty() ? 0 : builder.CreateVectorOfStrings(report.forward_to),
+      members.nodes.empty() ? 0 : builder.CreateVectorOfStructs(members.nodes),
+      members.nodes.empty() ? 0 : builder.CreateString(members.names),
+      members.nodes.empty() ? 0 : builder.CreateVectorOfStrings(members.zones)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -150,6 +156,7 @@
   }
   serving::PeerReport report;
   ReadSender(*source, report);
+  if (!UnpackMembers(*source, report.peers)) return absl::UnavailableError("a peer report's list of nodes is damaged");
   ForEach(source->work(), [&](const wire::EngineWork& item) { report.work.push_back(FromWire(item)); });
   ForEach(source->kept(), [&](const wire::KeptPart& item) {
     report.kept.push_back({serving::EngineKey(item.engine()), item.part()});
@@ -166,7 +173,8 @@
     report.holds.push_back({Text(item.engine()), std::chrono::milliseconds(item.left_ms())});
   });
   ForEach(source->peers(), [&](const wire::PeerNode& item) {
-    report.peers.push_back({Text(item.node()), Text(item.address()), Text(item.zone()), item.link_mbps(), false});
+    report.peers.push_back({Text(item.node()), Text(item.address()), Text(item.zone()), item.link_mbps(), false,
+                            std::max(Duration(0s), Duration(std::chrono::milliseconds(item.age_ms())))});
   });
   ForEach(source->limits(), [&](const wire::LimitMessage& item) {
     if (auto message = LimitMessageFromWire(item)) report.limits.push_back(std::move(*message));
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -32,6 +32,8 @@
 struct PeerNode;
 struct PeerNodeBuilder;
 
+struct ListedNode;
+
 struct RecordMark;
 struct RecordMarkBuilder;
 
@@ -154,6 +156,53 @@
 };
 FLATBUFFERS_STRUCT_END(CrashMark, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) ListedNode FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t ipv4_;
+  uint16_t age_ms_;
+  uint16_t port_;
+  uint16_t link_mbps_;
+  uint8_t zone_;
+  uint8_t name_bytes_;
+
+ public:
+  ListedNode()
+      : ipv4_(0),
+        age_ms_(0),
+        port_(0),
+        link_mbps_(0),
+        zone_(0),
+        name_bytes_(0) {
+  }
+  ListedNode(uint32_t _ipv4, uint16_t _age_ms, uint16_t _port, uint16_t _link_mbps, uint8_t _zone, uint8_t _name_bytes)
+      : ipv4_(flatbuffers::EndianScalar(_ipv4)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        port_(flatbuffers::EndianScalar(_port)),
+        link_mbps_(flatbuffers::EndianScalar(_link_mbps)),
+        zone_(flatbuffers::EndianScalar(_zone)),
+        name_bytes_(flatbuffers::EndianScalar(_name_bytes)) {
+  }
+  uint32_t ipv4() const {
+    return flatbuffers::EndianScalar(ipv4_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint16_t port() const {
+    return flatbuffers::EndianScalar(port_);
+  }
+  uint16_t link_mbps() const {
+    return flatbuffers::EndianScalar(link_mbps_);
+  }
+  uint8_t zone() const {
+    return flatbuffers::EndianScalar(zone_);
+  }
+  uint8_t name_bytes() const {
+    return flatbuffers::EndianScalar(name_bytes_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ListedNode, 12);
+
 struct ServiceDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceDemandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -348,7 +397,8 @@
     VT_NODE = 4,
     VT_ADDRESS = 6,
     VT_ZONE = 8,
-    VT_LINK_MBPS = 10
+    VT_LINK_MBPS = 10,
+    VT_AGE_MS = 12
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -362,6 +412,9 @@
   int32_t link_mbps() const {
     return GetField<int32_t>(VT_LINK_MBPS, 0);
   }
+  int32_t age_ms() const {
+    return GetField<int32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -371,6 +424,7 @@
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
            VerifyField<int32_t>(verifier, VT_LINK_MBPS, 4) &&
+           VerifyField<int32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -391,6 +445,9 @@
   void add_link_mbps(int32_t link_mbps) {
     fbb_.AddElement<int32_t>(PeerNode::VT_LINK_MBPS, link_mbps, 0);
   }
+  void add_age_ms(int32_t age_ms) {
+    fbb_.AddElement<int32_t>(PeerNode::VT_AGE_MS, age_ms, 0);
+  }
   explicit PeerNodeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -407,8 +464,10 @@
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    int32_t link_mbps = 0) {
+    int32_t link_mbps = 0,
+    int32_t age_ms = 0) {
   PeerNodeBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
   builder_.add_link_mbps(link_mbps);
   builder_.add_zone(zone);
   builder_.add_address(address);
@@ -421,7 +480,8 @@
     const char *node = nullptr,
     const char *address = nullptr,
     const char *zone = nullptr,
-    int32_t link_mbps = 0) {
+    int32_t link_mbps = 0,
+    int32_t age_ms = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -430,7 +490,8 @@
       node__,
       address__,
       zone__,
-      link_mbps);
+      link_mbps,
+      age_ms);
 }
 
 struct RecordMark FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -858,7 +919,10 @@
     VT_USAGE = 46,
     VT_CRASHES = 48,
     VT_LIMITS = 50,
-    VT_FORWARD_TO = 52
+    VT_FORWARD_TO = 52,
+    VT_LISTED = 54,
+    VT_LISTED_NAMES = 56,
+    VT_LISTED_ZONES = 58
   };
   uint8_t format() const {
     return GetField<uint8_t>(VT_FORMAT, 0);
@@ -935,6 +999,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *forward_to() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_FORWARD_TO);
   }
+  const flatbuffers::Vector<const saltquay::gateway::wire::ListedNode *> *listed() const {
+    return GetPointer<const flatbuffers::Vector<const saltquay::gateway::wire::ListedNode *> *>(VT_LISTED);
+  }
+  const flatbuffers::String *listed_names() const {
+    return GetPointer<const flatbuffers::String *>(VT_LISTED_NAMES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *listed_zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LISTED_ZONES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FORMAT, 1) &&
@@ -983,6 +1056,13 @@
            VerifyOffset(verifier, VT_FORWARD_TO) &&
            verifier.VerifyVector(forward_to()) &&
            verifier.VerifyVectorOfStrings(forward_to()) &&
+           VerifyOffset(verifier, VT_LISTED) &&
+           verifier.VerifyVector(listed()) &&
+           VerifyOffset(verifier, VT_LISTED_NAMES) &&
+           verifier.VerifyString(listed_names()) &&
+           VerifyOffset(verifier, VT_LISTED_ZONES) &&
+           verifier.VerifyVector(listed_zones()) &&
+           verifier.VerifyVectorOfStrings(listed_zones()) &&
            verifier.EndTable();
   }
 };
@@ -1066,6 +1146,15 @@
   void add_forward_to(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> forward_to) {
     fbb_.AddOffset(Report::VT_FORWARD_TO, forward_to);
   }
+  void add_listed(flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::ListedNode *>> listed) {
+    fbb_.AddOffset(Report::VT_LISTED, listed);
+  }
+  void add_listed_names(flatbuffers::Offset<flatbuffers::String> listed_names) {
+    fbb_.AddOffset(Report::VT_LISTED_NAMES, listed_names);
+  }
+  void add_listed_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> listed_zones) {
+    fbb_.AddOffset(Report::VT_LISTED_ZONES, listed_zones);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1103,12 +1192,18 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::CrashMark *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>>> limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> forward_to = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> forward_to = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::ListedNode *>> listed = 0,
+    flatbuffers::Offset<flatbuffers::String> listed_names = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> listed_zones = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_closed_through(closed_through);
   builder_.add_wall_ms(wall_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_listed_zones(listed_zones);
+  builder_.add_listed_names(listed_names);
+  builder_.add_listed(listed);
   builder_.add_forward_to(forward_to);
   builder_.add_limits(limits);
   builder_.add_crashes(crashes);
@@ -1159,7 +1254,10 @@
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::UsageCount>> *usage = nullptr,
     const std::vector<saltquay::gateway::wire::CrashMark> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>> *limits = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *forward_to = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *forward_to = nullptr,
+    const std::vector<saltquay::gateway::wire::ListedNode> *listed = nullptr,
+    const char *listed_names = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *listed_zones = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::EngineWork>(*work) : 0;
@@ -1173,6 +1271,9 @@
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::CrashMark>(*crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::LimitMessage>>(*limits) : 0;
   auto forward_to__ = forward_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*forward_to) : 0;
+  auto listed__ = listed ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::ListedNode>(*listed) : 0;
+  auto listed_names__ = listed_names ? _fbb.CreateString(listed_names) : 0;
+  auto listed_zones__ = listed_zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*listed_zones) : 0;
   return saltquay::gateway::wire::CreateReport(
       _fbb,
       format,
@@ -1199,7 +1300,10 @@
       usage__,
       crashes__,
       limits__,
-      forward_to__);
+      forward_to__,
+      listed__,
+      listed_names__,
+      listed_zones__);
 }
 
 inline const saltquay::gateway::wire::Report *GetReport(const void *buf) {
--- a/src/programs/saltquay_sim.cc
+++ b/src/programs/saltquay_sim.cc
@@ -16,7 +16,8 @@
     "  list                list scenarios and settings\n"
     "  run SCENARIO        run it over the seeds\n"
     "  experiment NAME     compare policies on one workload over the seeds\n"
-    "  capacity            what control costs a node, by hollow nodes\n";
+    "  capacity            what control costs a node, by hollow nodes\n"
+    "  fleet               what reports and digests cost a gateway, by hollow gateways\n";
 
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("saltquay-sim", "Deterministic simulation of a saltquay fleet.");
@@ -53,6 +54,7 @@
   if (words[0] == "run" && words.size() == 2) return RunCommand(command);
   if (words[0] == "experiment" && words.size() == 2) return ExperimentCommand(command);
   if (words[0] == "capacity" && words.size() == 1) return CapacityCommand(command);
+  if (words[0] == "fleet" && words.size() == 1) return FleetCommand(command);
   std::cerr << kCommands;
   return kExitUsage;
 }
--- a/src/simulation/commands.h
+++ b/src/simulation/commands.h
@@ -39,5 +39,6 @@
 int RunCommand(const CommandArguments& arguments);
 int ExperimentCommand(const CommandArguments& arguments);
 int CapacityCommand(const CommandArguments& arguments);
+int FleetCommand(const CommandArguments& arguments);
 
 }  // namespace saltquay
--- a/tests/core/serving/engine_selection_test.cc
+++ b/tests/core/serving/engine_selection_test.cc
@@ -335,12 +335,12 @@
   }
   std::set<std::string> named;
   for (int i = 0; i < 5; ++i) {
-    const std::vector<PeerNode> next = peers.NextPeersToMention(24);
+    const std::vector<PeerNode> next = peers.NextPeersToMention(24, Time{1s});
     EXPECT_EQ(next.size(), 24U);
     for (const PeerNode& peer : next) named.insert(peer.node);
   }
   EXPECT_EQ(named.size(), 100U);
-  EXPECT_EQ(peers.NextPeersToMention(200).size(), 100U);
+  EXPECT_EQ(peers.NextPeersToMention(200, Time{1s}).size(), 100U);
 }
 
 TEST(PeerTableTest, NewerReportsReplaceOlderOnesAndUnresponsiveNodesExpire) {
