--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -63,6 +63,18 @@
   return builder.CreateVector(usage);
 }
 
+std::vector<flatbuffers::Offset<wire::PeerNode>> PeersToWire(flatbuffers::FlatBufferBuilder& builder,
+                                                             const std::vector<serving::PeerNode>& nodes) {
+  std::vector<flatbuffers::Offset<wire::PeerNode>> peers;
+  peers.reserve(nodes.size());
+  for (const auto& item : nodes) {
+    peers.push_back(wire::CreatePeerNode(builder, builder.CreateString(item.node), builder.CreateString(item.address),
+                                         builder.CreateSharedString(item.zone), item.link_mbps,
+                                         Milliseconds(item.age)));
+  }
+  return peers;
+}
+
 // Calls `read` for each element of `source`, which may be null.
 template <typename Vector, typename Read>
 void ForEach(const Vector* source, Read read) {
@@ -92,13 +104,8 @@
   for (const auto& item : report.holds) {
     holds.push_back(wire::CreateEngineHold(builder, builder.CreateString(item.engine_id), Milliseconds(item.left)));
   }
-  std::vector<flatbuffers::Offset<wire::PeerNode>> peers;
   const MemberList members = PackMembers(report.peers);
-  for (const auto& item : members.others) {
-    peers.push_back(wire::CreatePeerNode(builder, builder.CreateString(item.node), builder.CreateString(item.address),
-                                         builder.CreateSharedString(item.zone), item.link_mbps,
-                                         Milliseconds(item.age)));
-  }
+  const std::vector<flatbuffers::Offset<wire::PeerNode>> peers = PeersToWire(builder, members.others);
   std::vector<flatbuffers::Offset<wire::RecordMark>> records;
   for (const auto& item : report.records) {
     records.push_back(wire::CreateRecordMark(builder, builder.CreateString(item.kind), item.changed_at));
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -38,7 +38,7 @@
     std::function<void(serving::PeerReport&)> fill;             // Fills in a report before it is sent.
     std::function<void(const serving::PeerReport&)> on_report;  // Receives every valid report.
     std::function<void(const absl::Status&, const std::string&)>
-        on_rejected_report;                                 // Cause and address of the sender.
+        on_rejected_report;                                        // Cause and address of the sender.
     std::function<const std::vector<serving::PeerNode>&()> peers;  // Candidate receivers of a round.
     // Called for every datagram sent, with its receiver, scope and size.
     std::function<void(const std::string&, serving::ReportScope, std::size_t bytes)> on_sent;
--- a/src/wire/decode.cc
+++ b/src/wire/decode.cc
@@ -1,8 +1,8 @@
 // FlatBuffers to peer messages. Everything is checked before it is used.
 #include <optional>
 
-#include "src/wire/codec.h"
 #include "src/base/deflate.h"
+#include "src/wire/codec.h"
 #include "src/wire/peer_generated.h"
 
 namespace saltquay {
--- a/src/wire/encode.cc
+++ b/src/wire/encode.cc
@@ -1,8 +1,8 @@
 // Peer messages to FlatBuffers.
 #include <vector>
 
-#include "src/wire/codec.h"
 #include "src/base/deflate.h"
+#include "src/wire/codec.h"
 #include "src/wire/peer_generated.h"
 
 namespace saltquay {
--- a/tests/core/serving/membership_test.cc
+++ b/tests/core/serving/membership_test.cc
@@ -88,6 +88,7 @@
 
 TEST(NodeRankingTest, TheBestOfEachZoneHaveTheFastestLinks) {
   std::vector<PeerNode> nodes;
+  nodes.reserve(40);
   for (int i = 0; i < 40; ++i) nodes.push_back(MakeNode(i, i < 4 ? 200 : 20));
   nodes[0].stopping = true;
   const std::vector<PeerNode> best = BestOfEachZone(nodes, 2, 10);
