Report rounds start at a different peer at each node; gauges of the known fleet

Cause (model, 985 nodes): all nodes know the same peers in the same order and began their rounds at the first, so all reported to the same two at a time: a node received up to 412 kB/s of reports, the fleet's size times a report.

Change: a round starts at the hash of the node's address. saltquay_members_known and saltquay_digest_nodes show what a node knows of the fleet.

--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -131,7 +131,7 @@
 
 class PeerTable {
  public:
-  explicit PeerTable(std::string local_node) : local_node_(std::move(local_node)) {}
+  explicit PeerTable(std::string local_node) : local_node_(std::move(local_node)), next_node_(HashText(local_node_)) {}
 
   // Returns whether the report is newer than the known one.
   bool RecordReport(const PeerReport& report, Time now);
@@ -186,7 +186,7 @@
   void RecordMembershipChange();
   void UpdateLists() const;
 
-  std::size_t next_node_ = 0;                   // Position for the next call of NextPeersToMention.
+  std::size_t next_node_;                       // Position for the next call of NextPeersToMention.
   std::map<std::string, Mentioned> mentioned_;  // Mentioned by others.
   std::uint64_t version_ = 0;
   // Computed on demand from the two maps, since membership changes rarely and is read several times in every tick.
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -25,8 +25,6 @@
 // The lease is renewed before less than this is left of it: the time for an order (a stage change of an engine) and its
 // transmission.
 constexpr Duration kLeaseMargin = 400ms;
-// Interval between log lines that summarize traffic; their cost is negligible next to that of the requests in between.
-constexpr Duration kTrafficLogInterval = 10s;
 
 serving::FleetExchangeParameters DigestParameters() {
   serving::FleetExchangeParameters parameters;
@@ -181,26 +179,6 @@
                fmt::format(R"("sender":"{}","cause":"{}")", EscapeJson(sender), EscapeJson(MessageOf(cause))));
 }
 
-// Called for every datagram sent, so the result of the search through the peer table is cached by address.
-TrafficLocality FleetCoordinator::LocalityOf(const std::string& address) {
-  constexpr std::size_t kMaxAddresses = 4096;  // Bounds the cache: replaced nodes get new addresses.
-  const auto known = peer_localities_.find(address);
-  if (known != peer_localities_.end()) return known->second;
-  const std::vector<serving::PeerNode>& nodes = peers_.Nodes();
-  const auto peer =
-      std::find_if(nodes.begin(), nodes.end(), [&](const serving::PeerNode& node) { return node.address == address; });
-  if (peer == nodes.end()) return TrafficLocality::kOtherRegion;
-  if (peer_localities_.size() >= kMaxAddresses) peer_localities_.clear();
-  return peer_localities_[address] = gateway_.traffic().LocalityOf(peer->zone);
-}
-
-void FleetCoordinator::LogTraffic() {
-  const Time now = gateway_.Now();
-  if (now < next_traffic_log_) return;
-  if (next_traffic_log_ != Time{}) gateway_.Log(EventId::kTrafficSummary, "", gateway_.traffic().Summary());
-  next_traffic_log_ = now + kTrafficLogInterval;
-}
-
 void FleetCoordinator::DispatchPeersChanged(const std::vector<serving::KeptPart>& kept) {
   serving::PeersChanged changed;
   changed.kept = kept;
@@ -333,6 +311,8 @@
   quarantine_.Step();
   LogTraffic();
   gateway_.metrics().SetLeader(lease_.IsHeldFor(gateway_.Now()));
+  const serving::PeerReport* digest = fleet_.View(gateway_.Now());
+  gateway_.metrics().SetFleet(static_cast<double>(members.size()) + 1, digest == nullptr ? 1 : digest->nodes);
   timer_.expires_after(kTickInterval);
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) Tick();
--- /dev/null
+++ b/src/gateway/fleet_coordinator_traffic.cc
@@ -0,0 +1,34 @@
+// Bytes between nodes by kind and locality, for metrics and the log.
+#include <algorithm>
+
+#include "src/gateway/fleet_coordinator.h"
+
+namespace saltquay::gateway {
+namespace {
+
+// Interval between log lines that summarize traffic; their cost is negligible next to that of the requests in between.
+constexpr Duration kTrafficLogInterval = 10s;
+
+}  // namespace
+
+// Called for every datagram sent, so the result of the search through the peer table is cached by address.
+TrafficLocality FleetCoordinator::LocalityOf(const std::string& address) {
+  constexpr std::size_t kMaxAddresses = 4096;  // Bounds the cache: replaced nodes get new addresses.
+  const auto known = peer_localities_.find(address);
+  if (known != peer_localities_.end()) return known->second;
+  const std::vector<serving::PeerNode>& nodes = peers_.Nodes();
+  const auto peer =
+      std::find_if(nodes.begin(), nodes.end(), [&](const serving::PeerNode& node) { return node.address == address; });
+  if (peer == nodes.end()) return TrafficLocality::kOtherRegion;
+  if (peer_localities_.size() >= kMaxAddresses) peer_localities_.clear();
+  return peer_localities_[address] = gateway_.traffic().LocalityOf(peer->zone);
+}
+
+void FleetCoordinator::LogTraffic() {
+  const Time now = gateway_.Now();
+  if (now < next_traffic_log_) return;
+  if (next_traffic_log_ != Time{}) gateway_.Log(EventId::kTrafficSummary, "", gateway_.traffic().Summary());
+  next_traffic_log_ = now + kTrafficLogInterval;
+}
+
+}  // namespace saltquay::gateway
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -52,6 +52,8 @@
   config_version_ = gauge("saltquay_config_version", "Version of the configuration in force");
   engines_ = gauge("saltquay_engines", "Engines known");
   open_requests_ = gauge("saltquay_open_requests", "Requests under way");
+  members_known_ = gauge("saltquay_members_known", "Nodes that this node knows, with itself");
+  digest_nodes_ = gauge("saltquay_digest_nodes", "Nodes whose work the newest digest covers; 1: no digest");
   log_dropped_ = gauge("saltquay_log_lines_dropped", "Log lines dropped so far");
   leader_ = gauge("saltquay_role_leader", "1 while this node holds the duties' lease");
   quarantined_ = gauge("saltquay_requests_quarantined", "Requests kept from engines, since engines ended under them");
@@ -96,6 +98,11 @@
   log_dropped_->Set(log_dropped);
 }
 
+void GatewayMetrics::SetFleet(double members_known, double digest_nodes) {
+  members_known_->Set(members_known);
+  digest_nodes_->Set(digest_nodes);
+}
+
 void GatewayMetrics::SetQuarantineCounts(double in_quarantine, double remembered) {
   quarantined_->Set(in_quarantine);
   crash_entries_->Set(remembered);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -39,6 +39,8 @@
   void SetTraffic(const TrafficMeter& traffic);
   // Exports the tenants with the most refused units as separate series and aggregates the others.
   void SetLimits(std::vector<limits::LimitStatus> limits);
+  // Number of nodes that this node knows, and that the newest digest covers; both include this node.
+  void SetFleet(double members_known, double digest_nodes);
   void SetLeader(bool leads) { leader_->Set(leads ? 1 : 0); }
   // `clock_error_seconds`: offset of this machine's clock from the fleet's.
   void SetDuties(double sealed_window, double unsent_reports, double clock_error_seconds);
@@ -65,6 +67,8 @@
   prometheus::Gauge* config_version_;
   prometheus::Gauge* engines_;
   prometheus::Gauge* open_requests_;
+  prometheus::Gauge* members_known_;
+  prometheus::Gauge* digest_nodes_;
   prometheus::Gauge* log_dropped_;
   prometheus::Gauge* leader_;
   prometheus::Gauge* quarantined_;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "src/base/hash.h"
 #include "src/core/serving/round_robin.h"
 #include "src/gateway/peer_codec.h"
 #include "src/http/socket.h"
@@ -13,7 +14,11 @@
 using boost::asio::ip::udp;
 
 PeerExchange::PeerExchange(boost::asio::io_context& loop, PeerExchangeOptions options, Handlers handlers)
-    : socket_(loop), timer_(loop), options_(std::move(options)), handlers_(std::move(handlers)) {}
+    : socket_(loop),
+      timer_(loop),
+      options_(std::move(options)),
+      handlers_(std::move(handlers)),
+      next_(HashText(options_.address)) {}
 
 absl::Status PeerExchange::Start() {
   const absl::StatusOr<http::Endpoint> endpoint = http::ParseEndpoint(options_.address);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -70,7 +70,9 @@
   bool reduced_rate_ = false;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, 65536> buffer_;
-  std::size_t next_ = 0;
+  // Position of the next round. Starts at a different one at each node: all nodes know the same peers in the same
+  // order, and would otherwise report to the same few at a time.
+  std::size_t next_;
 };
 
 }  // namespace saltquay::gateway
--- a/src/simulation/gateway_fleet_node.cc
+++ b/src/simulation/gateway_fleet_node.cc
@@ -40,7 +40,8 @@
       topology_(std::make_unique<serving::Topology>(
           description_.zone, std::map<std::string, std::string, std::less<>>{}, serving::TopologyParameters{})),
       table_(description_.node),
-      exchange_(serving::FleetExchangeParameters{}, description_, *topology_) {}
+      exchange_(serving::FleetExchangeParameters{}, description_, *topology_),
+      next_target_(HashText(description_.address)) {}
 
 void GatewayFleetNode::StartRequest(const serving::EngineKey& engine, Time now) { requests_.push_back({engine, now}); }
 
--- a/src/simulation/gateway_fleet_node.h
+++ b/src/simulation/gateway_fleet_node.h
@@ -68,7 +68,7 @@
   serving::FleetExchange exchange_;
   std::uint64_t sequence_ = 0;
   Time next_reports_{};
-  std::size_t next_target_ = 0;
+  std::size_t next_target_;
   std::deque<Request> requests_;
   std::optional<serving::EngineKey> failed_engine_;
   FleetNodeCounters counters_;
