Start of a whole fleet: only the readers list the store

Nodes that knew few others took themselves for readers; relays that found the readers listing went to the store themselves; followers whose relays and readers had just started counted these as cut off from the store, and each asked it once. With few engines the list is there before any of that matters.

Change: reports mention the two best nodes of each zone, so that a starting node agrees with the others on readers and relays; whoever finds the readers listing waits for them (2 s at most); a node without a replica that the store rejects says so (503 instead of 425), so that nobody waits for it.

FollowersOfStartingRelaysDoNotAllTurnToAReader: a relay may now wait for the readers and turn to the store afterwards; the test asks that only nodes that others follow do.

--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -77,7 +77,8 @@
     std::vector<serving::RecordMark> marks() const;
 
     // Responses for followers. Errors: kFailedPrecondition: this node has just started and has no replica yet;
-    // kUnavailable: the replica is stale; kOutOfRange: the changes were evicted from the history.
+    // kUnavailable: the replica is stale, or there is none because the store rejects this node; kOutOfRange: the
+    // changes were evicted from the history.
     absl::StatusOr<RelayedList> list_for_peer(std::string const& kind, bool allow_stale);
     absl::StatusOr<RelayedEvents> changes_for_peer(std::string const& kind, std::int64_t since);
     // The encoded list_for_peer(). Followers that ask for the same objects share the work.
--- a/include/saltquay/replica/upstream_selector.h
+++ b/include/saltquay/replica/upstream_selector.h
@@ -51,7 +51,8 @@
     // Between two requests to any other node that has just started.
     Duration starting_retry_delay = 200ms;
     // How long followers wait for relays that have just started before they turn to a reader: the lists of all
-    // followers at once exceed the capacity of a reader's link, and relays have a replica within a second.
+    // followers at once exceed the capacity of a reader's link, and relays have a replica within a second. Also how
+    // long nodes wait for readers that have just started.
     Duration relay_start_wait_limit = 2s;
     // When nodes lose their connection to the store, each asks it once within this time: the store may be rejecting
     // only the nodes that they follow, and its changes must take effect everywhere within seconds.
@@ -128,8 +129,9 @@
     bool contains_self(std::span<Ranked const>) const;
     // The connected node that this node prefers; nullptr if none is connected to the store.
     serving::PeerNode const* pick_connected(std::span<Ranked const>) const;
-    // Whether the relays have just started and are still worth waiting for.
-    bool should_wait_for(std::span<Ranked const> relays, Time now);
+    // Whether some of these nodes have just started and are still worth waiting for. `starting_since`: when this was
+    // first so.
+    bool should_wait_for(std::span<Ranked const> upstreams, std::optional<Time>& starting_since, Time now) const;
     // Whether it is this node's turn to ask a store to which no node is connected.
     bool may_probe(std::size_t nodes, Time now);
 
@@ -144,6 +146,7 @@
     std::optional<Time> last_store_success_;
     std::optional<Time> seeds_unready_since_;
     std::optional<Time> relays_starting_since_;
+    std::optional<Time> readers_starting_since_;
 };
 
 }
--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "src/core/serving/round_robin.h"
+#include "src/core/serving/node_ranking.h"
 
 namespace saltquay::serving {
 namespace {
@@ -17,6 +17,9 @@
 constexpr Duration kMentionExpiry = 6s;
 constexpr Duration kMentionExpiryPerNode = 10ms;
 
+// Mentioned in every report: a node that has just started has to agree with the others on whom to follow.
+constexpr std::size_t kBestPerZone = 2;
+
 // The sender of a report as a member.
 PeerNode DescribeSender(const PeerReport& report) {
   return {report.node, report.address, report.zone, report.link_mbps, report.stopping};
@@ -135,7 +138,13 @@
 }
 
 std::vector<PeerNode> PeerTable::NextPeersToMention(std::size_t max_count, Time now) {
-  std::vector<PeerNode> listed = TakeRoundRobin(Nodes(), max_count, next_node_);
+  const std::vector<PeerNode>& nodes = Nodes();
+  std::vector<PeerNode> listed = BestOfEachZone(nodes, kBestPerZone, max_count / 2);
+  const std::size_t wanted = std::min(max_count, nodes.size());
+  for (std::size_t i = 0; i < nodes.size() && listed.size() < wanted; ++i) {
+    const PeerNode& node = nodes[next_node_++ % nodes.size()];
+    if (std::find(listed.begin(), listed.end(), node) == listed.end()) listed.push_back(node);
+  }
   for (PeerNode& node : listed) {
     const auto peer = peers_.find(node.node);
     const auto mentioned = mentioned_.find(node.node);
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -152,8 +152,8 @@
   std::vector<PeerNode> RecentNodes(Time now, Duration age) const;
   // Number of nodes that sent a report within the last `age`, including this one.
   int CountReportingNodes(Time now, Duration age) const;
-  // The next `max_count` nodes or fewer, round-robin, to mention in a report. Their ages go with them: nodes that
-  // repeated each other's mentions as new would keep a lost node known.
+  // The nodes to mention in a report, at most `max_count`: the best of each zone, and others in turn. Their ages go
+  // with them: nodes that repeated each other's mentions as new would keep a lost node known.
   std::vector<PeerNode> NextPeersToMention(std::size_t max_count, Time now);
   // The newest mark of the duty lease in any peer's report.
   LeaseMark NewestLease() const;
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -84,7 +84,10 @@
   options.address = settings_.peer_listen;
   options.seeds = settings_.peer_seeds;
   PeerExchange::Handlers handlers;
-  handlers.fill = [this](serving::PeerReport& report) { FillReport(report); };
+  handlers.fill = [this](serving::PeerReport& report) {
+    FillReport(report);
+    report.peers = peers_.NextPeersToMention(kMaxListedPeers, gateway_.Now());
+  };
   handlers.on_report = [this](const serving::PeerReport& report) { OnReport(report); };
   handlers.on_rejected_report = [this](const absl::Status& cause, const std::string& sender) {
     OnRejectedReport(cause, sender);
@@ -120,7 +123,6 @@
   report.kept = gateway_.core().selector().CacheUpdatesSince(
       now - (in_digests ? kDigestCacheUpdateRepeatTime : kCacheUpdateRepeatTime));
   report.crashes = gateway_.core().crashes().MarksToReport(now);
-  report.peers = peers_.NextPeersToMention(kMaxListedPeers, now);
   report.zone = settings_.zone;
   report.link_mbps = settings_.link_mbps;
   report.records = store_.marks();
@@ -252,7 +254,6 @@
   if (!fleet_.IsLarge(nodes)) return exchange_->set_reduced_rate(false);
   serving::PeerReport own;
   FillReport(own);
-  own.peers.clear();
   const bool aggregates = fleet_.aggregates(now);
   exchange_->Send(fleet_.Tick(now, own, nodes));
   exchange_->set_reduced_rate(fleet_.View(now) != nullptr);
--- a/src/replica/relayed_store_freshness.cc
+++ b/src/replica/relayed_store_freshness.cc
@@ -100,7 +100,10 @@
 absl::Status RelayedStore::check_list_request(std::string const& kind, bool allow_stale) const
 {
     auto const entry = kinds_.find(kind);
-    if (entry == kinds_.end() || !entry->second.replica.has_snapshot())
+    auto const is_listed = entry != kinds_.end() && entry->second.replica.has_snapshot();
+    if (!is_listed && entry != kinds_.end() && entry->second.store_failed)
+        return absl::UnavailableError("this node has no replica, and the store rejects it");
+    if (!is_listed)
         return absl::FailedPreconditionError("this node has no replica yet");
     if (!allow_stale && !may_relay(entry->second))
         return absl::UnavailableError("this node's replica is stale");
--- a/src/replica/upstream_selector.cc
+++ b/src/replica/upstream_selector.cc
@@ -129,7 +129,7 @@
     // If no other node is connected to the store, the nodes that the ranking assigns to it retry it.
     auto const retries_store = store_failed && is_reader_by_rank(peers);
     auto const* peer = is_relay ? nullptr : pick_connected(zone_relays);
-    if (peer == nullptr && !is_relay && !retries_store && should_wait_for(zone_relays, now))
+    if (peer == nullptr && !is_relay && !retries_store && should_wait_for(zone_relays, relays_starting_since_, now))
         return { Upstream::Source::None, {} };
     if (peer == nullptr)
         peer = pick_connected(readers_in_region(fleet_readers));
@@ -137,6 +137,10 @@
         peer = pick_connected(fleet_readers);
     if (peer != nullptr)
         return { Upstream::Source::Peer, *peer };
+    // Readers that are listing will have a replica soon. If each node listed meanwhile, the store would serve the whole
+    // list to the whole fleet.
+    if (!retries_store && should_wait_for(fleet_readers, readers_starting_since_, now))
+        return { Upstream::Source::None, {} };
     auto const store_responds = last_store_success_ && now - *last_store_success_ < parameters_.avoidance_period;
     auto const peers_disconnected = !disconnected_until_.empty() || !starting_until_.empty();
     if (!peers_disconnected || is_relay || retries_store || store_responds || may_probe(peers.size() + 1, now))
@@ -144,14 +148,15 @@
     return { Upstream::Source::None, {} };
 }
 
-bool UpstreamSelector::should_wait_for(std::span<Ranked const> relays, Time now)
+bool UpstreamSelector::should_wait_for(
+    std::span<Ranked const> upstreams, std::optional<Time>& starting_since, Time now) const
 {
-    auto const is_starting = [&](Ranked const& relay) { return starting_until_.contains(relay.node->node); };
-    if (std::none_of(relays.begin(), relays.end(), is_starting))
+    auto const is_starting = [&](Ranked const& upstream) { return starting_until_.contains(upstream.node->node); };
+    if (std::none_of(upstreams.begin(), upstreams.end(), is_starting))
         return false;
-    if (!relays_starting_since_)
-        relays_starting_since_ = now;
-    return now - *relays_starting_since_ < parameters_.relay_start_wait_limit;
+    if (!starting_since)
+        starting_since = now;
+    return now - *starting_since < parameters_.relay_start_wait_limit;
 }
 
 bool UpstreamSelector::may_probe(std::size_t nodes, Time now)
--- a/tests/replica/peer_list_test.cc
+++ b/tests/replica/peer_list_test.cc
@@ -139,6 +139,7 @@
         fleet.push_back({ "n" + std::to_string(i), "10.0.0.1:1", i % 2 == 0 ? "a" : "b", 20, false });
     Time const now { 10s };
     std::map<std::string, int> request_counts;
+    std::vector<std::string> readers_of_the_store;
     for (auto const& node : fleet) {
         auto peers = fleet;
         std::erase_if(peers, [&](serving::PeerNode const& peer) { return peer.node == node.node; });
@@ -154,15 +155,22 @@
         }
         if (upstream.source != Upstream::Source::None)
             continue;
-        // If its relays still have no replica after `relay_start_wait_limit`, the node turns to a reader.
+        // If its relays still have no replica after `relay_start_wait_limit`, the node turns to a reader; a relay,
+        // which waits for the readers, turns to the store.
         for (auto const& relay : starting_nodes)
             selector.record_starting(relay, now + 2s);
         auto const reader = selector.choose(peers, now + 2100ms);
+        if (reader.source == Upstream::Source::Store) {
+            readers_of_the_store.push_back(node.node);
+            continue;
+        }
         EXPECT_EQ(reader.source, Upstream::Source::Peer) << node.node;
         EXPECT_FALSE(std::count(starting_nodes.begin(), starting_nodes.end(), reader.peer.node)) << node.node;
     }
     for (auto const& [node, count] : request_counts)
         EXPECT_LE(count, 32) << node; // The followers of one zone, never of both.
+    for (auto const& node : readers_of_the_store)
+        EXPECT_TRUE(request_counts.contains(node)) << node << " is no relay";
 }
 
 TEST(PeerListTest, StartingNodeIsAskedAgainSoon)
--- a/tests/replica/upstream_selector_test.cc
+++ b/tests/replica/upstream_selector_test.cc
@@ -85,12 +85,12 @@
     EXPECT_EQ(selector.choose(peers, now + 4s).source, Upstream::Source::Peer);
 }
 
-// Five zones of sixty nodes, three with high link capacity in each.
-std::vector<PeerNode> make_fleet()
+// Five zones, of sixty nodes unless said otherwise, three with high link capacity in each.
+std::vector<PeerNode> make_fleet(int nodes_per_zone = 60)
 {
     std::vector<PeerNode> fleet;
     for (std::string const zone : { "a", "b", "c", "d", "e" }) {
-        auto nodes = make_zone(zone, 60, 20);
+        auto nodes = make_zone(zone, nodes_per_zone, 20);
         for (std::size_t i = 0; i < 3; ++i)
             nodes[i * 7].link_mbps = 200;
         fleet.insert(fleet.end(), nodes.begin(), nodes.end());
@@ -169,6 +169,32 @@
     EXPECT_GT(calls, 20);
 }
 
+// Guards against a fleet that starts at once and in which every node lists the store itself: 19,747 calls of 985 nodes
+// before 10,000 engines, whose list takes fifty pages.
+TEST(UpstreamSelectorTest, OnlyReadersListWhileTheFleetStarts)
+{
+    for (auto const nodes_per_zone : { 60, 200 }) {
+        auto const fleet = make_fleet(nodes_per_zone);
+        int calls = 0;
+        for (auto const& node : fleet) {
+            UpstreamSelector selector(node, {});
+            auto const peers = without(fleet, node.node);
+            for (Time now { 10s }; now < Time { 11900ms }; now += 300ms) {
+                auto upstream = selector.choose(peers, now);
+                while (upstream.source == Upstream::Source::Peer) {
+                    selector.record_starting(upstream.peer.node, now);
+                    upstream = selector.choose(peers, now);
+                }
+                if (upstream.source != Upstream::Source::Store)
+                    continue;
+                ++calls;
+                break; // The list is under way.
+            }
+        }
+        EXPECT_EQ(calls, 2) << nodes_per_zone;
+    }
+}
+
 TEST(UpstreamSelectorTest, StartingSeedsAreWaitedForBriefly)
 {
     // Seen in fcl-norte-large trouble-1: after a power loss 295 nodes and their seeds started at once, and all called
