Repeated messages beside what counts as news; a log line for engines added together (test)

RepeatedMessage moves to report_news. A zone digest's list of the best nodes no longer brings nodes of other regions into the list that this region sends to other regions.

--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -5,7 +5,6 @@
 
 #include "src/core/serving/demand_sum.h"
 #include "src/core/serving/node_ranking.h"
-#include "src/core/serving/report_news.h"
 
 namespace saltquay::serving {
 namespace {
@@ -52,17 +51,6 @@
 
 }  // namespace
 
-bool RepeatedMessage::IsDue(const PeerReport& report, Time now, Duration keepalive_interval) const {
-  return sent_at_ == Time{} || repeats_ || now - sent_at_ >= keepalive_interval || HasNews(sent_, report);
-}
-
-void RepeatedMessage::RecordSent(const PeerReport& report, Time now) {
-  const bool is_news = sent_at_ == Time{} || HasNews(sent_, report);
-  sent_ = report;
-  sent_at_ = now;
-  repeats_ = is_news;
-}
-
 bool FleetExchange::aggregates(Time now) const {
   return std::any_of(nodes_.begin(), nodes_.end(),
                      [&](const auto& entry) { return now - entry.second.at < parameters_.report_expiry; });
@@ -134,7 +122,7 @@
   for (const PeerNode& member : members) {
     if (member.node == self_.node) continue;
     fleet_members_.Record(member, now);
-    if (digest.scope == ReportScope::kZone) region_members_.Record(member, now);
+    if (digest.scope == ReportScope::kZone && IsLocalZone(member.zone)) region_members_.Record(member, now);
   }
 }
 
--- a/src/core/serving/fleet_exchange.h
+++ b/src/core/serving/fleet_exchange.h
@@ -30,6 +30,7 @@
 #include "src/core/serving/digest_tree.h"
 #include "src/core/serving/member_rotation.h"
 #include "src/core/serving/peer_table.h"
+#include "src/core/serving/report_news.h"
 #include "src/core/serving/topology.h"
 
 namespace saltquay::serving {
@@ -46,10 +47,10 @@
   std::size_t max_digest_engines = 200;  // Engines whose work a digest lists.
   std::size_t max_digest_copies = 16;    // Copies of a digest that one node sends.
   int aggregators = 2;                   // Number of aggregators that a node reports to.
-  // An aggregator that has sent no digest for this long is excluded; up to ten of its digests may be lost.
+  // An aggregator that has sent no digest for this long is excluded; three of its digests may be lost.
   Duration aggregator_timeout = 1200ms;
   Duration exclusion_time = 5s;
-  // Reports and digests expire after this time: as many intervals as `aggregator_timeout`.
+  // Reports and digests expire after this time, like `aggregator_timeout`.
   Duration report_expiry = 1200ms;
   // Cache updates are forwarded for this long after they were first received, then suppressed for a while.
   Duration cache_update_forward_time = 300ms;
@@ -75,22 +76,6 @@
   double min_completeness = 0.8;
 };
 
-// Decides when a message is sent that is repeated at intervals: at once if it has news, otherwise as a keep-alive.
-class RepeatedMessage {
- public:
-  // Whether to send `report` now. News is sent twice, since datagrams may be lost.
-  bool IsDue(const PeerReport& report, Time now, Duration keepalive_interval) const;
-  void RecordSent(const PeerReport& report, Time now);
-  const PeerReport& sent() const { return sent_; }
-  Time sent_at() const { return sent_at_; }
-  void Reset() { sent_at_ = Time{}; }
-
- private:
-  PeerReport sent_;
-  Time sent_at_{};
-  bool repeats_ = false;  // The last one had news.
-};
-
 class FleetExchange {
  public:
   // `topology` must outlive the object.
--- a/src/core/serving/report_news.cc
+++ b/src/core/serving/report_news.cc
@@ -79,4 +79,15 @@
             [](const EngineWork& first, const EngineWork& second) { return first.engine < second.engine; });
 }
 
+bool RepeatedMessage::IsDue(const PeerReport& report, Time now, Duration keepalive_interval) const {
+  return sent_at_ == Time{} || repeats_ || now - sent_at_ >= keepalive_interval || HasNews(sent_, report);
+}
+
+void RepeatedMessage::RecordSent(const PeerReport& report, Time now) {
+  const bool is_news = sent_at_ == Time{} || HasNews(sent_, report);
+  sent_ = report;
+  sent_at_ = now;
+  repeats_ = is_news;
+}
+
 }  // namespace saltquay::serving
--- a/src/core/serving/report_news.h
+++ b/src/core/serving/report_news.h
@@ -1,5 +1,5 @@
-// What of a report or digest is worth sending: whether it says something new, how large it is, and which engines to
-// list if there are too many.
+// When a report or digest is worth sending: whether it says something new, how large it is, and which engines to list
+// if there are too many.
 #pragma once
 
 #include <cstddef>
@@ -19,4 +19,20 @@
 // flight. The receivers assume that engines that are not listed have no work.
 void LimitWork(PeerReport& report, std::size_t max_engines);
 
+// Decides when a message is sent that is repeated at intervals: at once if it has news, otherwise as a keep-alive.
+class RepeatedMessage {
+ public:
+  // Whether to send `report` now. News is sent twice, since datagrams may be lost.
+  bool IsDue(const PeerReport& report, Time now, Duration keepalive_interval) const;
+  void RecordSent(const PeerReport& report, Time now);
+  const PeerReport& sent() const { return sent_; }
+  Time sent_at() const { return sent_at_; }
+  void Reset() { sent_at_ = Time{}; }
+
+ private:
+  PeerReport sent_;
+  Time sent_at_{};
+  bool repeats_ = false;  // The last one had news.
+};
+
 }  // namespace saltquay::serving
--- a/tests/core/serving/fleet_size_test.cc
+++ b/tests/core/serving/fleet_size_test.cc
@@ -7,6 +7,7 @@
 
 #include "src/core/serving/digest_tree.h"
 #include "src/core/serving/report_news.h"
+#include "src/core/serving/serving_core.h"
 #include "tests/support/fake_exchange_fleet.h"
 
 namespace saltquay::serving {
@@ -96,6 +97,21 @@
   EXPECT_LT(shared, forwarders.size());
 }
 
+TEST(FleetSizeTest, EnginesThatAreAddedTogetherTakeOneLogLine) {
+  ServingCore core(ServingParameters{}, "a", 1);
+  std::vector<Action> actions;
+  for (int i = 0; i < 500; ++i) {
+    EngineRecord record;
+    record.id = "e" + std::to_string(i);
+    core.OnEvent(Time{1s}, EngineChanged{record}, actions);
+  }
+  core.OnEvent(Time{1s}, EngineChangesApplied{}, actions);
+  core.OnEvent(Time{1s}, EngineChangesApplied{}, actions);
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_EQ(std::get<LogDecision>(actions[0]).details, R"("engines":500,"cause":"added")");
+  EXPECT_EQ(core.engines().all().size(), 500U);
+}
+
 // The messages that the busiest node sends, and a node in the middle, in ten seconds without news.
 std::pair<int, int> MessagesInTenSeconds(int nodes_per_zone) {
   FakeExchangeFleet fleet(5, nodes_per_zone, 1);
