--- a/src/core/serving/peer_table.cc
+++ b/src/core/serving/peer_table.cc
@@ -11,12 +11,10 @@
 // A node reports to a bounded number of peers per round, so each additional peer delays the next report to a given
 // peer.
 constexpr Duration kReportExpiryPerPeer = 60ms;
-// A message mentions a bounded number of nodes, so each additional node delays the next mention of a given one. A node
-// is forgotten when it should have been mentioned about three times.
 constexpr Duration kMaxReportExpiry = 12s;
+// A message mentions a bounded number of nodes, so each additional node delays the next mention of a given one.
 constexpr Duration kMentionExpiry = 6s;
 constexpr Duration kMentionExpiryPerNode = 10ms;
-
 // Mentioned in every report: a node that has just started has to agree with the others on whom to follow.
 constexpr std::size_t kBestPerZone = 2;
 
