--- a/src/core/serving/crash_ledger.cc
+++ b/src/core/serving/crash_ledger.cc
@@ -130,7 +130,7 @@
   std::sort(older.begin(), older.end(), [](const CrashMark& first, const CrashMark& second) {
     return std::pair(first.request, first.engine) < std::pair(second.request, second.engine);
   });
-  older = TakeRoundRobin(std::move(older), parameters_.max_repeated_marks, next_repeated_mark_);
+  older = TakeRoundRobin(older, parameters_.max_repeated_marks, next_repeated_mark_);
   marks.insert(marks.end(), older.begin(), older.end());
   return marks;
 }
