Digests at least each 300 ms, keep-alives each 200 ms; partial digests replace no complete one in that time

Change: max_digest_interval of 0.3 s bounds the pacing and is what completeness and owners' liveness are judged by.

--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -72,7 +72,7 @@
   }
   const auto contact = contacts_.find(report.node);
   if (contact != contacts_.end()) contact->second.digest = now;
-  if (IsMoreComplete(view_, view_received_at_, report, now, parameters_.interval)) return false;
+  if (IsMoreComplete(view_, view_received_at_, report, now, parameters_.max_digest_interval)) return false;
   UpdateView(report, now);
   return true;
 }
@@ -83,7 +83,7 @@
   if (sender.at != Time{} && !IsNewer(report, sender.report)) return;
   sender = {report, now};
   Received& zone = zones_[report.zone];
-  if (!IsMoreComplete(zone.report, zone.at, report, now, parameters_.interval)) zone = sender;
+  if (!IsMoreComplete(zone.report, zone.at, report, now, parameters_.max_digest_interval)) zone = sender;
   RecordCacheUpdates(report, now);
   RecordMembers(report, now);
 }
@@ -210,12 +210,12 @@
 
 Duration FleetExchange::DigestInterval(const PeerReport& digest) const {
   const Duration by_size = FromSeconds(static_cast<double>(EstimateBytes(digest)) / parameters_.digest_bytes_per_s);
-  return std::clamp(by_size, parameters_.interval, 2 * parameters_.keepalive_interval);
+  return std::clamp(by_size, parameters_.interval, parameters_.max_digest_interval);
 }
 
 void FleetExchange::SendFleetDigest(Time now, const PeerReport& own, std::vector<FleetMessage>& messages) {
   PeerReport digest = Sum(ReportScope::kFleet, own, now);
-  if (!IsMoreComplete(view_, view_received_at_, digest, now, parameters_.interval)) UpdateView(digest, now);
+  if (!IsMoreComplete(view_, view_received_at_, digest, now, parameters_.max_digest_interval)) UpdateView(digest, now);
   if (now < next_fleet_digest_ || !fleet_digest_.IsDue(digest, now, parameters_.keepalive_interval)) return;
   digest.peers = ListMembers(fleet_members_, now);
   LimitWork(digest, parameters_.max_digest_engines);
--- a/src/core/serving/fleet_exchange.h
+++ b/src/core/serving/fleet_exchange.h
@@ -41,9 +41,11 @@
   // Shortest interval of reports and of digests. An engine accepts several prompts within half a second.
   Duration interval = 100ms;
   // Reports and digests without news are sent this often, so that their receivers know that the sender is alive.
-  Duration keepalive_interval = 300ms;
-  // A node receives at most this from each aggregator; larger digests are sent less often.
+  Duration keepalive_interval = 200ms;
+  // A node receives about this from each aggregator: larger digests are sent less often, but not so seldom that a node
+  // takes itself for cut off (FleetCoordinator's digest timeout).
   double digest_bytes_per_s = 25'000;
+  Duration max_digest_interval = 300ms;
   std::size_t max_digest_engines = 200;  // Engines whose work a digest lists.
   std::size_t max_digest_copies = 16;    // Copies of a digest that one node sends.
   int aggregators = 2;                   // Number of aggregators that a node reports to.
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -199,7 +199,7 @@
   const std::size_t known = peers_.Nodes().size();
   const bool large = fleet_.IsLarge(peers_.Nodes());
   // A lost node is no longer listed by its peers; every other node is listed once per cycle of the peer listing.
-  const Duration listing = DigestParameters().interval * static_cast<int>(known / kMaxListedPeers + 1);
+  const Duration listing = DigestParameters().max_digest_interval * static_cast<int>(known / kMaxListedPeers + 1);
   serving::NodesChanged changed;
   for (const serving::PeerNode& peer : peers_.RecentNodes(now, kListedTimeout + 2 * listing)) {
     changed.nodes.push_back({peer.node, peer.address, peer.zone, peer.link_mbps});
--- a/tests/core/serving/fleet_exchange_test.cc
+++ b/tests/core/serving/fleet_exchange_test.cc
@@ -202,6 +202,9 @@
   partial.nodes = 3;
   EXPECT_FALSE(node.RecordReport(partial, Time{1100ms}));
   EXPECT_EQ(node.View(Time{1100ms})->nodes, 295);
+  // Large digests arrive at longer intervals.
+  ++partial.sequence;
+  EXPECT_FALSE(node.RecordReport(partial, Time{1500ms}));
   EXPECT_TRUE(node.RecordReport(partial, Time{2s}));  // No more complete digest arrived.
 }
 
