--- a/src/core/serving/fleet_exchange.h
+++ b/src/core/serving/fleet_exchange.h
@@ -44,7 +44,7 @@
   Duration keepalive_interval = 200ms;
   // A node receives about this from each aggregator: larger digests are sent less often, but not so seldom that a node
   // takes itself for cut off (FleetCoordinator's digest timeout).
-  double digest_bytes_per_s = 50'000;
+  double digest_bytes_per_s = 25'000;
   Duration max_digest_interval = 300ms;
   std::size_t max_digest_engines = 200;  // Engines whose work a digest lists.
   std::size_t max_digest_copies = 16;    // Copies of a digest that one node sends.
