--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -40,6 +40,7 @@
   kRolePlan = 507,
   kEngineEnded = 508,
   kEngineRecordRefused = 509,
+  kEngineLimit = 510,
   kUsageSealed = 520,
   kUsageReported = 521,
   kUsageNotReported = 522,
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -70,6 +70,12 @@
   int slots = 0;
 };
 
+// Limit that an engine has named for the requests of all nodes together.
+struct EngineRateLimit {
+  double requests_per_s = 0;
+  Time stated_at{};  // When the engine last stated it to any node.
+};
+
 struct EngineState {
   EngineRecord record;
   EngineKey key;  // Key of this incarnation.
@@ -102,6 +108,7 @@
   Time last_response_time{};  // Time of the last response of any kind.
   Time changing_until{};      // While a stage change is in progress.
   Time held_until{};          // While a stage change is announced.
+  std::optional<EngineRateLimit> rate_limit;
 
   // Whether the engine should receive no new requests now, for any reason.
   bool IsOutOfService(Time now) const {
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -67,6 +67,12 @@
   std::optional<EngineLoad> load;
 };
 
+// What an engine states about itself in every response. A field that is absent from a response no longer applies.
+struct EngineNotice {
+  std::optional<double> requests_per_s;  // Limit for the requests of all nodes together.
+  bool limit_unreadable = false;         // The limit is not a valid number: the one known before still applies.
+};
+
 enum class AttemptFailure { kNotSent, kBroken, kMalformed };
 enum class AttemptMode {
   kWhole,     // Prefill and decode at the same engine.
@@ -108,6 +114,12 @@
 struct ClientDisconnected {
   FlowId flow = 0;
 };
+// The notice in a response of the engine's incarnation `engine`, to a call of any kind.
+struct EngineNoticeReceived {
+  std::string engine_id;
+  EngineKey engine;
+  EngineNotice notice;
+};
 struct AttemptHeadReceived {
   FlowId flow = 0;
   AttemptId attempt = 0;
@@ -151,10 +163,11 @@
 struct NodeStopping {};
 struct TimerFired {};
 
-using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
-                           StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected,
-                           AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted, AttemptFailed, EngineProbed,
-                           PeerCrashesReported, NodesChanged, LimitMessageArrived, NodeStopping, TimerFired>;
+using Event =
+    std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
+                 StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected, EngineNoticeReceived,
+                 AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted, AttemptFailed, EngineProbed,
+                 PeerCrashesReported, NodesChanged, LimitMessageArrived, NodeStopping, TimerFired>;
 
 struct KvCacheSource {
   std::string engine_id;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -153,6 +153,7 @@
   void On(const PeersChanged& event);
   void On(const RequestArrived& event);
   void On(const ClientDisconnected& event);
+  void On(const EngineNoticeReceived& event);
   void On(const AttemptHeadReceived& event);
   void On(const AttemptEventsReceived& event);
   void On(const AttemptCompleted& event);
@@ -214,6 +215,9 @@
   void DropIdleConnectionsTo(const Attempt& attempt);
   void ExpireAttemptsAt(const std::string& engine_id);
 
+  // Limits that engines name (engine_limit_steps.cc).
+  void SetEngineLimit(EngineState& engine, std::optional<double> requests_per_s, Time stated_at);
+
   // Limits of tenants (limit_steps.cc).
   void SetLimits();
   void LogLimits(const std::map<std::string, limits::TenantLimit>& limits);
--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <optional>
 
 #include <nlohmann/json.hpp>
@@ -20,6 +21,16 @@
   return value;
 }
 
+// Returns nullopt unless the whole text is a number that is finite and not negative.
+std::optional<double> ParseRate(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  double value = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+  const bool whole = result.ec == std::errc{} && result.ptr == text.data() + text.size();
+  return whole && std::isfinite(value) && value >= 0 ? std::optional(value) : std::nullopt;
+}
+
 std::vector<std::string_view> SplitCommas(std::string_view text) {
   std::vector<std::string_view> items;
   while (true) {
@@ -107,6 +118,19 @@
   return response_head;
 }
 
+std::optional<serving::EngineNotice> EngineProtocol::DecodeNotice(const http::ResponseHead& head) const {
+  if (head.status == kMisdirected) return std::nullopt;
+  serving::EngineNotice notice;
+  for (const http::Field& field : head.fields.all()) {
+    if (!http::SameName(field.name, names_.request_limit)) continue;
+    const std::optional<double> limit = ParseRate(field.value);
+    if (!limit) notice.limit_unreadable = true;
+    // Of several values the smallest applies.
+    if (limit) notice.requests_per_s = std::min(*limit, notice.requests_per_s.value_or(*limit));
+  }
+  return notice;
+}
+
 bool EngineProtocol::IsResponseTo(const http::ResponseHead& head, std::string_view request_id) const {
   const auto id = head.fields.Find(names_.request_id);
   return !id || *id == request_id;
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -33,6 +33,8 @@
   std::string signature = "Saltquay-Signature";
   std::string not_executed = "Saltquay-Not-Executed";
   std::string load = "Saltquay-Load";      // RUNNING,WAITING,SLOTS
+  // Requests a second that the engine takes from all nodes together; a decimal number.
+  std::string request_limit = "Saltquay-Request-Limit";
   std::string handle_member = "handle";    // In the JSON response to a prefill.
   std::string release_path = "/handles/";  // DELETE /handles/HANDLE
   // Orders to engines, and the state that engines report.
@@ -60,6 +62,8 @@
   // Returns the client's request head rewritten for the engine of `attempt`.
   http::RequestHead MakeRequest(const http::RequestHead& client, const serving::StartAttempt& attempt) const;
   serving::EngineResponseHead DecodeResponse(const http::ResponseHead& head) const;
+  // Returns nullopt if the response does not come from the engine that was called.
+  std::optional<serving::EngineNotice> DecodeNotice(const http::ResponseHead& head) const;
   // Returns whether the response belongs to the request with that id. A response without an id is accepted.
   bool IsResponseTo(const http::ResponseHead& head, std::string_view request_id) const;
   // Returns the KV cache handle from the body of a prefill response; empty if there is none.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -135,6 +135,7 @@
   ActiveAttempt& attempt = attempts_[action.attempt];
   attempt.flow = action.flow;
   attempt.mode = action.mode;
+  attempt.engine_id = action.engine_id;
   attempt.streams = action.streams && action.mode != serving::AttemptMode::kPrefill;
   if (flow == flows_.end() || !endpoint.ok()) {
     boost::asio::post(loop_, [this, id = action.attempt] { OnFailure(id, http::CallFailure::kNotSent); });
@@ -149,6 +150,7 @@
   std::string bytes = http::SerializeRequest(protocol_.MakeRequest(exchange.head, action), exchange.body);
   if (const serving::EngineState* engine = core_.engines().Find(action.engine_id)) {
     attempt.locality = traffic_.LocalityOf(engine->record.zone);
+    attempt.engine = engine->key;
   }
   traffic_.Count(TrafficKind::kRequest, attempt.locality, bytes.size());
   attempt.call = client_.Start(*endpoint, PoolOf(action.address, action.engine_id), std::move(bytes), options,
@@ -168,12 +170,20 @@
   return handlers;
 }
 
+void Gateway::DispatchNotice(const std::string& engine_id, const serving::EngineKey& engine,
+                             const http::ResponseHead& head) {
+  if (const auto notice = protocol_.DecodeNotice(head))
+    Dispatch(serving::EngineNoticeReceived{engine_id, engine, *notice});
+}
+
 void Gateway::OnHead(serving::AttemptId id, const http::ResponseHead& head) {
   const auto entry = attempts_.find(id);
   if (entry == attempts_.end()) return;
   entry->second.head = head;
   http::RemoveConnectionFields(entry->second.head.fields);
-  Dispatch(serving::AttemptHeadReceived{entry->second.flow, id, protocol_.DecodeResponse(head)});
+  const serving::FlowId flow = entry->second.flow;
+  DispatchNotice(entry->second.engine_id, entry->second.engine, head);  // May end the attempt.
+  Dispatch(serving::AttemptHeadReceived{flow, id, protocol_.DecodeResponse(head)});
 }
 
 void Gateway::OnBody(serving::AttemptId id, std::string_view bytes) {
@@ -277,6 +287,12 @@
   const std::uint64_t id = ++last_release_;
   const auto finish = [this, id] { releases_.erase(id); };
   http::CallHandlers handlers;
+  const serving::EngineState* engine = core_.engines().Find(action.kv_cache_source.engine_id);
+  if (engine != nullptr) {
+    handlers.on_head = [this, engine_id = engine->record.id, key = engine->key](const http::ResponseHead& head) {
+      DispatchNotice(engine_id, key, head);
+    };
+  }
   handlers.on_complete = finish;
   handlers.on_failure = [finish](http::CallFailure /*failure*/) { finish(); };
   http::CallOptions options;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,8 @@
   struct ActiveAttempt {
     serving::FlowId flow = 0;
     serving::AttemptMode mode = serving::AttemptMode::kWhole;
+    std::string engine_id;
+    serving::EngineKey engine;  // Its incarnation when the attempt started.
     std::string request_id;
     std::unique_ptr<http::Call> call;
     http::ResponseHead head;
@@ -88,6 +90,8 @@
   void Perform(const serving::LogDecision& action);
 
   http::CallHandlers MakeHandlers(serving::AttemptId id);
+  // Passes on what the engine states about itself in a response.
+  void DispatchNotice(const std::string& engine_id, const serving::EngineKey& engine, const http::ResponseHead& head);
   void OnHead(serving::AttemptId id, const http::ResponseHead& head);
   void OnBody(serving::AttemptId id, std::string_view bytes);
   void OnComplete(serving::AttemptId id);
--- a/tests/gateway/gateway_components_test.cc
+++ b/tests/gateway/gateway_components_test.cc
@@ -118,6 +118,40 @@
   EXPECT_EQ(protocol.DecodeEngineState(R"({"stage":"prefill","sequence":3,"busy":true})")->sequence, 3);
 }
 
+serving::EngineNotice NoticeWithLimits(const std::vector<std::string>& limits) {
+  http::ResponseHead head;
+  head.status = 200;
+  for (const std::string& limit : limits) head.fields.Add("Saltquay-Request-Limit", limit);
+  return *EngineProtocol{EngineProtocolFields{}}.DecodeNotice(head);
+}
+
+TEST(EngineProtocolTest, DecodesTheLimitThatAnEngineNames) {
+  EXPECT_EQ(NoticeWithLimits({"2.5"}).requests_per_s, 2.5);
+  EXPECT_EQ(NoticeWithLimits({" 0 "}).requests_per_s, 0);
+  EXPECT_EQ(NoticeWithLimits({}).requests_per_s, std::nullopt);
+  EXPECT_FALSE(NoticeWithLimits({}).limit_unreadable);
+}
+
+TEST(EngineProtocolTest, OfSeveralLimitsTheSmallestApplies) {
+  EXPECT_EQ(NoticeWithLimits({"7", "3", "5"}).requests_per_s, 3);
+  EXPECT_EQ(NoticeWithLimits({"many", "4"}).requests_per_s, 4);
+}
+
+TEST(EngineProtocolTest, LimitThatIsNoValidNumberIsUnreadable) {
+  for (const char* text : {"", "-1", "nan", "inf", "1e3", "0x10", "5 requests", "1,5"}) {
+    const serving::EngineNotice notice = NoticeWithLimits({text});
+    EXPECT_EQ(notice.requests_per_s, std::nullopt) << text;
+    EXPECT_TRUE(notice.limit_unreadable) << text;
+  }
+}
+
+TEST(EngineProtocolTest, NoticeOfAnotherEngineAtTheAddressIsIgnored) {
+  http::ResponseHead head;
+  head.status = 421;
+  head.fields.Add("Saltquay-Request-Limit", "1");
+  EXPECT_FALSE(EngineProtocol{EngineProtocolFields{}}.DecodeNotice(head));
+}
+
 constexpr char kSettings[] = R"(node_name = "n1"
 zone = "a"
 client_listen = "127.0.0.1:1"
