Failing test: all nodes together keep to the limit that an engine names

No decision reads an engine's limit. Change: serving cores before engines that name limits, in virtual time; the check counts as the users' rule does.

--- /dev/null
+++ b/tests/support/notice_fleet.cc
@@ -0,0 +1,261 @@
+#include "tests/support/notice_fleet.h"
+
+#include <algorithm>
+
+namespace saltquay::serving {
+namespace {
+
+constexpr Duration kLinkDelay = 500us;
+constexpr Duration kMaxJitter = 1ms;
+constexpr Duration kPrefillTime = 60ms;
+constexpr Duration kRunTime = 40ms;
+constexpr Duration kContactTime = 3s;  // From the first naming of a limit until it is enforced.
+constexpr Duration kLimitWindow = 4s;
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
+
+Route MakeRoute(const std::string& name, RouteKind kind, const std::string& service) {
+  Route route;
+  route.name = name;
+  route.host = "h.example";
+  route.path_prefix = "/" + name + "/";
+  route.services = {{service, 1.0}};
+  route.kind = kind;
+  route.timeout = 4s;
+  route.objective = 500ms;
+  route.max_attempts = 3;
+  route.resumable = kind == RouteKind::kStreaming;
+  return route;
+}
+
+ServingConfig MakeConfig() {
+  ServingConfig config;
+  config.version = 1;
+  config.routes = {MakeRoute("safe", RouteKind::kRepeatable, "plain"),
+                   MakeRoute("once", RouteKind::kAtMostOnce, "plain"),
+                   MakeRoute("chat", RouteKind::kStreaming, "model")};
+  Service model;
+  model.name = "model";
+  model.language = LanguageEngineTraits{64, 400000, 18432, 370000, 5s, 2300ms};
+  config.services = {Service{"plain", "/health", 100, std::nullopt, std::nullopt}, model};
+  return config;
+}
+
+ServingParameters MakeParameters() {
+  ServingParameters parameters;
+  parameters.retry_budget = RetryBudgetBounds{0.2, 10s, 50, 0.8};
+  return parameters;
+}
+
+}  // namespace
+
+NoticeFleet::NoticeFleet(const NoticeFleetOptions& options)
+    : options_(options), random_(options.seed), config_(MakeConfig()) {}
+
+void NoticeFleet::AddEngines(int plain, int prefill, int decode) {
+  const auto add = [this](const std::string& id, const std::string& service, EngineStage stage) {
+    EngineRecord record;
+    record.id = id;
+    record.service = service;
+    record.address = "10.0.0.1:80";
+    record.zone = "a";
+    record.slots = 64;
+    record.stage = stage;
+    engines_[id].record = record;
+  };
+  for (int i = 0; i < plain; ++i) add("u" + std::to_string(i), "plain", EngineStage::kUniform);
+  for (int i = 0; i < prefill; ++i) add("p" + std::to_string(i), "model", EngineStage::kPrefill);
+  for (int i = 0; i < decode; ++i) add("d" + std::to_string(i), "model", EngineStage::kDecode);
+}
+
+std::vector<std::string> NoticeFleet::EngineIds() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, engine] : engines_) ids.push_back(id);
+  return ids;
+}
+
+std::vector<EngineRecord> NoticeFleet::Records() const {
+  std::vector<EngineRecord> records;
+  for (const auto& [id, engine] : engines_) records.push_back(engine.record);
+  return records;
+}
+
+void NoticeFleet::Begin() {
+  for (int node = 0; node < options_.nodes; ++node) AddNode();
+  At(now_ + 2s, [this] { SendRequest(); });
+  RunFor(2s);
+}
+
+int NoticeFleet::AddNode() {
+  nodes_.emplace_back();
+  Start(size() - 1);
+  return size() - 1;
+}
+
+void NoticeFleet::Start(int node) {
+  ++nodes_[node].life;
+  nodes_[node].suspended_until = now_;
+  nodes_[node].cancelled.clear();
+  nodes_[node].core = std::make_unique<ServingCore>(MakeParameters(), "a", random_.Below(1'000'000));
+  Send(node, ConfigurationChanged{config_});
+  Send(node, EnginesReplaced{Records()});
+  Send(node, StoreConnectivityChanged{true});
+}
+
+void NoticeFleet::Kill(int node) {
+  nodes_[node].core.reset();
+  ++nodes_[node].life;
+  Excuse(node);
+}
+
+void NoticeFleet::Suspend(int node, Duration time) {
+  nodes_[node].suspended_until = now_ + time;
+  Excuse(node);
+}
+
+void NoticeFleet::Excuse(int node) {
+  for (auto& [id, engine] : engines_) engine.told_at.erase(node);
+}
+
+void NoticeFleet::Partition(const std::function<int(int node)>& side_of, bool one_way) {
+  std::vector<int> sides;
+  for (int node = 0; node < size(); ++node) sides.push_back(side_of(node));
+  is_cut_ = [sides, one_way](int from, int to) {
+    const auto side = [&](int node) { return node < static_cast<int>(sides.size()) ? sides[node] : 0; };
+    return one_way ? side(from) < side(to) : side(from) != side(to);
+  };
+  for (int node = 0; node < size(); ++node) {
+    if (sides[node] != 0) Excuse(node);
+  }
+}
+
+void NoticeFleet::Heal() { is_cut_ = nullptr; }
+
+void NoticeFleet::RunFor(Duration time) {
+  const Time end = now_ + time;
+  while (!events_.empty() && events_.begin()->first <= end) {
+    now_ = std::max(now_, events_.begin()->first);
+    const std::function<void()> step = std::move(events_.begin()->second);
+    events_.erase(events_.begin());
+    step();
+  }
+  now_ = end;
+}
+
+void NoticeFleet::AtNode(int node, Time at, std::function<void()> step) {
+  At(at, [this, node, life = nodes_[node].life, step = std::move(step)] {
+    if (nodes_[node].life != life || nodes_[node].core == nullptr) return;
+    if (now_ < nodes_[node].suspended_until) return AtNode(node, nodes_[node].suspended_until, step);
+    step();
+  });
+}
+
+void NoticeFleet::Send(int node, const Event& event) {
+  std::vector<Action> actions;
+  nodes_[node].core->OnEvent(now_, event, actions);
+  Perform(node, actions);
+  Wake(node);
+}
+
+void NoticeFleet::Wake(int node) {
+  const std::optional<Time> deadline = nodes_[node].core->next_deadline();
+  if (!deadline) return;
+  AtNode(node, std::max(now_ + 1us, *deadline), [this, node] {
+    const std::optional<Time> due = nodes_[node].core->next_deadline();
+    if (due && *due <= now_) Send(node, TimerFired{});
+  });
+}
+
+void NoticeFleet::Perform(int node, const std::vector<Action>& actions) {
+  for (const Action& action : actions) {
+    if (const auto* start = std::get_if<StartAttempt>(&action)) {
+      // The request is on its way even if the node stops now.
+      At(now_ + kLinkDelay + random_.DurationBelow(kMaxJitter), [this, node, start = *start] { Arrive(node, start); });
+    } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+      nodes_[node].cancelled.insert(cancel->attempt);
+    } else if (std::holds_alternative<SendLocalReply>(action)) {
+      ++refused_;
+    } else if (std::holds_alternative<EndRelay>(action) || std::holds_alternative<RelayResponse>(action)) {
+      ++served_;
+    }
+  }
+}
+
+void NoticeFleet::SendRequest() {
+  At(now_ + random_.DurationBelow(FromSeconds(2 / options_.requests_per_s)), [this] { SendRequest(); });
+  const int node = static_cast<int>(random_.Below(nodes_.size()));
+  if (nodes_[node].core == nullptr || now_ < nodes_[node].suspended_until) return;
+  RequestArrived arrived;
+  arrived.flow = ++last_flow_;
+  arrived.metadata.request_id = "r" + std::to_string(last_flow_);
+  arrived.metadata.host = "h.example";
+  const double kind = random_.Unit();
+  arrived.metadata.path = kind < 0.2 ? "/safe/x" : kind < 0.4 ? "/once/x" : "/chat/x";
+  if (kind >= 0.4) {
+    PromptMetadata prompt;
+    prompt.model = "m";
+    prompt.tokens = kind < 0.8 ? 9000 : 600;
+    prompt.output_tokens = 20;
+    prompt.parts = {{"s" + std::to_string(random_.Below(5)), prompt.tokens / 2},
+                    {arrived.metadata.request_id, prompt.tokens / 2}};
+    arrived.metadata.prompt = prompt;
+  }
+  Send(node, arrived);
+}
+
+void NoticeFleet::Arrive(int node, const StartAttempt& start) {
+  Engine& engine = engines_.at(start.engine_id);
+  const auto told = engine.told_at.find(node);
+  const bool node_was_told = told != engine.told_at.end() && now_ - told->second >= kToldDelay;
+  engine.arrivals.push_back({now_, node, node_was_told});
+  const Duration time = start.mode == AttemptMode::kPrefill ? kPrefillTime : kRunTime;
+  if (nodes_[node].core == nullptr) return;
+  AtNode(node, now_ + time + kLinkDelay, [this, node, start] { Respond(node, start); });
+}
+
+void NoticeFleet::Respond(int node, const StartAttempt& start) {
+  if (nodes_[node].cancelled.contains(start.attempt)) return;
+  Engine& engine = engines_.at(start.engine_id);
+  EngineNotice notice;
+  notice.requests_per_s = engine.limit();
+  if (engine.limit()) engine.told_at.emplace(node, now_);
+  Send(node, EngineNoticeReceived{start.engine_id, EngineKey(start.engine_id), notice});
+  Send(node, AttemptHeadReceived{start.flow, start.attempt, EngineResponseHead{200, false, true, std::nullopt}});
+  Send(node, AttemptCompleted{start.flow, start.attempt, start.mode == AttemptMode::kPrefill ? "h" : ""});
+}
+
+void NoticeFleet::NameLimit(const std::string& id, std::optional<double> requests_per_s) {
+  Engine& engine = engines_.at(id);
+  if (!requests_per_s) engine.told_at.clear();
+  engine.limits.push_back({now_, requests_per_s});
+}
+
+double NoticeFleet::AllowedIn(const Engine& engine, Time from, Time to) const {
+  double limit = 0;  // The largest that was in force.
+  for (std::size_t i = 0; i < engine.limits.size(); ++i) {
+    const Time ends = i + 1 < engine.limits.size() ? engine.limits[i + 1].from : Time::max();
+    if (engine.limits[i].from <= to && ends > from)
+      limit = std::max(limit, engine.limits[i].requests_per_s.value_or(0));
+  }
+  return kLimitFactor * ToSeconds(kLimitWindow) * limit + kLimitSlack;
+}
+
+double NoticeFleet::LimitExcess(const std::string& id) const {
+  const Engine& engine = engines_.at(id);
+  double worst = -kLimitSlack;
+  if (engine.limits.empty()) return worst;
+  std::vector<Time> counted;
+  for (const EngineArrival& arrival : engine.arrivals) {
+    if (arrival.node_was_told) counted.push_back(arrival.at);
+  }
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < counted.size(); ++last) {
+    while (counted[last] - counted[first] > kLimitWindow) ++first;
+    if (counted[last] < engine.limits.front().from + kContactTime) continue;
+    const double allowed = AllowedIn(engine, counted[last] - kLimitWindow, counted[last]);
+    worst = std::max(worst, static_cast<double>(last - first + 1) - allowed);
+  }
+  return worst;
+}
+
+}  // namespace saltquay::serving
