--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "saltquay/limits/permit_messages.h"
 #include "src/base/time.h"
 #include "src/core/serving/engine_key.h"
 #include "src/core/serving/peer_table.h"
@@ -70,12 +71,6 @@
   int slots = 0;
 };
 
-// Limit that an engine has named for the requests of all nodes together.
-struct EngineRateLimit {
-  double requests_per_s = 0;
-  Time stated_at{};  // When the engine last stated it to any node.
-};
-
 struct EngineState {
   EngineRecord record;
   EngineKey key;  // Key of this incarnation.
@@ -108,7 +103,8 @@
   Time last_response_time{};  // Time of the last response of any kind.
   Time changing_until{};      // While a stage change is in progress.
   Time held_until{};          // While a stage change is announced.
-  std::optional<EngineRateLimit> rate_limit;
+  std::optional<limits::EngineLimit> rate_limit;  // As the engine last stated to any node; nullopt: none.
+  Time limit_stated_at{};                         // Of that statement.
 
   // Whether the engine should receive no new requests now, for any reason.
   bool IsOutOfService(Time now) const {
--- /dev/null
+++ b/src/core/serving/engine_gate.cc
@@ -0,0 +1,23 @@
+#include "src/core/serving/engine_gate.h"
+
+namespace saltquay::serving {
+
+bool EngineGate::IsOpen(const EngineState& engine, Time now) const {
+  return !engine.rate_limit || permits_.holds(now, engine.key.hash);
+}
+
+Time EngineGate::OpensAt(const EngineState& engine, Time now) const {
+  return IsOpen(engine, now) ? now : permits_.available_at(now, engine.key.hash);
+}
+
+bool EngineGate::MayRequestPermit(const EngineState& engine, Time now) const {
+  return engine.rate_limit && permits_.may_request(now, engine.key.hash);
+}
+
+std::optional<EngineAdmission> EngineGate::Admit(EngineState& engine, Time now) {
+  if (!IsOpen(engine, now)) return std::nullopt;
+  if (engine.rate_limit) permits_.use(now, engine.key.hash);
+  return EngineAdmission(engine);
+}
+
+}  // namespace saltquay::serving
--- a/src/core/serving/engine_index.cc
+++ b/src/core/serving/engine_index.cc
@@ -22,9 +22,10 @@
   for (int i = 0; i < count; ++i) sampled.push_back(engines[random.Below(engines.size())]);
 }
 
-// A home engine that is merely at capacity stays a home engine, because the parts are cached there.
-bool IsEjectedOrChanging(const EngineState& engine, Time now) {
-  return now < std::max({engine.ejected_until, engine.held_until, engine.changing_until});
+// A home engine that is merely at capacity stays a home engine, because the parts are cached there. One that names a
+// limit cannot take all prompts with its parts.
+bool CannotBeHome(const EngineState& engine, Time now) {
+  return engine.rate_limit || now < std::max({engine.ejected_until, engine.held_until, engine.changing_until});
 }
 
 }  // namespace
@@ -81,7 +82,7 @@
 // Rendezvous hashing: uniform for any number of engines, but it visits all of them.
 void RankAll(const EngineRing& ring, std::uint64_t part, Time now, BestTwo& order) {
   for (const auto& [point, engine] : ring) {
-    if (!IsEjectedOrChanging(*engine, now)) order.Consider(engine, ~HashPair(part, engine->key.hash));
+    if (!CannotBeHome(*engine, now)) order.Consider(engine, ~HashPair(part, engine->key.hash));
   }
 }
 
@@ -93,7 +94,7 @@
     int usable = 0;
     for (std::size_t step = 0; step < ring.size() && usable < 2; ++step, ++at) {
       if (at == ring.end()) at = ring.begin();
-      if (IsEjectedOrChanging(*at->second, now)) continue;
+      if (CannotBeHome(*at->second, now)) continue;
       ++usable;
       order.Consider(at->second, at->first - point);
     }
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -41,16 +41,24 @@
 
 template <typename Cost>
 EngineState* EngineSelector::CheapestOf(const Candidates& candidates, const EngineIds& tried, Time now, Cost cost) {
-  EngineState* best = nullptr;
-  std::pair<bool, double> best_rank;
+  struct Best {
+    EngineState* engine = nullptr;
+    std::pair<bool, double> rank;
+  };
+  Best open;
+  Best without_permit;  // Of the engines that only need a permit.
   for (const IndexedEngine& candidate : candidates) {
     if (tried.contains(candidate.engine->record.id)) continue;
+    const bool is_open = IsOpen(*candidate.engine, now);
+    if (!is_open && !gate_->MayRequestPermit(*candidate.engine, now)) continue;
     const std::pair<bool, double> rank{candidate.engine->IsOutOfService(now), cost(candidate)};
-    if (best != nullptr && rank >= best_rank) continue;
-    best = candidate.engine;
-    best_rank = rank;
+    Best& best = is_open ? open : without_permit;
+    if (best.engine == nullptr || rank < best.rank) best = {candidate.engine, rank};
   }
-  return best;
+  const bool wants_permit =
+      without_permit.engine != nullptr && (open.engine == nullptr || without_permit.rank < open.rank);
+  if (wants_permit) without_permit_.push_back(without_permit.engine->key);
+  return open.engine;
 }
 
 template <typename Cost>
@@ -58,8 +66,9 @@
                                       Time now, Cost cost) {
   if (parameters_.policy == SelectionPolicy::kRoundRobin) {
     Candidates left;
-    std::copy_if(group.all().begin(), group.all().end(), std::back_inserter(left),
-                 [&](const IndexedEngine& member) { return !tried.contains(member.engine->record.id); });
+    std::copy_if(group.all().begin(), group.all().end(), std::back_inserter(left), [&](const IndexedEngine& member) {
+      return !tried.contains(member.engine->record.id) && IsOpen(*member.engine, now);
+    });
     return left.empty() ? nullptr : left[next_round_robin_++ % left.size()].engine;
   }
   EngineState* best = CheapestOf(candidates, tried, now, cost);
@@ -152,11 +161,16 @@
   });
 }
 
-bool EngineSelector::HasPrefillEngine(EngineDirectory& engines, const std::string& service, const EngineIds& tried) {
-  const Candidates& prefill_engines = GroupOf(engines, service, EngineStage::kPrefill).all();
-  return std::any_of(prefill_engines.begin(), prefill_engines.end(), [&](const IndexedEngine& prefill_engine) {
-    return !tried.contains(prefill_engine.engine->record.id);
-  });
+std::optional<Time> EngineSelector::OpensAt(EngineDirectory& engines, const std::string& service, EngineStage stage,
+                                            const EngineIds& tried, Time now) {
+  std::optional<Time> earliest;
+  for (const IndexedEngine& member : GroupOf(engines, service, stage).all()) {
+    if (tried.contains(member.engine->record.id)) continue;
+    const Time at = gate_ == nullptr ? now : gate_->OpensAt(*member.engine, now);
+    if (at <= now) return now;
+    earliest = std::min(earliest.value_or(at), at);
+  }
+  return earliest;
 }
 
 EngineCount EngineSelector::CountEngines(EngineDirectory& engines, const std::string& service, EngineStage stage,
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -13,13 +13,16 @@
 // of engines (engine_index.h).
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "saltquay/admission/prefill_time_model.h"
 #include "src/base/random.h"
+#include "src/core/serving/engine_gate.h"
 #include "src/core/serving/engine_index.h"
 #include "src/core/serving/events.h"
 #include "src/core/serving/prompt_cache_index.h"
@@ -51,6 +54,11 @@
         prefill_time_model_(parameters.prefill_time_model),
         prompt_cache_(parameters.cached_part_lifetime) {}
 
+  // Engines whose gate is closed are never chosen. `gate` must outlive the selector; without one, all are open.
+  void set_gate(const EngineGate* gate) { gate_ = gate; }
+  // Returns and clears the engines that would have been chosen since the last call, had this node held a permit.
+  std::vector<EngineKey> TakeEnginesWithoutPermit() { return std::exchange(without_permit_, {}); }
+
   const Topology& topology() const { return topology_; }
   Topology& topology() { return topology_; }
 
@@ -60,8 +68,10 @@
   // The engine for the prompt's prefill: of stage kPrefill, or of kUniform if the service's engines do both stages.
   EngineState* ChoosePrefillEngine(EngineDirectory& engines, const std::string& service, EngineStage stage,
                                    const PromptMetadata& prompt, const EngineIds& tried, Time now);
-  // Whether the service has a prefill engine that is not in `tried`.
-  bool HasPrefillEngine(EngineDirectory& engines, const std::string& service, const EngineIds& tried);
+  // The earliest time at which an engine of the service and stage that is not in `tried` may receive a request; nullopt
+  // if there is no such engine.
+  std::optional<Time> OpensAt(EngineDirectory& engines, const std::string& service, EngineStage stage,
+                              const EngineIds& tried, Time now);
   // Engines of the service and stage that may receive requests.
   EngineCount CountEngines(EngineDirectory& engines, const std::string& service, EngineStage stage, Time now);
   // Prefill time in milliseconds on the engine that caches most of the prompt.
@@ -105,6 +115,7 @@
   template <typename Cost>
   EngineState* Cheapest(const EngineGroup& group, const Candidates& candidates, const EngineIds& tried, Time now,
                         Cost cost);
+  bool IsOpen(const EngineState& engine, Time now) const { return gate_ == nullptr || gate_->IsOpen(engine, now); }
   template <typename Cost>
   EngineState* CheapestOf(const Candidates& candidates, const EngineIds& tried, Time now, Cost cost);
   // All engines of the group if there are few, otherwise a random sample, mostly near `zone`.
@@ -145,6 +156,8 @@
   std::uint64_t next_round_robin_ = 0;
   PromptCacheIndex prompt_cache_;
   EngineIndex index_;
+  const EngineGate* gate_ = nullptr;
+  std::vector<EngineKey> without_permit_;
   Candidates sampled_;  // Member only to reuse its allocation.
 };
 
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "saltquay/limits/engine_permits.h"
 #include "saltquay/limits/limiter.h"
 #include "src/base/event_catalogue.h"
 #include "src/base/time.h"
@@ -150,6 +151,10 @@
 struct PeerCrashesReported {
   std::vector<CrashMark> marks;
 };
+// Limits of engines as known to a peer.
+struct PeerEngineLimitsReported {
+  std::vector<EngineLimitMark> marks;
+};
 // All known nodes that are not stopping, excluding this one, and how many of them are reachable.
 struct NodesChanged {
   std::vector<limits::LimiterNode> nodes;
@@ -159,15 +164,19 @@
 struct LimitMessageArrived {
   limits::LimitMessage message;
 };
+// A message about permits for engines from another node.
+struct PermitMessageArrived {
+  limits::PermitMessage message;
+};
 // This node is shutting down and takes on no new duties.
 struct NodeStopping {};
 struct TimerFired {};
 
-using Event =
-    std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
-                 StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected, EngineNoticeReceived,
-                 AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted, AttemptFailed, EngineProbed,
-                 PeerCrashesReported, NodesChanged, LimitMessageArrived, NodeStopping, TimerFired>;
+using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
+                           StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected,
+                           EngineNoticeReceived, AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted,
+                           AttemptFailed, EngineProbed, PeerCrashesReported, PeerEngineLimitsReported, NodesChanged,
+                           LimitMessageArrived, PermitMessageArrived, NodeStopping, TimerFired>;
 
 struct KvCacheSource {
   std::string engine_id;
@@ -243,6 +252,10 @@
 struct SendLimitMessages {
   std::vector<limits::AddressedLimitMessage> messages;
 };
+// The same for messages about permits for engines.
+struct SendPermitMessages {
+  std::vector<limits::AddressedPermitMessage> messages;
+};
 // Report requests whose engines crashed to the peers immediately instead of with the next periodic report.
 struct ReportCrashes {};
 // Write one line to the decision log.
@@ -254,6 +267,6 @@
 
 using Action = std::variant<StartAttempt, CancelAttempt, DropIdleConnections, RelayResponse, BeginRelay, EndRelay,
                             SendLocalReply, AbortResponse, ReleaseKvCache, ExecutionStarted, ExtraArrivalCounted,
-                            ProbeEngine, ReportCrashes, SendLimitMessages, LogDecision>;
+                            ProbeEngine, ReportCrashes, SendLimitMessages, SendPermitMessages, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -42,9 +42,11 @@
   // Leave enough budget for the unsettled first prefills.
   const int unsettled_calls = flow.language ? PrefillStateOf(flow.service).unsettled_calls : 0;
   if (flow.arrivals > 0 && !retry_budget_share_.MayTake(flow.service, now_, unsettled_calls)) return false;
+  std::optional<EngineAdmission> admission = gate_->Admit(*engine, now_);
+  if (!admission) return false;
   if (flow.arrivals > 0) ChargeRetryBudget(flow, ExtraArrival::kExecutionRetried);
   ++flow.arrivals;
-  Start(flow, *engine, mode);
+  Start(flow, std::move(*admission), mode);
   flow.kv_cache.reset();  // A handle can be used once.
   return true;
 }
@@ -73,7 +75,8 @@
   return selector_.ChooseUniformEngine(engines_, flow.service, flow.tried_engines, now_);
 }
 
-void ServingCore::Start(Flow& flow, EngineState& engine, AttemptMode mode) {
+void ServingCore::Start(Flow& flow, EngineAdmission admission, AttemptMode mode) {
+  EngineState& engine = admission.engine();
   flow.engine_wait_ends.reset();
   ++flow.attempt_count;
   if (mode != AttemptMode::kPrefill) ++flow.executions;
@@ -168,6 +171,9 @@
   if (flow.relaying) return AbortFlow(flow, "no engine available to resume the stream");
   const Duration share = FromSeconds(ToSeconds(flow.route.objective) * parameters_.engine_wait_share);
   if (!flow.engine_wait_ends) flow.engine_wait_ends = now_ + std::min(share, parameters_.max_engine_wait);
+  const std::optional<Time> opens_at = ExecutionOpensAt(flow);
+  if (opens_at && *opens_at > *flow.engine_wait_ends)
+    return Refuse(flow, "engines take no requests yet", *opens_at - now_);
   if (now_ >= *flow.engine_wait_ends) return Refuse(flow, "no engine available");
   ScheduleWakeUp(flow);
 }
--- a/src/core/serving/limit_steps.cc
+++ b/src/core/serving/limit_steps.cc
@@ -89,6 +89,8 @@
 }
 
 void ServingCore::On(const NodesChanged& event) {
+  permits_->set_reachable_nodes(now_, event.reach);
+  permits_->set_nodes(now_, event.nodes);
   if (limiter_ == nullptr) return;
   limiter_->set_reachable_nodes(now_, event.reach);
   limiter_->set_nodes(now_, event.nodes);
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -10,11 +10,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
 
 #include "saltquay/limits/limit_messages.h"
+#include "saltquay/limits/permit_messages.h"
 #include "src/base/time.h"
 #include "src/core/serving/crash_ledger.h"
 #include "src/core/serving/engine_key.h"
@@ -67,6 +69,13 @@
   std::int64_t revision = 0;
 };
 
+// The limit that an engine last stated, for the requests of all nodes together.
+struct EngineLimitMark {
+  EngineKey engine;
+  std::optional<double> requests_per_s;  // nullopt: it has named none since it ended an earlier one.
+  Duration age = 0s;                     // Time since the statement.
+};
+
 // Requests of one tenant that started to run in one window of the usage reports.
 struct UsageCount {
   std::int64_t window = 0;
@@ -93,7 +102,8 @@
 };
 
 // Whose work a report covers. kRegionForwarded: another region's, forwarded within this region; kUsage: only a node's
-// requests by tenant, for the holder of the duty lease; kLimits: only the nodes' messages about tenant limits.
+// requests by tenant, for the holder of the duty lease; kLimits: only messages about tenants' limits and permits for
+// engines.
 enum class ReportScope : std::uint8_t { kNode, kZone, kFleet, kUsage, kLimits, kRegion, kRegionForwarded };
 
 struct PeerReport {
@@ -119,9 +129,11 @@
   LeaseMark lease;
   std::int64_t wall_ms = 0;         // The sender's wall-clock time in milliseconds since 1970; 0: not reported.
   std::int64_t closed_through = 0;  // For kUsage: the last window whose counts are final.
-  std::vector<CrashMark> crashes;   // Some of the crash marks that the sender knows, from any node.
-  std::vector<UsageCount> usage;    // For kUsage: counts of `node` since its start `boot`; they only increase.
+  std::vector<EngineLimitMark> engine_limits;  // Those that the sender knows, from any node.
+  std::vector<CrashMark> crashes;              // Some of the crash marks that the sender knows, from any node.
+  std::vector<UsageCount> usage;             // For kUsage: counts of `node` since its start `boot`; they only increase.
   std::vector<limits::LimitMessage> limits;  // For kLimits.
+  std::vector<limits::PermitMessage> permits;  // For kLimits.
 };
 
 // Whether `report` was sent after `known`, by the same node.
--- a/src/core/serving/prefill_steps.cc
+++ b/src/core/serving/prefill_steps.cc
@@ -50,16 +50,25 @@
   return prompt;
 }
 
+Duration ServingCore::QueueWait(const Flow& flow) const {
+  return FromSeconds(ToSeconds(flow.route.objective) * parameters_.wait_deadline_share);
+}
+
+bool ServingCore::PrefillOpensInTime(const Flow& flow) {
+  const std::optional<Time> opens_at =
+      selector_.OpensAt(engines_, flow.service, EngineStage::kPrefill, flow.tried_engines, now_);
+  return opens_at && *opens_at <= now_ + QueueWait(flow);
+}
+
 // Returns false if the prompt cannot be prefilled separately.
 bool ServingCore::EnqueuePrefill(Flow& flow) {
   if (parameters_.prefill_order == admission::QueuePolicy::None) return StartPrefill(flow);
   if (flow.prefills > 0 && retry_budget_share_.Remaining(flow.service, now_) < 1) return false;
-  if (!selector_.HasPrefillEngine(engines_, flow.service, flow.tried_engines)) return false;
+  if (!PrefillOpensInTime(flow)) return false;
   PrefillState& state = PrefillStateOf(flow.service);
   if (flow.value == 0) flow.value = ValueOf(flow);
   state.queue->add(DescribePrompt(flow, state));
-  state.wait_deadlines.emplace(now_ + FromSeconds(ToSeconds(flow.route.objective) * parameters_.wait_deadline_share),
-                               flow.id);
+  state.wait_deadlines.emplace(now_ + QueueWait(flow), flow.id);
   flow.queued = true;
   flow.engine_wait_ends.reset();
   dispatch_pending_ = true;
@@ -69,7 +78,7 @@
 
 void ServingCore::Dequeue(Flow& flow) {
   if (!flow.queued) return;
-  flow.queued = false;
+  flow.queued = flow.committed = false;
   PrefillStateOf(flow.service).queue->remove(flow.id);
 }
 
@@ -146,9 +155,11 @@
   EngineState* engine = selector_.ChoosePrefillEngine(engines_, flow.service, EngineStage::kPrefill,
                                                       *flow.metadata.prompt, flow.tried_engines, now_);
   if (engine == nullptr) return false;
+  std::optional<EngineAdmission> admission = gate_->Admit(*engine, now_);
+  if (!admission) return false;
   if (extra) ChargeRetryBudget(flow, ExtraArrival::kPrefillRetried);
   ++flow.prefills;
-  Start(flow, *engine, AttemptMode::kPrefill);
+  Start(flow, std::move(*admission), AttemptMode::kPrefill);
   if (!extra) {
     flow.attempts.rbegin()->second.unsettled_calls = &unsettled_calls;
     ++unsettled_calls;
@@ -187,9 +198,11 @@
   const int tokens = UnsharedTokens(*flow.metadata.prompt);  // The shared parts are cached there or copied.
   const double prefill_ms = kDecodePrefillSlowdown * selector_.prefill_time_model().predict_ms(tokens);
   if (prefill_ms > parameters_.overflow_prefill_share * ObjectiveMs(flow)) return false;
+  std::optional<EngineAdmission> admission = gate_->Admit(*engine, now_);
+  if (!admission) return false;
   if (flow.arrivals > 0) ChargeRetryBudget(flow, ExtraArrival::kExecutionRetried);
   ++flow.arrivals;
-  Start(flow, *engine, AttemptMode::kWhole);
+  Start(flow, std::move(*admission), AttemptMode::kWhole);
   return true;
 }
 
@@ -201,11 +214,24 @@
     state.wait_deadlines.erase(state.wait_deadlines.begin());
     if (flow == nullptr || !flow->queued || !parameters_.sheds_load) continue;
     if (flow->executions > 0 || flow->relaying) continue;  // A refusal would wrongly promise that it was not executed.
+    if (!PrefillOpensInTime(*flow)) {
+      Dequeue(*flow);
+      if (!StartExecution(*flow)) WaitOrRefuse(*flow);
+      continue;
+    }
+    // A committed prompt is only checked again because the engines may close to it.
+    if (flow->committed) {
+      state.wait_deadlines.emplace(now_ + QueueWait(*flow), flow->id);
+      continue;
+    }
     const Duration wait = state.prefill_window.mean_slot_interval() * static_cast<int>(state.queue->committed() + 1);
     // Without measurements there is no estimate to base a commitment on.
     const bool measured = state.prefill_window.mean_latency() > 0s;
     if (measured && now_ + wait <= DescribePrompt(*flow, state).prefill_deadline) {
       state.queue->commit(flow->id);
+      flow->committed = true;
+      // Engines that limit requests may turn out to be closed to it.
+      if (!engine_limits_.empty()) state.wait_deadlines.emplace(now_ + QueueWait(*flow), flow->id);
       continue;
     }
     if (measured && DispatchOverLimit(*flow, state)) continue;
--- a/src/core/serving/report_news.cc
+++ b/src/core/serving/report_news.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kPeerBytes = 30;
 constexpr std::size_t kHoldBytes = 48;
 constexpr std::size_t kDemandBytes = 64;
+constexpr std::size_t kEngineLimitBytes = 16;
 
 bool Differs(double sent, double value) {
   constexpr double kRelativeTolerance = 0.1;
@@ -42,6 +43,10 @@
   return sent.kind != mark.kind || sent.changed_at != mark.changed_at;
 }
 
+bool Differs(const EngineLimitMark& sent, const EngineLimitMark& mark) {
+  return sent.engine != mark.engine || sent.requests_per_s != mark.requests_per_s;
+}
+
 template <typename Item>
 bool AnyDiffers(const std::vector<Item>& sent, const std::vector<Item>& items) {
   return !std::equal(sent.begin(), sent.end(), items.begin(), items.end(),
@@ -58,13 +63,14 @@
   };
   if (!std::all_of(report.kept.begin(), report.kept.end(), is_known)) return true;
   return AnyDiffers(sent.work, report.work) || AnyDiffers(sent.demand, report.demand) ||
-         AnyDiffers(sent.holds, report.holds) || AnyDiffers(sent.records, report.records);
+         AnyDiffers(sent.holds, report.holds) || AnyDiffers(sent.records, report.records) ||
+         AnyDiffers(sent.engine_limits, report.engine_limits);
 }
 
 std::size_t EstimateBytes(const PeerReport& report) {
   return kBaseBytes + kWorkBytes * report.work.size() + kKeptPartBytes * report.kept.size() +
          kCrashBytes * report.crashes.size() + kPeerBytes * report.peers.size() + kHoldBytes * report.holds.size() +
-         kDemandBytes * report.demand.size();
+         kDemandBytes * report.demand.size() + kEngineLimitBytes * report.engine_limits.size();
 }
 
 void LimitWork(PeerReport& report, std::size_t max_engines) {
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -13,7 +13,9 @@
       selector_(parameters, zone, seed),
       retry_budget_share_(parameters.retry_budget),
       random_(seed + 1),
-      crashes_(parameters.crashes) {}
+      crashes_(parameters.crashes) {
+  set_engine_permits(std::make_unique<limits::EnginePermits>(limits::LimiterNode{}, seed, true, Time{}));
+}
 
 void ServingCore::OnEvent(Time now, const Event& event, std::vector<Action>& actions) {
   now_ = now;
@@ -22,12 +24,14 @@
   if (!crash_detector_.empty()) HandleCrashedEngines();
   if (limiter_ != nullptr) StepLimiter();
   if (dispatch_pending_ || (next_dispatch_ && now_ >= *next_dispatch_)) DispatchAllPrefills();
+  StepPermits();
   actions_ = nullptr;
 }
 
 std::optional<Time> ServingCore::next_deadline() const {
   std::optional<Time> next = limiter_ == nullptr ? std::nullopt : limiter_->next_deadline();
   const auto consider = [&next](Time at) { next = next ? std::min(*next, at) : at; };
+  if (const std::optional<Time> at = permits_->next_deadline()) consider(*at);
   if (!wake_up_queue_.empty()) consider(wake_up_queue_.begin()->first);
   if (next_dispatch_) consider(*next_dispatch_);
   return next;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -23,6 +23,7 @@
 #include "src/core/serving/crash_ledger.h"
 #include "src/core/serving/demand_meter.h"
 #include "src/core/serving/engine_crash_detector.h"
+#include "src/core/serving/engine_gate.h"
 #include "src/core/serving/engine_selector.h"
 #include "src/core/serving/events.h"
 #include "src/core/serving/retry_budget_share.h"
@@ -75,6 +76,7 @@
   std::optional<Time> hedge_at;
   AttemptId relayed_attempt = 0;
   bool queued = false;               // The prompt waits in the service's prefill queue.
+  bool committed = false;            // It was committed there: its prefill can still finish in time.
   double value = 0;                  // Value relative to the mean of the route; 0: not known yet.
   bool prefill_metered = false;      // The prefill is included in the measured demand.
   std::optional<Time> prefilled_at;  // When the separate prefill was completed.
@@ -123,8 +125,12 @@
   void BeginAfterRestart(Time now) { retry_budget_share_.BeginAfterRestart(now); }
   // Without a limiter, tenant limits are not enforced.
   void set_limiter(std::unique_ptr<limits::Limiter> limiter) { limiter_ = std::move(limiter); }
+  // Without this call, the node issues all permits for engines itself.
+  void set_engine_permits(std::unique_ptr<limits::EnginePermits> permits);
   // Whether any tenant of the configuration in force has a limit.
   bool has_limits() const { return has_limits_; }
+  // Whether NodesChanged events are needed: a tenant of the configuration in force, or an engine, has a limit.
+  bool needs_nodes() const { return has_limits_ || !engine_limits_.empty(); }
   // The state of the tenants' limits, for metrics.
   std::vector<limits::LimitStatus> LimitStatus(Time now) const;
 
@@ -142,6 +148,8 @@
   // This node's work and demand, for its report to the peers.
   std::vector<EngineWork> LocalWork(Time now) { return engines_.LocalWork(now); }
   std::vector<ServiceDemand> LocalDemand(Time now);
+  // The engines' limits that this node knows, for its report to the peers.
+  std::vector<EngineLimitMark> EngineLimitMarks(Time now) const;
 
  private:
   void On(const ConfigurationChanged& event);
@@ -160,8 +168,10 @@
   void On(const AttemptFailed& event);
   void On(const EngineProbed& event);
   void On(const PeerCrashesReported& event);
+  void On(const PeerEngineLimitsReported& event);
   void On(const NodesChanged& event);
   void On(const LimitMessageArrived& event);
+  void On(const PermitMessageArrived& event);
   void On(const NodeStopping& event);
   void On(const TimerFired& event);
 
@@ -173,6 +183,10 @@
   void DispatchPrefills(PrefillState& state);
   void DispatchAllPrefills();
   bool DispatchPrefill(Flow& flow, admission::Lane lane);
+  // How long a prompt is queued until it is committed or refused.
+  Duration QueueWait(const Flow& flow) const;
+  // Whether a prefill engine may take the prompt within that time.
+  bool PrefillOpensInTime(const Flow& flow);
   bool StartOverflowPrefill(Flow& flow);
   Duration PrefillTarget(const Flow& flow, const Attempt& attempt) const;
   void OccupyWindow(Flow& flow, admission::ConcurrencyWindow& window);
@@ -189,7 +203,7 @@
   void RecordDecodeStart(const Flow& flow);
   bool StartExecution(Flow& flow);
   EngineState* ChooseExecutionEngine(Flow& flow, AttemptMode mode);
-  void Start(Flow& flow, EngineState& engine, AttemptMode mode);
+  void Start(Flow& flow, EngineAdmission admission, AttemptMode mode);
   void WaitOrRefuse(Flow& flow);
   void FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle);
   void FinishExecution(Flow& flow, const Attempt& attempt);
@@ -216,7 +230,13 @@
   void ExpireAttemptsAt(const std::string& engine_id);
 
   // Limits that engines name (engine_limit_steps.cc).
-  void SetEngineLimit(EngineState& engine, std::optional<double> requests_per_s, Time stated_at);
+  // `source`: who passed on the engine's statement, for the log.
+  void SetEngineLimit(EngineState& engine, std::optional<double> requests_per_s, Time stated_at,
+                      std::string_view source);
+  // Asks for the permits that were missed, runs due work and acts on the output.
+  void StepPermits();
+  // The earliest time at which an engine may take the flow's next execution; nullopt: none can.
+  std::optional<Time> ExecutionOpensAt(const Flow& flow);
 
   // Limits of tenants (limit_steps.cc).
   void SetLimits();
@@ -280,6 +300,13 @@
   ServingParameters parameters_;
   EngineDirectory engines_;
   EngineSelector selector_;
+  std::unique_ptr<limits::EnginePermits> permits_;
+  std::unique_ptr<EngineGate> gate_;
+  struct KnownEngineLimit {
+    std::string engine_id;
+    std::optional<Time> ended_at;  // When this node learnt that the engine names no limit any more.
+  };
+  std::map<EngineKey, KnownEngineLimit> engine_limits_;
   RetryBudgetShare retry_budget_share_;
   Random random_;
   std::optional<ServingConfig> config_;
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -32,7 +32,7 @@
   std::string tenant = "Saltquay-Tenant";            // Sent to engines instead of the API key.
   std::string signature = "Saltquay-Signature";
   std::string not_executed = "Saltquay-Not-Executed";
-  std::string load = "Saltquay-Load";      // RUNNING,WAITING,SLOTS
+  std::string load = "Saltquay-Load";  // RUNNING,WAITING,SLOTS
   // Requests a second that the engine takes from all nodes together; a decimal number.
   std::string request_limit = "Saltquay-Request-Limit";
   std::string handle_member = "handle";    // In the JSON response to a prefill.
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -69,6 +69,9 @@
       timer_(loop) {
   gateway.on_report_crashes = [this] { ReportCrashes(); };
   gateway.on_send_limit_messages = [this](const serving::SendLimitMessages& action) { SendLimitMessageBatch(action); };
+  gateway.on_send_permit_messages = [this](const serving::SendPermitMessages& action) {
+    SendPermitMessageBatch(action);
+  };
   gateway.on_execution_started = [this](const serving::ExecutionStarted& execution) {
     duties_.OnExecutionStarted(execution);
   };
@@ -123,6 +126,7 @@
   report.kept = gateway_.core().selector().CacheUpdatesSince(
       now - (in_digests ? kDigestCacheUpdateRepeatTime : kCacheUpdateRepeatTime));
   report.crashes = gateway_.core().crashes().MarksToReport(now);
+  report.engine_limits = gateway_.core().EngineLimitMarks(now);
   report.zone = settings_.zone;
   report.link_mbps = settings_.link_mbps;
   report.records = store_.marks();
@@ -145,10 +149,13 @@
   if (report.scope == serving::ReportScope::kUsage) return duties_.OnUsage(report);
   if (report.scope == serving::ReportScope::kLimits) {
     for (const limits::LimitMessage& message : report.limits) gateway_.Dispatch(serving::LimitMessageArrived{message});
+    for (const limits::PermitMessage& message : report.permits)
+      gateway_.Dispatch(serving::PermitMessageArrived{message});
     return;
   }
-  // Crash marks are merged regardless of sender and delay; their order does not matter.
+  // Crash marks and engines' limits are merged regardless of sender and delay; their order does not matter.
   if (!report.crashes.empty()) gateway_.Dispatch(serving::PeerCrashesReported{report.crashes});
+  if (!report.engine_limits.empty()) gateway_.Dispatch(serving::PeerEngineLimitsReported{report.engine_limits});
   duties_.OnClock(report);  // Reads the sender's wall clock time from the report.
   MergeLeaseMark(report.lease);
   if (report.scope != serving::ReportScope::kNode) {
@@ -194,7 +201,7 @@
 }
 
 void FleetCoordinator::DispatchNodesChanged() {
-  if (!gateway_.core().has_limits()) return;
+  if (!gateway_.core().needs_nodes()) return;
   const Time now = gateway_.Now();
   const std::size_t known = peers_.Nodes().size();
   const bool large = fleet_.IsLarge(peers_.Nodes());
@@ -213,18 +220,28 @@
   gateway_.Dispatch(changed);
 }
 
-void FleetCoordinator::SendLimitMessageBatch(const serving::SendLimitMessages& action) {
+template <typename Addressed, typename Message>
+void FleetCoordinator::SendBatch(const std::vector<Addressed>& messages,
+                                 std::vector<Message> serving::PeerReport::*member) {
   if (exchange_ == nullptr) return;
   std::map<std::string, serving::FleetMessage> by_address;
-  for (const limits::AddressedLimitMessage& addressed : action.messages) {
+  for (const Addressed& addressed : messages) {
     serving::FleetMessage& message = by_address[addressed.address];
     message.addresses = {addressed.address};
     message.report.scope = serving::ReportScope::kLimits;
-    message.report.limits.push_back(addressed.message);
+    (message.report.*member).push_back(addressed.message);
   }
   for (auto& [address, message] : by_address) exchange_->Send({message});
 }
 
+void FleetCoordinator::SendLimitMessageBatch(const serving::SendLimitMessages& action) {
+  SendBatch(action.messages, &serving::PeerReport::limits);
+}
+
+void FleetCoordinator::SendPermitMessageBatch(const serving::SendPermitMessages& action) {
+  SendBatch(action.messages, &serving::PeerReport::permits);
+}
+
 void FleetCoordinator::AddPeerReports(serving::PeersChanged& changed) {
   changed.age = PeerExchangeOptions{}.interval / 2;  // A report is half an interval old on average.
   changed.nodes = static_cast<int>(Members().size()) + 1;
--- a/src/gateway/fleet_coordinator.h
+++ b/src/gateway/fleet_coordinator.h
@@ -41,9 +41,13 @@
   void OnRejectedReport(const absl::Status& cause, const std::string& sender);
   // Passes the current peer state to the serving core. `kept`: cache updates from a report.
   void DispatchPeersChanged(const std::vector<serving::KeptPart>& kept);
-  // Passes the list of live nodes to the serving core, if any tenant has a limit.
+  // Passes the list of live nodes to the serving core, if a tenant or an engine has a limit.
   void DispatchNodesChanged();
   void SendLimitMessageBatch(const serving::SendLimitMessages& action);
+  void SendPermitMessageBatch(const serving::SendPermitMessages& action);
+  // Sends the messages as `member` of reports, one datagram to each address.
+  template <typename Addressed, typename Message>
+  void SendBatch(const std::vector<Addressed>& messages, std::vector<Message> serving::PeerReport::*member);
   // Fill `changed` from the peers' own reports, or from the fleet digest.
   void AddPeerReports(serving::PeersChanged& changed);
   void AddFleetDigest(serving::PeersChanged& changed, const serving::PeerReport& digest);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -55,6 +55,7 @@
   const auto incarnation = static_cast<std::uint64_t>(UnixMilliseconds());
   const bool alone = settings.peer_listen.empty();
   if (!settings.first_start) core_.BeginAfterRestart(Now());
+  core_.set_engine_permits(std::make_unique<limits::EnginePermits>(self, incarnation, alone, Now()));
   core_.set_limiter(limits::make_distributed_limiter(self, incarnation, alone, settings.limit_tolerance, Now()));
 }
 
@@ -327,6 +328,10 @@
   if (on_send_limit_messages) on_send_limit_messages(action);
 }
 
+void Gateway::Perform(const serving::SendPermitMessages& action) {
+  if (on_send_permit_messages) on_send_permit_messages(action);
+}
+
 void Gateway::Perform(const serving::LogDecision& action) {
   if (action.event == EventId::kEngineEnded) metrics_.CountEngineEnd();
   Log(action.event, action.request_id, action.details);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,6 +40,8 @@
   std::function<void(const serving::ExecutionStarted&)> on_execution_started;
   // Called to send tenant limit messages to other nodes.
   std::function<void(const serving::SendLimitMessages&)> on_send_limit_messages;
+  // Called to send messages about permits for engines to other nodes.
+  std::function<void(const serving::SendPermitMessages&)> on_send_permit_messages;
   // Called when the peers have to be notified of new crash marks.
   std::function<void()> on_report_crashes;
 
@@ -87,6 +89,7 @@
   void Perform(const serving::ProbeEngine& action);
   void Perform(const serving::ReportCrashes& action);
   void Perform(const serving::SendLimitMessages& action);
+  void Perform(const serving::SendPermitMessages& action);
   void Perform(const serving::LogDecision& action);
 
   http::CallHandlers MakeHandlers(serving::AttemptId id);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -51,6 +51,7 @@
   };
   config_version_ = gauge("saltquay_config_version", "Version of the configuration in force");
   engines_ = gauge("saltquay_engines", "Engines known");
+  limited_engines_ = gauge("saltquay_engines_limited", "Engines that name a limit for the requests of all nodes");
   open_requests_ = gauge("saltquay_open_requests", "Requests under way");
   members_known_ = gauge("saltquay_members_known", "Nodes that this node knows, with itself");
   digest_nodes_ = gauge("saltquay_digest_nodes", "Nodes whose work the newest digest covers; 1: no digest");
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -41,6 +41,8 @@
   void SetLimits(std::vector<limits::LimitStatus> limits);
   // Number of nodes that this node knows, and that the newest digest covers; both include this node.
   void SetFleet(double members_known, double digest_nodes);
+  // Number of engines that name a limit for the requests of all nodes together.
+  void SetLimitedEngines(double engines) { limited_engines_->Set(engines); }
   void SetLeader(bool leads) { leader_->Set(leads ? 1 : 0); }
   // `clock_error_seconds`: offset of this machine's clock from the fleet's.
   void SetDuties(double sealed_window, double unsent_reports, double clock_error_seconds);
@@ -66,6 +68,7 @@
   prometheus::Histogram* store_seconds_;
   prometheus::Gauge* config_version_;
   prometheus::Gauge* engines_;
+  prometheus::Gauge* limited_engines_;
   prometheus::Gauge* open_requests_;
   prometheus::Gauge* members_known_;
   prometheus::Gauge* digest_nodes_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -225,6 +225,10 @@
   gateway_.metrics().SetQuarantineCounts(static_cast<double>(crashes.QuarantinedCount(gateway_.Now())),
                                          static_cast<double>(crashes.size()));
   gateway_.metrics().SetLimits(gateway_.core().LimitStatus(gateway_.Now()));
+  const std::vector<serving::EngineLimitMark> marks = gateway_.core().EngineLimitMarks(gateway_.Now());
+  const auto limited = std::count_if(
+      marks.begin(), marks.end(), [](const serving::EngineLimitMark& mark) { return mark.requests_per_s.has_value(); });
+  gateway_.metrics().SetLimitedEngines(static_cast<double>(limited));
   gateway_.metrics().SetTraffic(gateway_.traffic());
   http::ResponseHead head;
   head.status = kOk;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -8,6 +8,7 @@
 #include "src/gateway/limit_codec.h"
 #include "src/gateway/member_list_codec.h"
 #include "src/gateway/peer_report_generated.h"
+#include "src/gateway/permit_codec.h"
 
 namespace saltquay::gateway {
 namespace {
@@ -121,7 +122,8 @@
       report.forward_to.empty() ? 0 : builder.CreateVectorOfStrings(report.forward_to),
       members.nodes.empty() ? 0 : builder.CreateVectorOfStructs(members.nodes),
       members.nodes.empty() ? 0 : builder.CreateString(members.names),
-      members.nodes.empty() ? 0 : builder.CreateVectorOfStrings(members.zones)));
+      members.nodes.empty() ? 0 : builder.CreateVectorOfStrings(members.zones),
+      EngineLimitsToWire(builder, report.engine_limits), PermitMessagesToWire(builder, report.permits)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -186,6 +188,12 @@
   ForEach(source->limits(), [&](const wire::LimitMessage& item) {
     if (auto message = LimitMessageFromWire(item)) report.limits.push_back(std::move(*message));
   });
+  ForEach(source->permits(), [&](const wire::PermitMessage& item) {
+    if (auto message = PermitMessageFromWire(item)) report.permits.push_back(std::move(*message));
+  });
+  ForEach(source->engine_limits(), [&](const wire::EngineLimit& item) {
+    if (const auto mark = EngineLimitFromWire(item)) report.engine_limits.push_back(*mark);
+  });
   ForEach(source->records(), [&](const wire::RecordMark& item) {
     report.records.push_back({Text(item.kind()), item.changed_at()});
   });
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -46,6 +46,11 @@
 struct LimitMessage;
 struct LimitMessageBuilder;
 
+struct PermitMessage;
+struct PermitMessageBuilder;
+
+struct EngineLimit;
+
 struct Report;
 struct ReportBuilder;
 
@@ -203,6 +208,35 @@
 };
 FLATBUFFERS_STRUCT_END(ListedNode, 12);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EngineLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t engine_;
+  uint32_t age_ms_;
+  float requests_per_s_;
+
+ public:
+  EngineLimit()
+      : engine_(0),
+        age_ms_(0),
+        requests_per_s_(0) {
+  }
+  EngineLimit(uint64_t _engine, uint32_t _age_ms, float _requests_per_s)
+      : engine_(flatbuffers::EndianScalar(_engine)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        requests_per_s_(flatbuffers::EndianScalar(_requests_per_s)) {
+  }
+  uint64_t engine() const {
+    return flatbuffers::EndianScalar(engine_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  float requests_per_s() const {
+    return flatbuffers::EndianScalar(requests_per_s_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EngineLimit, 16);
+
 struct ServiceDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceDemandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -892,6 +926,141 @@
       fleet);
 }
 
+struct PermitMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitMessageBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_NODE = 6,
+    VT_NUMBER = 8,
+    VT_ENGINE = 10,
+    VT_REQUESTS_PER_S = 12,
+    VT_TIME_MS = 14,
+    VT_FLAG = 16,
+    VT_REPLY_TO = 18
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint64_t node() const {
+    return GetField<uint64_t>(VT_NODE, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t engine() const {
+    return GetField<uint64_t>(VT_ENGINE, 0);
+  }
+  double requests_per_s() const {
+    return GetField<double>(VT_REQUESTS_PER_S, 0.0);
+  }
+  int32_t time_ms() const {
+    return GetField<int32_t>(VT_TIME_MS, 0);
+  }
+  bool flag() const {
+    return GetField<uint8_t>(VT_FLAG, 0) != 0;
+  }
+  const flatbuffers::String *reply_to() const {
+    return GetPointer<const flatbuffers::String *>(VT_REPLY_TO);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_NODE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ENGINE, 8) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_S, 8) &&
+           VerifyField<int32_t>(verifier, VT_TIME_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FLAG, 1) &&
+           VerifyOffset(verifier, VT_REPLY_TO) &&
+           verifier.VerifyString(reply_to()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitMessageBuilder {
+  typedef PermitMessage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(PermitMessage::VT_KIND, kind, 0);
+  }
+  void add_node(uint64_t node) {
+    fbb_.AddElement<uint64_t>(PermitMessage::VT_NODE, node, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PermitMessage::VT_NUMBER, number, 0);
+  }
+  void add_engine(uint64_t engine) {
+    fbb_.AddElement<uint64_t>(PermitMessage::VT_ENGINE, engine, 0);
+  }
+  void add_requests_per_s(double requests_per_s) {
+    fbb_.AddElement<double>(PermitMessage::VT_REQUESTS_PER_S, requests_per_s, 0.0);
+  }
+  void add_time_ms(int32_t time_ms) {
+    fbb_.AddElement<int32_t>(PermitMessage::VT_TIME_MS, time_ms, 0);
+  }
+  void add_flag(bool flag) {
+    fbb_.AddElement<uint8_t>(PermitMessage::VT_FLAG, static_cast<uint8_t>(flag), 0);
+  }
+  void add_reply_to(flatbuffers::Offset<flatbuffers::String> reply_to) {
+    fbb_.AddOffset(PermitMessage::VT_REPLY_TO, reply_to);
+  }
+  explicit PermitMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitMessage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitMessage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitMessage> CreatePermitMessage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint64_t node = 0,
+    uint64_t number = 0,
+    uint64_t engine = 0,
+    double requests_per_s = 0.0,
+    int32_t time_ms = 0,
+    bool flag = false,
+    flatbuffers::Offset<flatbuffers::String> reply_to = 0) {
+  PermitMessageBuilder builder_(_fbb);
+  builder_.add_requests_per_s(requests_per_s);
+  builder_.add_engine(engine);
+  builder_.add_number(number);
+  builder_.add_node(node);
+  builder_.add_reply_to(reply_to);
+  builder_.add_time_ms(time_ms);
+  builder_.add_flag(flag);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitMessage> CreatePermitMessageDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint64_t node = 0,
+    uint64_t number = 0,
+    uint64_t engine = 0,
+    double requests_per_s = 0.0,
+    int32_t time_ms = 0,
+    bool flag = false,
+    const char *reply_to = nullptr) {
+  auto reply_to__ = reply_to ? _fbb.CreateString(reply_to) : 0;
+  return saltquay::gateway::wire::CreatePermitMessage(
+      _fbb,
+      kind,
+      node,
+      number,
+      engine,
+      requests_per_s,
+      time_ms,
+      flag,
+      reply_to__);
+}
+
 struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -922,7 +1091,9 @@
     VT_FORWARD_TO = 52,
     VT_LISTED = 54,
     VT_LISTED_NAMES = 56,
-    VT_LISTED_ZONES = 58
+    VT_LISTED_ZONES = 58,
+    VT_ENGINE_LIMITS = 60,
+    VT_PERMITS = 62
   };
   uint8_t format() const {
     return GetField<uint8_t>(VT_FORMAT, 0);
@@ -1008,6 +1179,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *listed_zones() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LISTED_ZONES);
   }
+  const flatbuffers::Vector<const saltquay::gateway::wire::EngineLimit *> *engine_limits() const {
+    return GetPointer<const flatbuffers::Vector<const saltquay::gateway::wire::EngineLimit *> *>(VT_ENGINE_LIMITS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>> *permits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>> *>(VT_PERMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FORMAT, 1) &&
@@ -1063,6 +1240,11 @@
            VerifyOffset(verifier, VT_LISTED_ZONES) &&
            verifier.VerifyVector(listed_zones()) &&
            verifier.VerifyVectorOfStrings(listed_zones()) &&
+           VerifyOffset(verifier, VT_ENGINE_LIMITS) &&
+           verifier.VerifyVector(engine_limits()) &&
+           VerifyOffset(verifier, VT_PERMITS) &&
+           verifier.VerifyVector(permits()) &&
+           verifier.VerifyVectorOfTables(permits()) &&
            verifier.EndTable();
   }
 };
@@ -1155,6 +1337,12 @@
   void add_listed_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> listed_zones) {
     fbb_.AddOffset(Report::VT_LISTED_ZONES, listed_zones);
   }
+  void add_engine_limits(flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::EngineLimit *>> engine_limits) {
+    fbb_.AddOffset(Report::VT_ENGINE_LIMITS, engine_limits);
+  }
+  void add_permits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>>> permits) {
+    fbb_.AddOffset(Report::VT_PERMITS, permits);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1195,12 +1383,16 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> forward_to = 0,
     flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::ListedNode *>> listed = 0,
     flatbuffers::Offset<flatbuffers::String> listed_names = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> listed_zones = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> listed_zones = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::EngineLimit *>> engine_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>>> permits = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_closed_through(closed_through);
   builder_.add_wall_ms(wall_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_permits(permits);
+  builder_.add_engine_limits(engine_limits);
   builder_.add_listed_zones(listed_zones);
   builder_.add_listed_names(listed_names);
   builder_.add_listed(listed);
@@ -1257,7 +1449,9 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *forward_to = nullptr,
     const std::vector<saltquay::gateway::wire::ListedNode> *listed = nullptr,
     const char *listed_names = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *listed_zones = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *listed_zones = nullptr,
+    const std::vector<saltquay::gateway::wire::EngineLimit> *engine_limits = nullptr,
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>> *permits = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::EngineWork>(*work) : 0;
@@ -1274,6 +1468,8 @@
   auto listed__ = listed ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::ListedNode>(*listed) : 0;
   auto listed_names__ = listed_names ? _fbb.CreateString(listed_names) : 0;
   auto listed_zones__ = listed_zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*listed_zones) : 0;
+  auto engine_limits__ = engine_limits ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::EngineLimit>(*engine_limits) : 0;
+  auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>>(*permits) : 0;
   return saltquay::gateway::wire::CreateReport(
       _fbb,
       format,
@@ -1303,7 +1499,9 @@
       forward_to__,
       listed__,
       listed_names__,
-      listed_zones__);
+      listed_zones__,
+      engine_limits__,
+      permits__);
 }
 
 inline const saltquay::gateway::wire::Report *GetReport(const void *buf) {
--- a/tests/gateway/gateway_components_test.cc
+++ b/tests/gateway/gateway_components_test.cc
@@ -1,6 +1,7 @@
 // Tests of gateway components: event splitter, engine protocol, settings, log stream, stop schedule and codecs.
 #include <fcntl.h>
 #include <unistd.h>
+#include <cmath>
 
 #include <array>
 
@@ -370,6 +371,38 @@
   EXPECT_FALSE(DecodeReport("garbage").ok());
 }
 
+TEST(PeerCodecTest, EngineLimitsAndPermitsRoundTrip) {
+  serving::PeerReport report;
+  report.engine_limits = {{"e1", 2.5, 1500ms}, {"e2", std::nullopt, 3s}};
+  report.permits = {limits::PermitRequest{{1, 2}, 77, 0.25, 1500ms, "1.2.3.4:5", true},
+                    limits::PermitResponse{{3, 4}, true, 250ms}, limits::PermitReturn{{5, 6}, 78}};
+  const auto decoded = DecodeReport(EncodeReport(report));
+  ASSERT_TRUE(decoded.ok());
+  ASSERT_EQ(decoded->engine_limits.size(), 2U);
+  EXPECT_EQ(decoded->engine_limits[0].engine, serving::EngineKey("e1"));
+  EXPECT_EQ(decoded->engine_limits[0].requests_per_s, 2.5);
+  EXPECT_EQ(decoded->engine_limits[0].age, Duration(1500ms));
+  EXPECT_EQ(decoded->engine_limits[1].requests_per_s, std::nullopt);
+  ASSERT_EQ(decoded->permits.size(), 3U);
+  const auto& request = std::get<limits::PermitRequest>(decoded->permits[0]);
+  EXPECT_EQ(request.permit, (limits::ChargeId{1, 2}));
+  EXPECT_EQ(request.engine, 77U);
+  EXPECT_EQ(request.requests_per_s, 0.25);
+  EXPECT_EQ(request.limit_age, Duration(1500ms));
+  EXPECT_EQ(request.reply_to, "1.2.3.4:5");
+  EXPECT_TRUE(request.is_final);
+  EXPECT_TRUE(std::get<limits::PermitResponse>(decoded->permits[1]).granted);
+  EXPECT_EQ(std::get<limits::PermitResponse>(decoded->permits[1]).retry_after, Duration(250ms));
+  EXPECT_EQ(std::get<limits::PermitReturn>(decoded->permits[2]).engine, 78U);
+}
+
+TEST(PeerCodecTest, PermitRequestWithAnImpossibleRateIsDropped) {
+  serving::PeerReport report;
+  report.permits = {limits::PermitRequest{{1, 2}, 77, -1, 0s, "1.2.3.4:5", true},
+                    limits::PermitRequest{{1, 2}, 77, std::nan(""), 0s, "1.2.3.4:5", true}};
+  EXPECT_TRUE(DecodeReport(EncodeReport(report))->permits.empty());
+}
+
 RC_GTEST_PROP(PeerCodecProperty, AnyBytesDecodeOrAreRejected, ()) {
   static_cast<void>(DecodeReport(*rc::gen::container<std::string>(rc::gen::arbitrary<char>())));
 }
--- a/tests/support/notice_fleet.cc
+++ b/tests/support/notice_fleet.cc
@@ -9,6 +9,10 @@
 constexpr Duration kMaxJitter = 1ms;
 constexpr Duration kPrefillTime = 60ms;
 constexpr Duration kRunTime = 40ms;
+constexpr Duration kReportInterval = 400ms;
+constexpr Duration kTickInterval = 100ms;
+constexpr Duration kMemberTimeout = 1700ms;
+constexpr Duration kReachTimeout = 1s;
 constexpr Duration kContactTime = 3s;  // From the first naming of a limit until it is enforced.
 constexpr Duration kLimitWindow = 4s;
 constexpr double kLimitFactor = 1.5;
@@ -96,10 +100,46 @@
   ++nodes_[node].life;
   nodes_[node].suspended_until = now_;
   nodes_[node].cancelled.clear();
+  nodes_[node].heard.clear();
   nodes_[node].core = std::make_unique<ServingCore>(MakeParameters(), "a", random_.Below(1'000'000));
+  const limits::LimiterNode self{NameOf(node), std::to_string(node), "a", 0};
+  nodes_[node].core->set_engine_permits(
+      std::make_unique<limits::EnginePermits>(self, nodes_[node].life, options_.nodes == 1, now_));
   Send(node, ConfigurationChanged{config_});
   Send(node, EnginesReplaced{Records()});
   Send(node, StoreConnectivityChanged{true});
+  AtNode(node, now_ + random_.DurationBelow(kTickInterval), [this, node] { Report(node); });
+  AtNode(node, now_ + random_.DurationBelow(kTickInterval), [this, node] { UpdateNodes(node); });
+}
+
+void NoticeFleet::Transmit(int from, int to, const Event& event) {
+  if ((is_cut_ && is_cut_(from, to)) || random_.Chance(options_.loss) || nodes_[to].core == nullptr) return;
+  AtNode(to, now_ + kLinkDelay + random_.DurationBelow(kMaxJitter), [this, to, event] { Send(to, event); });
+}
+
+void NoticeFleet::Report(int from) {
+  AtNode(from, now_ + kReportInterval, [this, from] { Report(from); });
+  const PeerEngineLimitsReported reported{nodes_[from].core->EngineLimitMarks(now_)};
+  for (int to = 0; to < size(); ++to) {
+    const bool is_lost = (is_cut_ && is_cut_(from, to)) || random_.Chance(options_.loss);
+    if (to == from || is_lost || nodes_[to].core == nullptr) continue;
+    AtNode(to, now_ + kLinkDelay, [this, from, to, reported] {
+      nodes_[to].heard[from] = now_;
+      if (!reported.marks.empty()) Send(to, reported);
+    });
+  }
+}
+
+void NoticeFleet::UpdateNodes(int node) {
+  AtNode(node, now_ + kTickInterval, [this, node] { UpdateNodes(node); });
+  if (!nodes_[node].core->needs_nodes()) return;
+  NodesChanged changed;
+  changed.reach.liveness_timeout = kReachTimeout;
+  for (const auto& [other, heard_at] : nodes_[node].heard) {
+    if (now_ - heard_at <= kMemberTimeout) changed.nodes.push_back({NameOf(other), std::to_string(other), "a", 0});
+    if (now_ - heard_at <= kReachTimeout) ++changed.reach.nodes;
+  }
+  Send(node, changed);
 }
 
 void NoticeFleet::Kill(int node) {
@@ -173,8 +213,13 @@
       At(now_ + kLinkDelay + random_.DurationBelow(kMaxJitter), [this, node, start = *start] { Arrive(node, start); });
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
       nodes_[node].cancelled.insert(cancel->attempt);
-    } else if (std::holds_alternative<SendLocalReply>(action)) {
+    } else if (const auto* permits = std::get_if<SendPermitMessages>(&action)) {
+      for (const limits::AddressedPermitMessage& message : permits->messages)
+        Transmit(node, std::stoi(message.address), PermitMessageArrived{message.message});
+    } else if (const auto* reply = std::get_if<SendLocalReply>(&action)) {
       ++refused_;
+      longest_refusal_ = std::max(longest_refusal_, now_ - arrived_at_[reply->flow]);
+      retry_after_sum_ += reply->retry_after.value_or(0s);
     } else if (std::holds_alternative<EndRelay>(action) || std::holds_alternative<RelayResponse>(action)) {
       ++served_;
     }
@@ -187,6 +232,7 @@
   if (nodes_[node].core == nullptr || now_ < nodes_[node].suspended_until) return;
   RequestArrived arrived;
   arrived.flow = ++last_flow_;
+  arrived_at_[arrived.flow] = now_;
   arrived.metadata.request_id = "r" + std::to_string(last_flow_);
   arrived.metadata.host = "h.example";
   const double kind = random_.Unit();
--- a/tests/support/notice_fleet.h
+++ b/tests/support/notice_fleet.h
@@ -58,6 +58,9 @@
   int size() const { return static_cast<int>(nodes_.size()); }
   int served() const { return served_; }
   int refused() const { return refused_; }
+  // From the arrival of a request to its refusal.
+  Duration longest_refusal() const { return longest_refusal_; }
+  Duration mean_retry_after() const { return refused_ == 0 ? 0s : retry_after_sum_ / refused_; }
   const std::vector<EngineArrival>& ArrivalsAt(const std::string& engine) { return engines_.at(engine).arrivals; }
   std::vector<std::string> EngineIds() const;
   // The largest number of requests by which the engine got more from nodes that it had told than its limit allows in
@@ -70,6 +73,7 @@
     int life = 0;                       // Number of starts.
     Time suspended_until{};
     std::set<AttemptId> cancelled;
+    std::map<int, Time> heard;  // Last report, by node.
   };
   struct NamedLimit {
     Time from{};
@@ -90,9 +94,14 @@
   void Wake(int node);
   void Perform(int node, const std::vector<Action>& actions);
   void SendRequest();
+  // Messages between nodes.
+  void Transmit(int from, int to, const Event& event);
+  void Report(int from);
+  void UpdateNodes(int node);
   void Arrive(int node, const StartAttempt& start);
   void Respond(int node, const StartAttempt& start);
   std::vector<EngineRecord> Records() const;
+  static std::string NameOf(int node) { return "n" + std::to_string(node); }
   // The node is excused from what it was told: it was restarted, suspended or cut off.
   void Excuse(int node);
   double AllowedIn(const Engine& engine, Time from, Time to) const;
@@ -108,6 +117,9 @@
   FlowId last_flow_ = 0;
   int served_ = 0;
   int refused_ = 0;
+  Duration longest_refusal_ = 0s;
+  Duration retry_after_sum_ = 0s;
+  std::map<FlowId, Time> arrived_at_;
 };
 
 }  // namespace saltquay::serving
