Engines that limit requests: other engines take their stage, prompts are not prefilled in vain

Change: the role planner counts such engines like ejected ones and does not move them; a prompt is prefilled only if an engine to decode at opens in time; a prefilled prompt waits longer for one, up to its objective; an engine that rejected a request is asked again after its backoff while all others are closed. Ends of flows in a file of their own.

--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -166,18 +166,6 @@
           engine.rate_limit ? engine.rate_limit->requests_per_s : -1, start.time_left.count() / 1000));
 }
 
-void ServingCore::WaitOrRefuse(Flow& flow) {
-  if (!flow.attempts.empty()) return ScheduleWakeUp(flow);  // Another attempt is still in flight.
-  if (flow.relaying) return AbortFlow(flow, "no engine available to resume the stream");
-  const Duration share = FromSeconds(ToSeconds(flow.route.objective) * parameters_.engine_wait_share);
-  if (!flow.engine_wait_ends) flow.engine_wait_ends = now_ + std::min(share, parameters_.max_engine_wait);
-  const std::optional<Time> opens_at = ExecutionOpensAt(flow);
-  if (opens_at && *opens_at > *flow.engine_wait_ends)
-    return Refuse(flow, "engines take no requests yet", *opens_at - now_);
-  if (now_ >= *flow.engine_wait_ends) return Refuse(flow, "no engine available");
-  ScheduleWakeUp(flow);
-}
-
 void ServingCore::FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle) {
   EngineState* engine = engines_.Find(attempt.engine_id);
   const bool prefilled = attempt.response_head.status < kFirstRedirect && !handle.empty() && engine != nullptr;
@@ -236,6 +224,7 @@
 void ServingCore::OnRefusal(Flow& flow, const Attempt& attempt) {
   flow.tried_engines.insert(attempt.engine_id);
   const bool misdirected = attempt.response_head.status == kMisdirected;
+  if (!misdirected) flow.rejected_by.insert(attempt.engine_id);
   const std::optional<EngineLoad>& load = attempt.response_head.load;
   const EngineState* engine = engines_.Find(attempt.engine_id);
   const bool changing = engine != nullptr && now_ < std::max(engine->held_until, engine->changing_until);
@@ -326,41 +315,6 @@
   return flow.route.repeatable() && flow.executions < flow.route.max_attempts;
 }
 
-void ServingCore::Refuse(Flow& flow, std::string_view cause) { Refuse(flow, cause, parameters_.retry_after); }
-
-void ServingCore::Refuse(Flow& flow, std::string_view cause, Duration retry_after) {
-  Refuse(flow, kUnavailable, cause, retry_after, "");
-}
-
-void ServingCore::Refuse(Flow& flow, int status, std::string_view cause, Duration retry_after,
-                         std::string_view members) {
-  CancelAttempts(flow, 0);
-  Log(EventId::kRequestRefused, &flow,
-      fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{},"retry_after_ms":{}{})", status,
-                  cause, (now_ - flow.arrived).count() / 1000, flow.attempt_count, version(),
-                  retry_after.count() / 1000, members));
-  actions_->push_back(SendLocalReply{flow.id, status, retry_after});
-  Erase(flow.id);
-}
-
-void ServingCore::Fail(Flow& flow, int status, std::string_view cause) {
-  CancelAttempts(flow, 0);
-  Log(EventId::kRequestFailed, &flow,
-      fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{})", status, cause,
-                  (now_ - flow.arrived).count() / 1000, flow.attempt_count, version()));
-  actions_->push_back(SendLocalReply{flow.id, status, std::nullopt});
-  Erase(flow.id);
-}
-
-void ServingCore::AbortFlow(Flow& flow, std::string_view cause) {
-  CancelAttempts(flow, 0);
-  Log(EventId::kRequestBrokenOff, &flow,
-      fmt::format(R"("cause":"{}","held_ms":{},"tries":{},"last_event":"{}")", cause,
-                  (now_ - flow.arrived).count() / 1000, flow.attempt_count, flow.last_event_id));
-  actions_->push_back(AbortResponse{flow.id});
-  Erase(flow.id);
-}
-
 void ServingCore::CancelAttempts(Flow& flow, AttemptId except) {
   std::vector<AttemptId> others;
   for (const auto& [id, attempt] : flow.attempts) {
--- a/src/core/serving/prefill_steps.cc
+++ b/src/core/serving/prefill_steps.cc
@@ -57,7 +57,10 @@
 bool ServingCore::PrefillOpensInTime(const Flow& flow) {
   const std::optional<Time> opens_at =
       selector_.OpensAt(engines_, flow.service, EngineStage::kPrefill, flow.tried_engines, now_);
-  return opens_at && *opens_at <= now_ + QueueWait(flow);
+  if (!opens_at || *opens_at > now_ + QueueWait(flow)) return false;
+  // Without an engine to decode at, the prefill would be in vain.
+  const std::optional<Time> decode_opens_at = ExecutionOpensAt(flow);
+  return !decode_opens_at || *decode_opens_at <= now_ + QueueWait(flow);
 }
 
 // Returns false if the prompt cannot be prefilled separately.
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -155,8 +155,9 @@
       ++(stage == EngineStage::kPrefill ? counts.to_prefill : counts.to_decode);
       return;
     }
-    // An ejected engine serves no requests, so it must not count towards the minimum.
-    const bool ejected = now < engine.ejected_until;
+    // An ejected engine serves no requests, and one that limits them serves few, so it must not count towards the
+    // minimum.
+    const bool ejected = now < engine.ejected_until || engine.rate_limit;
     if (engine.record.stage == EngineStage::kPrefill) ++(ejected ? counts.prefill_ejected : counts.prefill);
     if (engine.record.stage == EngineStage::kDecode) ++(ejected ? counts.decode_ejected : counts.decode);
   });
@@ -209,7 +210,7 @@
   engines.ForEachServing(pool.service, [&](EngineState& engine) {
     const auto unknown_order = unknown_order_until_.find(engine.record.id);
     const bool has_unknown_order = unknown_order != unknown_order_until_.end() && now < unknown_order->second;
-    if (!fits(engine) || now < engine.ejected_until || has_unknown_order) return;
+    if (!fits(engine) || now < engine.ejected_until || engine.rate_limit || has_unknown_order) return;
     if (best == nullptr) {
       best = &engine;
       return;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -64,6 +64,7 @@
   EngineIds tried_engines;
   std::optional<KvCacheSource> kv_cache;
   std::string kv_cache_zone;
+  EngineIds rejected_by;                         // Engines that rejected it without running it, of `tried_engines`.
   std::vector<std::string> kv_cache_refused_by;  // Engines that refused the KV handoff, for whatever reason.
   int arrivals = 0;                              // Attempts sent, not counting prefills.
   int prefills = 0;
@@ -185,7 +186,7 @@
   bool DispatchPrefill(Flow& flow, admission::Lane lane);
   // How long a prompt is queued until it is committed or refused.
   Duration QueueWait(const Flow& flow) const;
-  // Whether a prefill engine may take the prompt within that time.
+  // Whether engines may prefill and decode the prompt within that time.
   bool PrefillOpensInTime(const Flow& flow);
   bool StartOverflowPrefill(Flow& flow);
   Duration PrefillTarget(const Flow& flow, const Attempt& attempt) const;
@@ -205,6 +206,11 @@
   EngineState* ChooseExecutionEngine(Flow& flow, AttemptMode mode);
   void Start(Flow& flow, EngineAdmission admission, AttemptMode mode);
   void WaitOrRefuse(Flow& flow);
+  // How long the flow waits until any engine becomes available. `all_closed`: those that it may go to have asked for
+  // fewer requests.
+  Duration EngineWait(const Flow& flow, bool all_closed) const;
+  // Sends the request again to an engine that rejected it, if its backoff is over.
+  bool RetryRejectingEngine(Flow& flow);
   void FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle);
   void FinishExecution(Flow& flow, const Attempt& attempt);
   void OnRefusal(Flow& flow, const Attempt& attempt);
--- a/src/core/serving/serving_parameters.h
+++ b/src/core/serving/serving_parameters.h
@@ -109,6 +109,8 @@
   // Share of the objective for which a request may wait until any engine becomes available.
   double engine_wait_share = 0.2;
   Duration max_engine_wait = 400ms;
+  // The same for a request whose prompt has been prefilled, if its engines limit requests; at most its objective.
+  Duration max_prefilled_wait = 1s;
   // A repeatable request without a response after this share of its objective is sent to a second engine as well.
   double hedge_delay_share = 0.8;
   // An engine that has work in flight and sends nothing for this long is ejected.
--- a/tests/core/serving/engine_limit_test.cc
+++ b/tests/core/serving/engine_limit_test.cc
@@ -86,6 +86,24 @@
   EXPECT_GT(fleet.mean_retry_after(), 300ms);
 }
 
+TEST(EngineLimitTest, FewPromptsArePrefilledWhileDecodeEnginesTakeFewRequests) {
+  NoticeFleet fleet({.requests_per_s = 35});
+  fleet.AddEngines(3, 6, 3);
+  fleet.Begin();
+  for (const char* engine : {"d0", "d1", "d2"}) fleet.NameLimit(engine, 1);
+  fleet.RunFor(60s);
+  EXPECT_LT(fleet.released(), fleet.served() / 3);
+}
+
+TEST(EngineLimitTest, EngineThatRejectedARequestIsAskedAgainWhileTheOthersAreClosed) {
+  NoticeFleet fleet({.requests_per_s = 35, .decode_slots = 3});
+  fleet.AddEngines(3, 6, 3);
+  fleet.Begin();
+  for (const char* engine : {"d0", "d1"}) fleet.NameLimit(engine, 1);
+  fleet.RunFor(60s);
+  EXPECT_LT(fleet.refused(), fleet.served() / 100);
+}
+
 // Limits that are named, changed and ended while nodes are killed, suspended, added and cut off, and messages are lost.
 void RunSchedule(std::uint64_t seed, int nodes) {
   Random random(seed);
--- a/tests/core/serving/role_controller_test.cc
+++ b/tests/core/serving/role_controller_test.cc
@@ -288,6 +288,18 @@
   EXPECT_FALSE(TickUntil<ReadEngineState>(5s));
 }
 
+// Guards against incident LIMIT: decode engines that took one request a second counted as the stage's capacity.
+TEST_F(ControllerTest, EnginesThatLimitRequestsAreReplacedAndNotMoved) {
+  demand_ = {ServiceDemand{"s", 1.0, 1.0}};
+  for (int i = 0; i < 5; ++i) Add("p" + std::to_string(i), EngineStage::kPrefill);
+  for (int i = 0; i < 5; ++i) engines_.Find("d" + std::to_string(i))->rate_limit = limits::EngineLimit{1, now_};
+  engines_.Find("p0")->rate_limit = limits::EngineLimit{1, now_};
+  const auto read = TickUntil<ReadEngineState>(20s);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(engines_.Find(read->engine_id)->record.stage, EngineStage::kPrefill);
+  EXPECT_NE(read->engine_id, "p0");
+}
+
 TEST_F(ControllerTest, AStageWithoutEnginesDoesNotWaitForAnEarlierChange) {
   for (int i = 0; i < 6; ++i) Add("d" + std::to_string(i), EngineStage::kPrefill);
   engines_.Find("d0")->changing_until = now_ + 60s;
--- a/tests/support/notice_fleet.cc
+++ b/tests/support/notice_fleet.cc
@@ -183,6 +183,7 @@
 }
 
 void NoticeFleet::AtNode(int node, Time at, std::function<void()> step) {
+  if (nodes_[node].core == nullptr) return;
   At(at, [this, node, life = nodes_[node].life, step = std::move(step)] {
     if (nodes_[node].life != life || nodes_[node].core == nullptr) return;
     if (now_ < nodes_[node].suspended_until) return AtNode(node, nodes_[node].suspended_until, step);
@@ -220,6 +221,8 @@
       ++refused_;
       longest_refusal_ = std::max(longest_refusal_, now_ - arrived_at_[reply->flow]);
       retry_after_sum_ += reply->retry_after.value_or(0s);
+    } else if (std::holds_alternative<ReleaseKvCache>(action)) {
+      ++released_;
     } else if (std::holds_alternative<EndRelay>(action) || std::holds_alternative<RelayResponse>(action)) {
       ++served_;
     }
@@ -254,19 +257,25 @@
   const auto told = engine.told_at.find(node);
   const bool node_was_told = told != engine.told_at.end() && now_ - told->second >= kToldDelay;
   engine.arrivals.push_back({now_, node, node_was_told});
+  const bool decodes = engine.record.stage == EngineStage::kDecode;
+  if (decodes && options_.decode_slots > 0 && engine.running >= options_.decode_slots)
+    return AtNode(node, now_ + kLinkDelay, [this, node, start] { Respond(node, start, true); });
   const Duration time = start.mode == AttemptMode::kPrefill ? kPrefillTime : kRunTime;
-  if (nodes_[node].core == nullptr) return;
-  AtNode(node, now_ + time + kLinkDelay, [this, node, start] { Respond(node, start); });
+  ++engine.running;
+  At(now_ + time, [&engine] { --engine.running; });
+  AtNode(node, now_ + time + kLinkDelay, [this, node, start] { Respond(node, start, false); });
 }
 
-void NoticeFleet::Respond(int node, const StartAttempt& start) {
+void NoticeFleet::Respond(int node, const StartAttempt& start, bool is_rejected) {
   if (nodes_[node].cancelled.contains(start.attempt)) return;
   Engine& engine = engines_.at(start.engine_id);
   EngineNotice notice;
   notice.requests_per_s = engine.limit();
   if (engine.limit()) engine.told_at.emplace(node, now_);
   Send(node, EngineNoticeReceived{start.engine_id, EngineKey(start.engine_id), notice});
-  Send(node, AttemptHeadReceived{start.flow, start.attempt, EngineResponseHead{200, false, true, std::nullopt}});
+  EngineResponseHead head{200, false, true, std::nullopt};
+  if (is_rejected) head = {503, true, false, EngineLoad{options_.decode_slots, 0, options_.decode_slots}};
+  Send(node, AttemptHeadReceived{start.flow, start.attempt, head});
   Send(node, AttemptCompleted{start.flow, start.attempt, start.mode == AttemptMode::kPrefill ? "h" : ""});
 }
 
--- a/tests/support/notice_fleet.h
+++ b/tests/support/notice_fleet.h
@@ -21,6 +21,7 @@
   std::uint64_t seed = 1;
   double requests_per_s = 60;  // Of all clients together.
   double loss = 0;             // Share of the messages between nodes.
+  int decode_slots = 0;        // A decode engine rejects requests beyond this number at once; 0: none.
 };
 
 // A request that reached an engine.
@@ -57,6 +58,8 @@
   Time now() const { return now_; }
   int size() const { return static_cast<int>(nodes_.size()); }
   int served() const { return served_; }
+  // Prefills whose KV cache was released without use.
+  int released() const { return released_; }
   int refused() const { return refused_; }
   // From the arrival of a request to its refusal.
   Duration longest_refusal() const { return longest_refusal_; }
@@ -84,6 +87,7 @@
     std::vector<NamedLimit> limits;
     std::map<int, Time> told_at;  // By node, while the engine names a limit.
     std::vector<EngineArrival> arrivals;
+    int running = 0;
     std::optional<double> limit() const { return limits.empty() ? std::nullopt : limits.back().requests_per_s; }
   };
 
@@ -99,7 +103,7 @@
   void Report(int from);
   void UpdateNodes(int node);
   void Arrive(int node, const StartAttempt& start);
-  void Respond(int node, const StartAttempt& start);
+  void Respond(int node, const StartAttempt& start, bool is_rejected);
   std::vector<EngineRecord> Records() const;
   static std::string NameOf(int node) { return "n" + std::to_string(node); }
   // The node is excused from what it was told: it was restarted, suspended or cut off.
@@ -117,6 +121,7 @@
   FlowId last_flow_ = 0;
   int served_ = 0;
   int refused_ = 0;
+  int released_ = 0;
   Duration longest_refusal_ = 0s;
   Duration retry_after_sum_ = 0s;
   std::map<FlowId, Time> arrived_at_;
