--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -57,6 +57,8 @@
     {kEngineLimit, kInfo, "engine_limit",
      "An engine named, changed or ended the number of requests a second that it takes from all nodes together.",
      "If it lasts: look at the engine's own logs; its service has less capacity meanwhile."},
+    {kEngineRest, kInfo, "engine_rest", "An engine rejected a request and asked this node to send none for a time.",
+     "If it repeats: look at the engine's own logs; its service may need more engines."},
     {kUsageSealed, kInfo, "usage_sealed", "A window's usage report is fixed: only these counts are ever sent.",
      "None; where it says that some nodes did not report: look at their links."},
     {kUsageReported, kInfo, "usage_reported", "The platform answered a usage report, or did not.",
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -41,6 +41,7 @@
   kEngineEnded = 508,
   kEngineRecordRefused = 509,
   kEngineLimit = 510,
+  kEngineRest = 511,
   kUsageSealed = 520,
   kUsageReported = 521,
   kUsageNotReported = 522,
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -103,6 +103,7 @@
   Time last_response_time{};  // Time of the last response of any kind.
   Time changing_until{};      // While a stage change is in progress.
   Time held_until{};          // While a stage change is announced.
+  Time rests_until{};         // This node shall send nothing until then.
   std::optional<limits::EngineLimit> rate_limit;  // As the engine last stated to any node; nullopt: none.
   Time limit_stated_at{};                         // Of that statement.
 
--- a/src/core/serving/engine_limit_steps.cc
+++ b/src/core/serving/engine_limit_steps.cc
@@ -27,6 +27,13 @@
   if (engine == nullptr || engine->key != event.engine) return;  // From an earlier incarnation.
   const bool keeps_limit = event.notice.limit_unreadable && !event.notice.requests_per_s;
   if (!keeps_limit) SetEngineLimit(*engine, event.notice.requests_per_s, now_, "engine");
+  if (event.notice.rest) RecordRest(*engine, *event.notice.rest);
+}
+
+void ServingCore::RecordRest(EngineState& engine, Duration rest) {
+  engine.rests_until = std::max(engine.rests_until, now_ + rest);
+  Log(EventId::kEngineRest, nullptr,
+      fmt::format(R"("engine":"{}","for_ms":{})", engine.record.id, rest.count() / 1000));
 }
 
 void ServingCore::On(const PeerEngineLimitsReported& event) {
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -71,6 +71,7 @@
 // What an engine states about itself in every response. A field that is absent from a response no longer applies.
 struct EngineNotice {
   std::optional<double> requests_per_s;  // Limit for the requests of all nodes together.
+  std::optional<Duration> rest;          // How long this node shall send nothing.
   bool limit_unreadable = false;         // The limit is not a valid number: the one known before still applies.
 };
 
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -154,7 +154,7 @@
           R"("try":{},"load":{:.1f},)"
           R"("load_age_ms":{},"backlog_tokens":{},"peers_tokens":{},"tokens_to_read":{},"read_rate":{:.0f},)"
           R"("window":{:.1f},"under_way":{},"waiting":{},)"
-          R"("copy_from":"{}","engine_limit":{},"left_ms":{})",
+          R"("copy_from":"{}","engine_limit":{},"rest_ms":{},"left_ms":{})",
           flow.route.name, flow.service, flow.tenant, flow.limit_owner, flow.limit_cost, version(), engine.record.id,
           ModeName(start.mode), flow.attempt_count, selector_.EstimatedLoad(engine, now_),
           engine.has_reported_load ? (now_ - engine.load_reported_at).count() / 1000 : -1,
@@ -163,7 +163,8 @@
           prefill_states_.contains(flow.service) ? prefill_states_.at(flow.service).prefill_window.limit() : 0,
           prefill_states_.contains(flow.service) ? prefill_states_.at(flow.service).prefill_window.in_flight() : 0,
           prefill_states_.contains(flow.service) ? prefill_states_.at(flow.service).queue->size() : 0, start.copy_from,
-          engine.rate_limit ? engine.rate_limit->requests_per_s : -1, start.time_left.count() / 1000));
+          engine.rate_limit ? engine.rate_limit->requests_per_s : -1,
+          std::max(Duration(0), engine.rests_until - now_).count() / 1000, start.time_left.count() / 1000));
 }
 
 void ServingCore::FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle) {
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -236,6 +236,8 @@
   void ExpireAttemptsAt(const std::string& engine_id);
 
   // Limits that engines name (engine_limit_steps.cc).
+  // The engine asked this node to send nothing for a time.
+  void RecordRest(EngineState& engine, Duration rest);
   // `source`: who passed on the engine's statement, for the log.
   void SetEngineLimit(EngineState& engine, std::optional<double> requests_per_s, Time stated_at,
                       std::string_view source);
--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -7,10 +7,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "src/gateway/retry_after.h"
+
 namespace saltquay::gateway {
 namespace {
 
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxPromptParts = 256;
 
 std::optional<int> ParseInt(std::string_view text) {
@@ -121,6 +124,7 @@
 std::optional<serving::EngineNotice> EngineProtocol::DecodeNotice(const http::ResponseHead& head) const {
   if (head.status == kMisdirected) return std::nullopt;
   serving::EngineNotice notice;
+  if (head.status == kUnavailable) notice.rest = ParseRetryAfter(head);
   for (const http::Field& field : head.fields.all()) {
     if (!http::SameName(field.name, names_.request_limit)) continue;
     const std::optional<double> limit = ParseRate(field.value);
--- a/tests/gateway/gateway_components_test.cc
+++ b/tests/gateway/gateway_components_test.cc
@@ -15,6 +15,7 @@
 #include "src/gateway/gateway_settings.h"
 #include "src/gateway/peer_codec.h"
 #include "src/gateway/request_fingerprint.h"
+#include "src/gateway/retry_after.h"
 #include "src/gateway/stop_schedule.h"
 #include "src/gateway/usage_codec.h"
 
@@ -146,6 +147,28 @@
   }
 }
 
+std::optional<Duration> RestOf(int status, const std::vector<std::string>& retry_after) {
+  http::ResponseHead head;
+  head.status = status;
+  head.fields.Add("Date", "Thu, 03 Dec 2026 10:00:00 GMT");
+  for (const std::string& text : retry_after) head.fields.Add("Retry-After", text);
+  return EngineProtocol{EngineProtocolFields{}}.DecodeNotice(head)->rest;
+}
+
+TEST(EngineProtocolTest, RetryAfterOfARejectionIsTheRestThatTheEngineAsksFor) {
+  EXPECT_EQ(RestOf(503, {"3"}), Duration(3s));
+  EXPECT_EQ(RestOf(503, {" 0.25 "}), Duration(250ms));
+  EXPECT_EQ(RestOf(503, {"Thu, 03 Dec 2026 10:00:07 GMT"}), Duration(7s));
+  EXPECT_EQ(RestOf(503, {"Thu, 03 Dec 2026 09:59:00 GMT"}), Duration(0s));
+  EXPECT_EQ(RestOf(503, {"1", "4", "2"}), Duration(4s));
+  EXPECT_EQ(RestOf(503, {"86400"}), kMaxRetryAfter);
+  for (const char* text : {"", "-1", "soon", "nan", "inf", "3s", "2026-12-03"}) {
+    EXPECT_EQ(RestOf(503, {text}), std::nullopt) << text;
+  }
+  EXPECT_EQ(RestOf(503, {}), std::nullopt);
+  EXPECT_EQ(RestOf(200, {"3"}), std::nullopt);
+}
+
 TEST(EngineProtocolTest, NoticeOfAnotherEngineAtTheAddressIsIgnored) {
   http::ResponseHead head;
   head.status = 421;
