Failing test: a node leaves an engine alone that has asked it for rest

No decision reads the Retry-After of an engine. Change: simulated engines reject a share of their requests and ask for rest; the check counts as the users' rule does.

--- a/tests/support/notice_fleet.cc
+++ b/tests/support/notice_fleet.cc
@@ -154,7 +154,12 @@
 }
 
 void NoticeFleet::Excuse(int node) {
-  for (auto& [id, engine] : engines_) engine.told_at.erase(node);
+  for (auto& [id, engine] : engines_) {
+    engine.told_at.erase(node);
+    for (Engine::Rest& rest : engine.rests) {
+      if (rest.node == node) rest.until = std::min(rest.until, now_);
+    }
+  }
 }
 
 void NoticeFleet::Partition(const std::function<int(int node)>& side_of, bool one_way) {
@@ -259,22 +264,29 @@
   engine.arrivals.push_back({now_, node, node_was_told});
   const bool decodes = engine.record.stage == EngineStage::kDecode;
   if (decodes && options_.decode_slots > 0 && engine.running >= options_.decode_slots)
-    return AtNode(node, now_ + kLinkDelay, [this, node, start] { Respond(node, start, true); });
+    return AtNode(node, now_ + kLinkDelay, [this, node, start] { Respond(node, start, Outcome::kFull); });
+  if (random_.Chance(engine.rejected_share))
+    return AtNode(node, now_ + kLinkDelay, [this, node, start] { Respond(node, start, Outcome::kAsksForRest); });
   const Duration time = start.mode == AttemptMode::kPrefill ? kPrefillTime : kRunTime;
   ++engine.running;
   At(now_ + time, [&engine] { --engine.running; });
-  AtNode(node, now_ + time + kLinkDelay, [this, node, start] { Respond(node, start, false); });
+  AtNode(node, now_ + time + kLinkDelay, [this, node, start] { Respond(node, start, Outcome::kRun); });
 }
 
-void NoticeFleet::Respond(int node, const StartAttempt& start, bool is_rejected) {
+void NoticeFleet::Respond(int node, const StartAttempt& start, Outcome outcome) {
   if (nodes_[node].cancelled.contains(start.attempt)) return;
   Engine& engine = engines_.at(start.engine_id);
   EngineNotice notice;
   notice.requests_per_s = engine.limit();
   if (engine.limit()) engine.told_at.emplace(node, now_);
+  if (outcome == Outcome::kAsksForRest) {
+    notice.rest = engine.rest;
+    engine.rests.push_back({node, now_, now_ + engine.rest});
+  }
   Send(node, EngineNoticeReceived{start.engine_id, EngineKey(start.engine_id), notice});
   EngineResponseHead head{200, false, true, std::nullopt};
-  if (is_rejected) head = {503, true, false, EngineLoad{options_.decode_slots, 0, options_.decode_slots}};
+  if (outcome == Outcome::kFull) head = {503, true, false, EngineLoad{options_.decode_slots, 0, options_.decode_slots}};
+  if (outcome == Outcome::kAsksForRest) head = {503, true, false, std::nullopt};
   Send(node, AttemptHeadReceived{start.flow, start.attempt, head});
   Send(node, AttemptCompleted{start.flow, start.attempt, start.mode == AttemptMode::kPrefill ? "h" : ""});
 }
@@ -285,6 +297,23 @@
   engine.limits.push_back({now_, requests_per_s});
 }
 
+void NoticeFleet::AskForRest(const std::string& id, double share, Duration rest) {
+  engines_.at(id).rejected_share = share;
+  engines_.at(id).rest = rest;
+}
+
+int NoticeFleet::MostDuringRest(const std::string& id) const {
+  const Engine& engine = engines_.at(id);
+  int most = 0;
+  for (const Engine::Rest& rest : engine.rests) {
+    const auto count = std::count_if(engine.arrivals.begin(), engine.arrivals.end(), [&](const EngineArrival& arrival) {
+      return arrival.node == rest.node && arrival.at > rest.from + kToldDelay && arrival.at <= rest.until;
+    });
+    most = std::max(most, static_cast<int>(count));
+  }
+  return most;
+}
+
 double NoticeFleet::AllowedIn(const Engine& engine, Time from, Time to) const {
   double limit = 0;  // The largest that was in force.
   for (std::size_t i = 0; i < engine.limits.size(); ++i) {
--- a/tests/support/notice_fleet.h
+++ b/tests/support/notice_fleet.h
@@ -47,6 +47,9 @@
   // From now on the engine names the limit in each response; nullopt: none.
   void NameLimit(const std::string& engine, std::optional<double> requests_per_s);
 
+  // From now on the engine rejects this share of its requests and asks their nodes for rest.
+  void AskForRest(const std::string& engine, double share, Duration rest);
+
   void Kill(int node);
   void Start(int node);
   int AddNode();
@@ -69,6 +72,8 @@
   // The largest number of requests by which the engine got more from nodes that it had told than its limit allows in
   // 4 s, from 3 s after it first named one: 1.5 times the limit, and 5 more. Negative if it never got that many.
   double LimitExcess(const std::string& engine) const;
+  // The largest number of requests that the engine got from one node during a rest, from kToldDelay after it asked.
+  int MostDuringRest(const std::string& engine) const;
 
  private:
   struct Node {
@@ -88,6 +93,14 @@
     std::map<int, Time> told_at;  // By node, while the engine names a limit.
     std::vector<EngineArrival> arrivals;
     int running = 0;
+    double rejected_share = 0;
+    Duration rest = 0s;  // That a rejection asks for.
+    struct Rest {
+      int node = 0;
+      Time from{};
+      Time until{};
+    };
+    std::vector<Rest> rests;
     std::optional<double> limit() const { return limits.empty() ? std::nullopt : limits.back().requests_per_s; }
   };
 
@@ -103,7 +116,8 @@
   void Report(int from);
   void UpdateNodes(int node);
   void Arrive(int node, const StartAttempt& start);
-  void Respond(int node, const StartAttempt& start, bool is_rejected);
+  enum class Outcome { kRun, kFull, kAsksForRest };
+  void Respond(int node, const StartAttempt& start, Outcome outcome);
   std::vector<EngineRecord> Records() const;
   static std::string NameOf(int node) { return "n" + std::to_string(node); }
   // The node is excused from what it was told: it was restarted, suspended or cut off.
