An engine that asks a node for rest gets nothing from it until the rest ends

What callers saw: prompts whose KV cache went to an engine that had asked for rest were rejected once more and began later. Cause: the Retry-After of a rejection was not read, which backed the engine off for 20 to 320 ms; and the choice falls back to engines out of service when there is no other. Change: EngineGate is closed until the rest ends, for every way to the engine; a later success does not open it, a new incarnation does. Releases of KV caches wait for nothing there: the engine drops them itself. Rejections with a rest do not count as failures; the role planner neither counts nor moves resting engines.

--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -110,7 +110,7 @@
   // Whether the engine should receive no new requests now, for any reason.
   bool IsOutOfService(Time now) const {
     const bool probation_full = probation_limit > 0 && outstanding >= probation_limit;
-    return probation_full || now < std::max({ejected_until, backed_off_until, changing_until, held_until});
+    return probation_full || now < std::max({ejected_until, backed_off_until, changing_until, held_until, rests_until});
   }
 };
 
--- a/src/core/serving/engine_limit_steps.cc
+++ b/src/core/serving/engine_limit_steps.cc
@@ -32,6 +32,7 @@
 
 void ServingCore::RecordRest(EngineState& engine, Duration rest) {
   engine.rests_until = std::max(engine.rests_until, now_ + rest);
+  last_rest_ends_ = std::max(last_rest_ends_, engine.rests_until);
   Log(EventId::kEngineRest, nullptr,
       fmt::format(R"("engine":"{}","for_ms":{})", engine.record.id, rest.count() / 1000));
 }
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -178,7 +178,7 @@
   SettleFirstPrefill(flow, true);
   if (attempt.engine_was_idle) selector_.RecordPrefillTime(attempt.prompt_tokens, now_ - attempt.sent_at);
   if (flow.kv_cache) {  // A second prefill has completed as well.
-    actions_->push_back(ReleaseKvCache{{attempt.engine_id, engine->record.address, handle}});
+    Release({attempt.engine_id, engine->record.address, handle});
     return;
   }
   flow.kv_cache = KvCacheSource{attempt.engine_id, engine->record.address, handle};
@@ -247,6 +247,12 @@
   Retry(flow, "refused by engine");
 }
 
+// An engine that rests gets no call at all; it drops the KV cache by itself after a while.
+void ServingCore::Release(const KvCacheSource& source) {
+  const EngineState* engine = engines_.Find(source.engine_id);
+  if (engine == nullptr || now_ >= engine->rests_until) actions_->push_back(ReleaseKvCache{source});
+}
+
 // An engine that refuses a KV handoff is full or could not fetch the KV cache; its response does not always say which.
 // Repeating prefill and handoff is charged to the retry budget as two arrivals, a handoff to another engine as one. The
 // KV cache is therefore discarded only when a second engine refuses it as well.
@@ -260,13 +266,16 @@
   // The engines may accept another KV cache, so they may be tried again; they stay backed off for a while.
   for (const std::string& engine : flow.kv_cache_refused_by) flow.tried_engines.erase(engine);
   flow.kv_cache_refused_by.clear();
-  actions_->push_back(ReleaseKvCache{*attempt.kv_cache});
+  Release(*attempt.kv_cache);
 }
 
-// An engine that refuses although it reports free slots counts as failing; any other refusal is caused by load.
+// An engine that refuses although it reports free slots counts as failing, unless it asks for rest; any other refusal
+// is caused by load.
 void ServingCore::RecordRefusal(const Attempt& attempt, bool full) {
   if (attempt.window != nullptr) attempt.window->record_rejection(now_, attempt.target);
-  const bool has_free_slots = attempt.response_head.load && !full;
+  const EngineState* engine = engines_.Find(attempt.engine_id);
+  const bool asks_for_rest = engine != nullptr && now_ < engine->rests_until;
+  const bool has_free_slots = attempt.response_head.load && !full && !asks_for_rest;
   if (has_free_slots) {
     LogEngineHealth(engines_.RecordResponse(attempt.engine_id, true, now_));
   } else {
--- a/src/core/serving/prefill_steps.cc
+++ b/src/core/serving/prefill_steps.cc
@@ -233,8 +233,8 @@
     if (measured && now_ + wait <= DescribePrompt(*flow, state).prefill_deadline) {
       state.queue->commit(flow->id);
       flow->committed = true;
-      // Engines that limit requests may turn out to be closed to it.
-      if (!engine_limits_.empty()) state.wait_deadlines.emplace(now_ + QueueWait(*flow), flow->id);
+      // Engines may turn out to be closed to it.
+      if (AnyEngineMayBeClosed()) state.wait_deadlines.emplace(now_ + QueueWait(*flow), flow->id);
       continue;
     }
     if (measured && DispatchOverLimit(*flow, state)) continue;
--- a/src/core/serving/role_controller.cc
+++ b/src/core/serving/role_controller.cc
@@ -157,7 +157,7 @@
     }
     // An ejected engine serves no requests, and one that limits them serves few, so it must not count towards the
     // minimum.
-    const bool ejected = now < engine.ejected_until || engine.rate_limit;
+    const bool ejected = now < std::max(engine.ejected_until, engine.rests_until) || engine.rate_limit;
     if (engine.record.stage == EngineStage::kPrefill) ++(ejected ? counts.prefill_ejected : counts.prefill);
     if (engine.record.stage == EngineStage::kDecode) ++(ejected ? counts.decode_ejected : counts.decode);
   });
@@ -210,7 +210,8 @@
   engines.ForEachServing(pool.service, [&](EngineState& engine) {
     const auto unknown_order = unknown_order_until_.find(engine.record.id);
     const bool has_unknown_order = unknown_order != unknown_order_until_.end() && now < unknown_order->second;
-    if (!fits(engine) || now < engine.ejected_until || engine.rate_limit || has_unknown_order) return;
+    const bool out_of_service = now < std::max(engine.ejected_until, engine.rests_until) || engine.rate_limit;
+    if (!fits(engine) || out_of_service || has_unknown_order) return;
     if (best == nullptr) {
       best = &engine;
       return;
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -380,7 +380,7 @@
   if (flow == nullptr) return;
   Dequeue(*flow);
   while (!flow->attempts.empty()) EndAttempt(*flow, flow->attempts.begin()->first);
-  if (flow->kv_cache) actions_->push_back(ReleaseKvCache{*flow->kv_cache});
+  if (flow->kv_cache) Release(*flow->kv_cache);
   SettleCharge(*flow);
   flows_.erase(id);
 }
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -214,6 +214,7 @@
   void FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle);
   void FinishExecution(Flow& flow, const Attempt& attempt);
   void OnRefusal(Flow& flow, const Attempt& attempt);
+  void Release(const KvCacheSource& source);
   void OnKvHandoffRefused(Flow& flow, const Attempt& attempt, bool still_held);
   void RecordRefusal(const Attempt& attempt, bool full);
   void OnAttemptLost(Flow& flow, const Attempt& attempt, AttemptFailure failure);
@@ -241,6 +242,8 @@
   // `source`: who passed on the engine's statement, for the log.
   void SetEngineLimit(EngineState& engine, std::optional<double> requests_per_s, Time stated_at,
                       std::string_view source);
+  // Whether the gates of some engines may be closed.
+  bool AnyEngineMayBeClosed() const { return !engine_limits_.empty() || now_ < last_rest_ends_; }
   // Asks for the permits that were missed, runs due work and acts on the output.
   void StepPermits();
   // The earliest time at which an engine may take the flow's next execution; nullopt: none can.
@@ -315,6 +318,7 @@
     std::optional<Time> ended_at;  // When this node learnt that the engine names no limit any more.
   };
   std::map<EngineKey, KnownEngineLimit> engine_limits_;
+  Time last_rest_ends_{};  // Over all engines.
   RetryBudgetShare retry_budget_share_;
   Random random_;
   std::optional<ServingConfig> config_;
