--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -59,6 +59,8 @@
      "If it lasts: look at the engine's own logs; its service has less capacity meanwhile."},
     {kEngineRest, kInfo, "engine_rest", "An engine rejected a request and asked this node to send none for a time.",
      "If it repeats: look at the engine's own logs; its service may need more engines."},
+    {kEngineLeaving, kInfo, "engine_leaving",
+     "An engine stated in a response that it is leaving, or a peer passed that on; it gets no new work.", "None."},
     {kUsageSealed, kInfo, "usage_sealed", "A window's usage report is fixed: only these counts are ever sent.",
      "None; where it says that some nodes did not report: look at their links."},
     {kUsageReported, kInfo, "usage_reported", "The platform answered a usage report, or did not.",
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -42,6 +42,7 @@
   kEngineRecordRefused = 509,
   kEngineLimit = 510,
   kEngineRest = 511,
+  kEngineLeaving = 512,
   kUsageSealed = 520,
   kUsageReported = 521,
   kUsageNotReported = 522,
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -75,6 +75,7 @@
   EngineRecord record;
   EngineKey key;  // Key of this incarnation.
   bool gone = false;
+  bool stated_leaving = false;        // The engine itself stated it; holds until it starts again.
   std::optional<Time> leaving_since;  // When this node learned that the engine is leaving.
 
   // This node's own work in flight on the engine.
--- a/src/core/serving/engine_limit_steps.cc
+++ b/src/core/serving/engine_limit_steps.cc
@@ -1,5 +1,6 @@
 // Limits that engines name for the requests of all nodes together; see saltquay/limits/engine_permits.h.
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -28,6 +29,13 @@
   const bool keeps_limit = event.notice.limit_unreadable && !event.notice.requests_per_s;
   if (!keeps_limit) SetEngineLimit(*engine, event.notice.requests_per_s, now_, "engine");
   if (event.notice.rest) RecordRest(*engine, *event.notice.rest);
+  if (event.notice.leaving) RecordLeavingStatement(*engine, "engine");
+}
+
+void ServingCore::RecordLeavingStatement(EngineState& engine, std::string_view source) {
+  if (std::exchange(engine.stated_leaving, true)) return;
+  Log(EventId::kEngineLeaving, nullptr,
+      fmt::format(R"("engine":"{}","source":"{}","recorded":{})", engine.record.id, source, engine.record.leaving));
 }
 
 void ServingCore::RecordRest(EngineState& engine, Duration rest) {
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -72,6 +72,7 @@
 struct EngineNotice {
   std::optional<double> requests_per_s;  // Limit for the requests of all nodes together.
   std::optional<Duration> rest;          // How long this node shall send nothing.
+  bool leaving = false;                  // It ends soon; holds for the rest of its incarnation.
   bool limit_unreadable = false;         // The limit is not a valid number: the one known before still applies.
 };
 
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -237,6 +237,8 @@
   void ExpireAttemptsAt(const std::string& engine_id);
 
   // Limits that engines name (engine_limit_steps.cc).
+  // The engine stated that it is leaving. `source`: who passed that on, for the log.
+  void RecordLeavingStatement(EngineState& engine, std::string_view source);
   // The engine asked this node to send nothing for a time.
   void RecordRest(EngineState& engine, Duration rest);
   // `source`: who passed on the engine's statement, for the log.
--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -125,6 +125,7 @@
   if (head.status == kMisdirected) return std::nullopt;
   serving::EngineNotice notice;
   if (head.status == kUnavailable) notice.rest = ParseRetryAfter(head);
+  notice.leaving = head.fields.HasToken(names_.leaving, "1");
   for (const http::Field& field : head.fields.all()) {
     if (!http::SameName(field.name, names_.request_limit)) continue;
     const std::optional<double> limit = ParseRate(field.value);
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -35,8 +35,9 @@
   std::string load = "Saltquay-Load";  // RUNNING,WAITING,SLOTS
   // Requests a second that the engine takes from all nodes together; a decimal number.
   std::string request_limit = "Saltquay-Request-Limit";
-  std::string handle_member = "handle";    // In the JSON response to a prefill.
-  std::string release_path = "/handles/";  // DELETE /handles/HANDLE
+  std::string leaving = "Saltquay-Leaving";  // 1 in the responses of an engine that is leaving.
+  std::string handle_member = "handle";      // In the JSON response to a prefill.
+  std::string release_path = "/handles/";    // DELETE /handles/HANDLE
   // Orders to engines, and the state that engines report.
   std::string order_path = "/orders";
   std::string report_path = "/state";
--- a/tests/gateway/gateway_components_test.cc
+++ b/tests/gateway/gateway_components_test.cc
@@ -169,6 +169,17 @@
   EXPECT_EQ(RestOf(200, {"3"}), std::nullopt);
 }
 
+TEST(EngineProtocolTest, DecodesThatAnEngineIsLeaving) {
+  http::ResponseHead head;
+  head.status = 200;
+  const EngineProtocol protocol{EngineProtocolFields{}};
+  EXPECT_FALSE(protocol.DecodeNotice(head)->leaving);
+  head.fields.Add("Saltquay-Leaving", "0");
+  EXPECT_FALSE(protocol.DecodeNotice(head)->leaving);
+  head.fields.Add("Saltquay-Leaving", " 1");
+  EXPECT_TRUE(protocol.DecodeNotice(head)->leaving);
+}
+
 TEST(EngineProtocolTest, NoticeOfAnotherEngineAtTheAddressIsIgnored) {
   http::ResponseHead head;
   head.status = 421;
--- a/tests/support/notice_fleet.cc
+++ b/tests/support/notice_fleet.cc
@@ -156,6 +156,7 @@
 void NoticeFleet::Excuse(int node) {
   for (auto& [id, engine] : engines_) {
     engine.told_at.erase(node);
+    engine.told_leaving_at.erase(node);
     for (Engine::Rest& rest : engine.rests) {
       if (rest.node == node) rest.until = std::min(rest.until, now_);
     }
@@ -261,7 +262,7 @@
   Engine& engine = engines_.at(start.engine_id);
   const auto told = engine.told_at.find(node);
   const bool node_was_told = told != engine.told_at.end() && now_ - told->second >= kToldDelay;
-  engine.arrivals.push_back({now_, node, node_was_told});
+  engine.arrivals.push_back({now_, node, node_was_told, arrived_at_[start.flow]});
   const bool decodes = engine.record.stage == EngineStage::kDecode;
   if (decodes && options_.decode_slots > 0 && engine.running >= options_.decode_slots)
     return AtNode(node, now_ + kLinkDelay, [this, node, start] { Respond(node, start, Outcome::kFull); });
@@ -279,6 +280,8 @@
   EngineNotice notice;
   notice.requests_per_s = engine.limit();
   if (engine.limit()) engine.told_at.emplace(node, now_);
+  notice.leaving = engine.leaving;
+  if (engine.leaving) engine.told_leaving_at.emplace(node, now_);
   if (outcome == Outcome::kAsksForRest) {
     notice.rest = engine.rest;
     engine.rests.push_back({node, now_, now_ + engine.rest});
@@ -302,6 +305,18 @@
   engines_.at(id).rest = rest;
 }
 
+void NoticeFleet::Leave(const std::string& id) { engines_.at(id).leaving = true; }
+
+Duration NoticeFleet::LatestAfterLeaving(const std::string& id) const {
+  const Engine& engine = engines_.at(id);
+  Duration latest = 0s;
+  for (const EngineArrival& arrival : engine.arrivals) {
+    const auto told = engine.told_leaving_at.find(arrival.node);
+    if (told != engine.told_leaving_at.end()) latest = std::max(latest, arrival.client_sent_at - told->second);
+  }
+  return latest;
+}
+
 int NoticeFleet::MostDuringRest(const std::string& id) const {
   const Engine& engine = engines_.at(id);
   int most = 0;
--- a/tests/support/notice_fleet.h
+++ b/tests/support/notice_fleet.h
@@ -29,6 +29,7 @@
   Time at{};
   int node = 0;
   bool node_was_told = false;  // Of the engine's limit, at least kToldDelay before.
+  Time client_sent_at{};       // When the client's request arrived at the node.
 };
 
 class NoticeFleet {
@@ -50,6 +51,9 @@
   // From now on the engine rejects this share of its requests and asks their nodes for rest.
   void AskForRest(const std::string& engine, double share, Duration rest);
 
+  // From now on the engine states that it is leaving; the store does not show it.
+  void Leave(const std::string& engine);
+
   void Kill(int node);
   void Start(int node);
   int AddNode();
@@ -74,6 +78,9 @@
   double LimitExcess(const std::string& engine) const;
   // The largest number of requests that the engine got from one node during a rest, from kToldDelay after it asked.
   int MostDuringRest(const std::string& engine) const;
+  // The longest time from a node's first response with the engine's statement that it is leaving until the arrival at
+  // the node of a client's request that the node sent to the engine; 0 if there was none.
+  Duration LatestAfterLeaving(const std::string& engine) const;
 
  private:
   struct Node {
@@ -101,6 +108,8 @@
       Time until{};
     };
     std::vector<Rest> rests;
+    bool leaving = false;
+    std::map<int, Time> told_leaving_at;  // By node.
     std::optional<double> limit() const { return limits.empty() ? std::nullopt : limits.back().requests_per_s; }
   };
 
