An engine that states that it leaves gets no new request, whatever its record says

What callers saw: requests went to engines that were about to end; the store's record came later, or not while it was away. Cause: leaving was learnt from the store's record only. Change: from the first response with the statement on, the engine counts as leaving until its next incarnation: no record and no later response withdraws it. It travels with the reports. Work in flight there goes on, and its cached parts are copied as from any leaving engine.

--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -56,13 +56,14 @@
   OnRecordsChanged();
 }
 
-bool EngineDirectory::Update(const EngineRecord& record) {
+bool EngineDirectory::Update(EngineRecord record) {
   EngineState& engine = engines_[record.id];
   if (record.started_ms < engine.record.started_ms) return false;  // Delayed update about an earlier incarnation.
   // The engine restarted under the same id: all state of the earlier incarnation is invalid.
   const EngineKey key = KeyOf(record);
   if (engine.key != key) by_key_.erase(engine.key.hash);
   if (record.started_ms > engine.record.started_ms) engine = EngineState{};
+  record.leaving = record.leaving || engine.stated_leaving;
   const bool changed = engine.gone || engine.record != record;
   if (engine.record.stage != record.stage) engine.changing_until = engine.held_until = Time{};
   by_key_[key.hash] = &engine;
@@ -84,6 +85,12 @@
   std::erase_if(removed_with_work_, [this](const std::string& removed) { return DropIfDone(removed); });
 }
 
+void EngineDirectory::RecordLeavingStatement(EngineState& engine) {
+  engine.stated_leaving = true;
+  engine.record.leaving = true;
+  OnRecordsChanged();
+}
+
 void EngineDirectory::OnRecordsChanged() {
   ++generation_;
   service_stats_.clear();
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -158,8 +158,10 @@
   // Replaces the whole collection: engines not in `records` are marked as removed.
   void Replace(const std::vector<EngineRecord>& records);
   // Returns whether the record changed.
-  bool Update(const EngineRecord& record);
+  bool Update(EngineRecord record);
   void Remove(const std::string& id);
+  // The engine itself stated that it is leaving, which holds until it starts again, whatever its record says.
+  void RecordLeavingStatement(EngineState& engine);
 
   EngineState* Find(const std::string& id);
   // The engine's incarnation with that key; nullptr if it is not known or has been removed.
--- a/src/core/serving/engine_limit_steps.cc
+++ b/src/core/serving/engine_limit_steps.cc
@@ -1,6 +1,5 @@
 // Limits that engines name for the requests of all nodes together; see saltquay/limits/engine_permits.h.
 #include <algorithm>
-#include <utility>
 
 #include <fmt/format.h>
 
@@ -14,6 +13,7 @@
 constexpr Duration kEndedLimitMemory = 10s;
 // Reports list at most this many limits, the latest statements first.
 constexpr std::size_t kMaxReportedLimits = 64;
+constexpr std::size_t kMaxReportedLeaving = 64;
 
 }  // namespace
 
@@ -33,9 +33,12 @@
 }
 
 void ServingCore::RecordLeavingStatement(EngineState& engine, std::string_view source) {
-  if (std::exchange(engine.stated_leaving, true)) return;
+  if (engine.stated_leaving) return;
   Log(EventId::kEngineLeaving, nullptr,
       fmt::format(R"("engine":"{}","source":"{}","recorded":{})", engine.record.id, source, engine.record.leaving));
+  leaving_engines_.insert(engine.key);
+  engines_.RecordLeavingStatement(engine);
+  RecordLeaving(engine.record.id);
 }
 
 void ServingCore::RecordRest(EngineState& engine, Duration rest) {
@@ -75,6 +78,19 @@
 
 void ServingCore::On(const PermitMessageArrived& event) { permits_->on_message(now_, event.message); }
 
+void ServingCore::On(const PeerLeavingEnginesReported& event) {
+  for (const EngineKey& key : event.engines) {
+    EngineState* engine = engines_.FindPresent(key);
+    if (engine != nullptr) RecordLeavingStatement(*engine, "peer");
+  }
+}
+
+std::vector<EngineKey> ServingCore::LeavingEngines() const {
+  std::vector<EngineKey> leaving(leaving_engines_.begin(), leaving_engines_.end());
+  if (leaving.size() > kMaxReportedLeaving) leaving.resize(kMaxReportedLeaving);
+  return leaving;
+}
+
 std::vector<EngineLimitMark> ServingCore::EngineLimitMarks(Time now) const {
   std::vector<EngineLimitMark> marks;
   for (const auto& [key, known] : engine_limits_) {
@@ -101,6 +117,7 @@
   limits::EnginePermits::Output output = permits_->take_output();
   if (output.granted && next_dispatch_) next_dispatch_ = now_;  // A queued prompt may be waiting for it.
   if (!output.messages.empty()) actions_->push_back(SendPermitMessages{std::move(output.messages)});
+  std::erase_if(leaving_engines_, [this](const EngineKey& key) { return engines_.FindPresent(key) == nullptr; });
   std::erase_if(engine_limits_, [this](const auto& entry) {
     const EngineState* engine = engines_.FindPresent(entry.first);
     const bool ended = entry.second.ended_at && now_ - *entry.second.ended_at > kEndedLimitMemory;
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -157,6 +157,10 @@
 struct PeerEngineLimitsReported {
   std::vector<EngineLimitMark> marks;
 };
+// Engines that stated that they are leaving, as known to a peer.
+struct PeerLeavingEnginesReported {
+  std::vector<EngineKey> engines;
+};
 // All known nodes that are not stopping, excluding this one, and how many of them are reachable.
 struct NodesChanged {
   std::vector<limits::LimiterNode> nodes;
@@ -174,11 +178,12 @@
 struct NodeStopping {};
 struct TimerFired {};
 
-using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
-                           StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected,
-                           EngineNoticeReceived, AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted,
-                           AttemptFailed, EngineProbed, PeerCrashesReported, PeerEngineLimitsReported, NodesChanged,
-                           LimitMessageArrived, PermitMessageArrived, NodeStopping, TimerFired>;
+using Event =
+    std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
+                 StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected, EngineNoticeReceived,
+                 AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted, AttemptFailed, EngineProbed,
+                 PeerCrashesReported, PeerEngineLimitsReported, PeerLeavingEnginesReported, NodesChanged,
+                 LimitMessageArrived, PermitMessageArrived, NodeStopping, TimerFired>;
 
 struct KvCacheSource {
   std::string engine_id;
--- a/src/core/serving/fleet_exchange.cc
+++ b/src/core/serving/fleet_exchange.cc
@@ -292,8 +292,9 @@
   // Large digests are sent less often, and each update has to be in two of them.
   const Duration forward_time =
       std::max(parameters_.cache_update_forward_time, 2 * DigestInterval(fleet_digest_.sent()));
-  report.crashes = own.crashes;              // Crash marks reported by others are already merged into `own`.
-  report.engine_limits = own.engine_limits;  // So are engines' limits.
+  report.crashes = own.crashes;                  // Crash marks reported by others are already merged into `own`.
+  report.engine_limits = own.engine_limits;      // So are engines' limits
+  report.leaving_engines = own.leaving_engines;  // and leaving engines.
   for (const auto& [kept, forwarded] : cache_updates_) {
     if (now - forwarded.first < forward_time) report.kept.push_back(kept);
   }
--- a/src/core/serving/peer_table.h
+++ b/src/core/serving/peer_table.h
@@ -130,6 +130,7 @@
   std::int64_t wall_ms = 0;         // The sender's wall-clock time in milliseconds since 1970; 0: not reported.
   std::int64_t closed_through = 0;  // For kUsage: the last window whose counts are final.
   std::vector<EngineLimitMark> engine_limits;  // Those that the sender knows, from any node.
+  std::vector<EngineKey> leaving_engines;      // Engines that stated that they are leaving, to any node.
   std::vector<CrashMark> crashes;              // Some of the crash marks that the sender knows, from any node.
   std::vector<UsageCount> usage;             // For kUsage: counts of `node` since its start `boot`; they only increase.
   std::vector<limits::LimitMessage> limits;  // For kLimits.
--- a/src/core/serving/report_news.cc
+++ b/src/core/serving/report_news.cc
@@ -64,13 +64,14 @@
   if (!std::all_of(report.kept.begin(), report.kept.end(), is_known)) return true;
   return AnyDiffers(sent.work, report.work) || AnyDiffers(sent.demand, report.demand) ||
          AnyDiffers(sent.holds, report.holds) || AnyDiffers(sent.records, report.records) ||
-         AnyDiffers(sent.engine_limits, report.engine_limits);
+         AnyDiffers(sent.engine_limits, report.engine_limits) || sent.leaving_engines != report.leaving_engines;
 }
 
 std::size_t EstimateBytes(const PeerReport& report) {
   return kBaseBytes + kWorkBytes * report.work.size() + kKeptPartBytes * report.kept.size() +
          kCrashBytes * report.crashes.size() + kPeerBytes * report.peers.size() + kHoldBytes * report.holds.size() +
-         kDemandBytes * report.demand.size() + kEngineLimitBytes * report.engine_limits.size();
+         kDemandBytes * report.demand.size() + kEngineLimitBytes * report.engine_limits.size() +
+         sizeof(EngineKey) * report.leaving_engines.size();
 }
 
 void LimitWork(PeerReport& report, std::size_t max_engines) {
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -151,6 +151,8 @@
   std::vector<ServiceDemand> LocalDemand(Time now);
   // The engines' limits that this node knows, for its report to the peers.
   std::vector<EngineLimitMark> EngineLimitMarks(Time now) const;
+  // Engines that stated that they are leaving, for the same report.
+  std::vector<EngineKey> LeavingEngines() const;
 
  private:
   void On(const ConfigurationChanged& event);
@@ -170,6 +172,7 @@
   void On(const EngineProbed& event);
   void On(const PeerCrashesReported& event);
   void On(const PeerEngineLimitsReported& event);
+  void On(const PeerLeavingEnginesReported& event);
   void On(const NodesChanged& event);
   void On(const LimitMessageArrived& event);
   void On(const PermitMessageArrived& event);
@@ -320,7 +323,8 @@
     std::optional<Time> ended_at;  // When this node learnt that the engine names no limit any more.
   };
   std::map<EngineKey, KnownEngineLimit> engine_limits_;
-  Time last_rest_ends_{};  // Over all engines.
+  Time last_rest_ends_{};                // Over all engines.
+  std::set<EngineKey> leaving_engines_;  // Those that stated it and are still present.
   RetryBudgetShare retry_budget_share_;
   Random random_;
   std::optional<ServingConfig> config_;
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -127,6 +127,7 @@
       now - (in_digests ? kDigestCacheUpdateRepeatTime : kCacheUpdateRepeatTime));
   report.crashes = gateway_.core().crashes().MarksToReport(now);
   report.engine_limits = gateway_.core().EngineLimitMarks(now);
+  report.leaving_engines = gateway_.core().LeavingEngines();
   report.zone = settings_.zone;
   report.link_mbps = settings_.link_mbps;
   report.records = store_.marks();
@@ -153,9 +154,12 @@
       gateway_.Dispatch(serving::PermitMessageArrived{message});
     return;
   }
-  // Crash marks and engines' limits are merged regardless of sender and delay; their order does not matter.
+  // Crash marks and engines' statements are merged regardless of sender and delay; their order does not matter.
   if (!report.crashes.empty()) gateway_.Dispatch(serving::PeerCrashesReported{report.crashes});
   if (!report.engine_limits.empty()) gateway_.Dispatch(serving::PeerEngineLimitsReported{report.engine_limits});
+  if (!report.leaving_engines.empty()) {
+    gateway_.Dispatch(serving::PeerLeavingEnginesReported{report.leaving_engines});
+  }
   duties_.OnClock(report);  // Reads the sender's wall clock time from the report.
   MergeLeaseMark(report.lease);
   if (report.scope != serving::ReportScope::kNode) {
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -76,6 +76,15 @@
   return peers;
 }
 
+flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>> LeavingEnginesToWire(
+    flatbuffers::FlatBufferBuilder& builder, const std::vector<serving::EngineKey>& engines) {
+  if (engines.empty()) return 0;
+  std::vector<std::uint64_t> hashes;
+  hashes.reserve(engines.size());
+  for (const serving::EngineKey& engine : engines) hashes.push_back(engine.hash);
+  return builder.CreateVector(hashes);
+}
+
 // Calls `read` for each element of `source`, which may be null.
 template <typename Vector, typename Read>
 void ForEach(const Vector* source, Read read) {
@@ -123,7 +132,8 @@
       members.nodes.empty() ? 0 : builder.CreateVectorOfStructs(members.nodes),
       members.nodes.empty() ? 0 : builder.CreateString(members.names),
       members.nodes.empty() ? 0 : builder.CreateVectorOfStrings(members.zones),
-      EngineLimitsToWire(builder, report.engine_limits), PermitMessagesToWire(builder, report.permits)));
+      EngineLimitsToWire(builder, report.engine_limits), PermitMessagesToWire(builder, report.permits),
+      LeavingEnginesToWire(builder, report.leaving_engines)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -194,6 +204,9 @@
   ForEach(source->engine_limits(), [&](const wire::EngineLimit& item) {
     if (const auto mark = EngineLimitFromWire(item)) report.engine_limits.push_back(*mark);
   });
+  if (source->leaving_engines() != nullptr) {
+    for (const std::uint64_t hash : *source->leaving_engines()) report.leaving_engines.emplace_back(hash);
+  }
   ForEach(source->records(), [&](const wire::RecordMark& item) {
     report.records.push_back({Text(item.kind()), item.changed_at()});
   });
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -1093,7 +1093,8 @@
     VT_LISTED_NAMES = 56,
     VT_LISTED_ZONES = 58,
     VT_ENGINE_LIMITS = 60,
-    VT_PERMITS = 62
+    VT_PERMITS = 62,
+    VT_LEAVING_ENGINES = 64
   };
   uint8_t format() const {
     return GetField<uint8_t>(VT_FORMAT, 0);
@@ -1185,6 +1186,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>> *permits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>> *>(VT_PERMITS);
   }
+  const flatbuffers::Vector<uint64_t> *leaving_engines() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LEAVING_ENGINES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FORMAT, 1) &&
@@ -1245,6 +1249,8 @@
            VerifyOffset(verifier, VT_PERMITS) &&
            verifier.VerifyVector(permits()) &&
            verifier.VerifyVectorOfTables(permits()) &&
+           VerifyOffset(verifier, VT_LEAVING_ENGINES) &&
+           verifier.VerifyVector(leaving_engines()) &&
            verifier.EndTable();
   }
 };
@@ -1343,6 +1349,9 @@
   void add_permits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>>> permits) {
     fbb_.AddOffset(Report::VT_PERMITS, permits);
   }
+  void add_leaving_engines(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving_engines) {
+    fbb_.AddOffset(Report::VT_LEAVING_ENGINES, leaving_engines);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1385,12 +1394,14 @@
     flatbuffers::Offset<flatbuffers::String> listed_names = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> listed_zones = 0,
     flatbuffers::Offset<flatbuffers::Vector<const saltquay::gateway::wire::EngineLimit *>> engine_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>>> permits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>>> permits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving_engines = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_closed_through(closed_through);
   builder_.add_wall_ms(wall_ms);
   builder_.add_sequence(sequence);
   builder_.add_boot(boot);
+  builder_.add_leaving_engines(leaving_engines);
   builder_.add_permits(permits);
   builder_.add_engine_limits(engine_limits);
   builder_.add_listed_zones(listed_zones);
@@ -1451,7 +1462,8 @@
     const char *listed_names = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *listed_zones = nullptr,
     const std::vector<saltquay::gateway::wire::EngineLimit> *engine_limits = nullptr,
-    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>> *permits = nullptr) {
+    const std::vector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>> *permits = nullptr,
+    const std::vector<uint64_t> *leaving_engines = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::EngineWork>(*work) : 0;
@@ -1470,6 +1482,7 @@
   auto listed_zones__ = listed_zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*listed_zones) : 0;
   auto engine_limits__ = engine_limits ? _fbb.CreateVectorOfStructs<saltquay::gateway::wire::EngineLimit>(*engine_limits) : 0;
   auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<saltquay::gateway::wire::PermitMessage>>(*permits) : 0;
+  auto leaving_engines__ = leaving_engines ? _fbb.CreateVector<uint64_t>(*leaving_engines) : 0;
   return saltquay::gateway::wire::CreateReport(
       _fbb,
       format,
@@ -1501,7 +1514,8 @@
       listed_names__,
       listed_zones__,
       engine_limits__,
-      permits__);
+      permits__,
+      leaving_engines__);
 }
 
 inline const saltquay::gateway::wire::Report *GetReport(const void *buf) {
--- a/tests/core/serving/engine_leaving_test.cc
+++ b/tests/core/serving/engine_leaving_test.cc
@@ -18,5 +18,66 @@
   for (const char* engine : {"u0", "p0", "d0"}) EXPECT_EQ(fleet.LatestAfterLeaving(engine), 0s) << engine;
 }
 
+TEST(EngineLeavingTest, NodesTellEachOther) {
+  NoticeFleet fleet({.seed = 20261203});
+  fleet.AddEngines(3, 4, 5);
+  fleet.Begin();
+  fleet.RunFor(3s);
+  fleet.Leave("u0");
+  fleet.RunFor(1s);
+  const std::size_t before = fleet.ArrivalsAt("u0").size();
+  fleet.RunFor(10s);
+  EXPECT_EQ(fleet.ArrivalsAt("u0").size(), before);
+}
+
+class EngineLeavingFlowTest : public ServingFixture {
+ protected:
+  void StateLeaving(const std::string& engine) {
+    EngineNotice notice;
+    notice.leaving = true;
+    Send(EngineNoticeReceived{engine, core_.engines().Find(engine)->key, notice});
+  }
+  std::string EngineOfNextRequest() {
+    Arrive("safe");
+    return One<StartAttempt>().engine_id;
+  }
+};
+
+TEST_F(EngineLeavingFlowTest, AnEngineRecordDoesNotWithdrawTheStatement) {
+  StateLeaving("u1");
+  EngineRecord record = MakeEngine("u1", "plain", EngineStage::kUniform);
+  Send(EngineChanged{record});
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(EngineOfNextRequest(), "u2");
+  Send(EngineNoticeReceived{"u1", core_.engines().Find("u1")->key, EngineNotice{}});
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(EngineOfNextRequest(), "u2");
+}
+
+TEST_F(EngineLeavingFlowTest, TheNextIncarnationIsUsed) {
+  StateLeaving("u1");
+  EngineRecord record = MakeEngine("u1", "plain", EngineStage::kUniform);
+  record.started_ms = 5;
+  Send(EngineChanged{record});
+  Send(EngineRemoved{"u2"});
+  EXPECT_EQ(EngineOfNextRequest(), "u1");
+}
+
+TEST_F(EngineLeavingFlowTest, WorkInFlightGoesOn) {
+  Arrive("safe");
+  const StartAttempt start = One<StartAttempt>();
+  StateLeaving(start.engine_id);
+  EXPECT_TRUE(All<CancelAttempt>().empty());
+  Respond(start, 200);
+  EXPECT_EQ(One<RelayResponse>().flow, start.flow);
+}
+
+TEST_F(EngineLeavingFlowTest, WithoutAnyOtherEngineTheRequestIsRefused) {
+  StateLeaving("u1");
+  StateLeaving("u2");
+  Arrive("safe");
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  Pass(1s);
+  EXPECT_EQ(One<SendLocalReply>().status, 503);
+}
+
 }  // namespace
 }  // namespace saltquay::serving
--- a/tests/gateway/gateway_components_test.cc
+++ b/tests/gateway/gateway_components_test.cc
@@ -407,11 +407,13 @@
 
 TEST(PeerCodecTest, EngineLimitsAndPermitsRoundTrip) {
   serving::PeerReport report;
+  report.leaving_engines = {"e3", "e4"};
   report.engine_limits = {{"e1", 2.5, 1500ms}, {"e2", std::nullopt, 3s}};
   report.permits = {limits::PermitRequest{{1, 2}, 77, 0.25, 1500ms, "1.2.3.4:5", true},
                     limits::PermitResponse{{3, 4}, true, 250ms}, limits::PermitReturn{{5, 6}, 78}};
   const auto decoded = DecodeReport(EncodeReport(report));
   ASSERT_TRUE(decoded.ok());
+  EXPECT_EQ(decoded->leaving_engines, report.leaving_engines);
   ASSERT_EQ(decoded->engine_limits.size(), 2U);
   EXPECT_EQ(decoded->engine_limits[0].engine, serving::EngineKey("e1"));
   EXPECT_EQ(decoded->engine_limits[0].requests_per_s, 2.5);
--- a/tests/support/notice_fleet.cc
+++ b/tests/support/notice_fleet.cc
@@ -120,12 +120,14 @@
 void NoticeFleet::Report(int from) {
   AtNode(from, now_ + kReportInterval, [this, from] { Report(from); });
   const PeerEngineLimitsReported reported{nodes_[from].core->EngineLimitMarks(now_)};
+  const PeerLeavingEnginesReported leaving{nodes_[from].core->LeavingEngines()};
   for (int to = 0; to < size(); ++to) {
     const bool is_lost = (is_cut_ && is_cut_(from, to)) || random_.Chance(options_.loss);
     if (to == from || is_lost || nodes_[to].core == nullptr) continue;
-    AtNode(to, now_ + kLinkDelay, [this, from, to, reported] {
+    AtNode(to, now_ + kLinkDelay, [this, from, to, reported, leaving] {
       nodes_[to].heard[from] = now_;
       if (!reported.marks.empty()) Send(to, reported);
+      if (!leaving.engines.empty()) Send(to, leaving);
     });
   }
 }
