What an engine stated holds when its record disappears and returns

Change: engines that named a limit, asked for rest or state that they leave are kept after their removal, 1,024 at most. Result: WhatAnEngineStatedHoldsWhenItsRecordDisappearsAndReturns failed without it, passes now.

--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -79,10 +79,11 @@
   if (entry != engines_.end() && !entry->second.gone) {
     entry->second.gone = true;
     by_key_.erase(entry->second.key.hash);
-    removed_with_work_.push_back(id);
+    removed_engines_.push_back(id);
   }
   OnRecordsChanged();
-  std::erase_if(removed_with_work_, [this](const std::string& removed) { return DropIfDone(removed); });
+  std::erase_if(removed_engines_, [this](const std::string& removed) { return DropIfDone(removed); });
+  DropOldestRemoved();
 }
 
 void EngineDirectory::RecordLeavingStatement(EngineState& engine) {
@@ -100,11 +101,26 @@
 bool EngineDirectory::DropIfDone(const std::string& id) {
   const auto entry = engines_.find(id);
   if (entry == engines_.end() || !entry->second.gone) return true;
-  if (entry->second.outstanding > 0) return false;
+  const EngineState& engine = entry->second;
+  // Records also disappear while the store is down, and return.
+  if (engine.outstanding > 0 || engine.HasStatements()) return false;
   engines_.erase(entry);
   return true;
 }
 
+void EngineDirectory::DropOldestRemoved() {
+  constexpr std::size_t kMaxRemoved = 1024;
+  if (removed_engines_.size() <= kMaxRemoved) return;
+  const auto oldest = std::find_if(removed_engines_.begin(), removed_engines_.end(), [this](const std::string& id) {
+    const auto entry = engines_.find(id);
+    return entry == engines_.end() || !entry->second.gone || entry->second.outstanding == 0;
+  });
+  if (oldest == removed_engines_.end()) return;
+  const auto entry = engines_.find(*oldest);
+  if (entry != engines_.end() && entry->second.gone) engines_.erase(entry);
+  removed_engines_.erase(oldest);
+}
+
 EngineState* EngineDirectory::Find(const std::string& id) {
   const auto entry = engines_.find(id);
   return entry == engines_.end() ? nullptr : &entry->second;
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -108,6 +108,8 @@
   std::optional<limits::EngineLimit> rate_limit;  // As the engine last stated to any node; nullopt: none.
   Time limit_stated_at{};                         // Of that statement.
 
+  // Whether the engine has stated something that holds although its record has disappeared.
+  bool HasStatements() const { return stated_leaving || rate_limit.has_value() || rests_until != Time{}; }
   // Whether the engine should receive no new requests now, for any reason.
   bool IsOutOfService(Time now) const {
     const bool probation_full = probation_limit > 0 && outstanding >= probation_limit;
@@ -208,8 +210,11 @@
   // Ejects the engine regardless of how many others are ejected.
   std::optional<HealthChange> EjectUnconditionally(EngineState& engine, const std::string& cause, Time now);
   void OnRecordsChanged();
-  // Drops the engine if it was removed and has no requests in flight; returns whether it did.
+  // Drops the engine if it was removed, has no requests in flight and has stated nothing that holds until it starts
+  // again; returns whether it did.
   bool DropIfDone(const std::string& id);
+  // Bounds the number of removed engines that are kept.
+  void DropOldestRemoved();
   // A successful response from an engine on probation.
   void RaiseProbationLimit(EngineState& engine) const;
   double PeerEnginesErrorShare(const EngineState& engine);
@@ -231,9 +236,9 @@
   EjectionPolicy policy_;
   std::map<std::string, EngineState> engines_;
   absl::flat_hash_map<std::uint64_t, EngineState*> by_key_;
-  std::set<std::string> active_engines_;        // May have local work or outcomes; a superset.
-  std::vector<EngineKey> peer_work_;            // Engines with work of other nodes.
-  std::vector<std::string> removed_with_work_;  // Removed while requests were in flight.
+  std::set<std::string> active_engines_;      // May have local work or outcomes; a superset.
+  std::vector<EngineKey> peer_work_;          // Engines with work of other nodes.
+  std::vector<std::string> removed_engines_;  // Removed but kept, oldest first.
   Time stats_recomputed_at_{};
   std::uint64_t generation_ = 0;
   std::map<std::string, ServiceStats> service_stats_;  // Recomputed on the next query when empty.
--- a/src/core/serving/engine_limit_steps.cc
+++ b/src/core/serving/engine_limit_steps.cc
@@ -36,9 +36,8 @@
   if (engine.stated_leaving) return;
   Log(EventId::kEngineLeaving, nullptr,
       fmt::format(R"("engine":"{}","source":"{}","recorded":{})", engine.record.id, source, engine.record.leaving));
-  leaving_engines_.insert(engine.key);
   engines_.RecordLeavingStatement(engine);
-  RecordLeaving(engine.record.id);
+  ApplyRecord(engine.record.id);
 }
 
 void ServingCore::RecordRest(EngineState& engine, Duration rest) {
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -49,7 +49,7 @@
 
 void ServingCore::On(const EnginesReplaced& event) {
   engines_.Replace(event.records);
-  for (const EngineRecord& record : event.records) RecordLeaving(record.id);
+  for (const EngineRecord& record : event.records) ApplyRecord(record.id);
   engines_listed_ = true;
   Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engines":{},"cause":"listed")", event.records.size()));
 }
@@ -57,7 +57,7 @@
 void ServingCore::On(const EngineChanged& event) {
   const bool is_new = engines_.Find(event.record.id) == nullptr;
   if (!engines_.Update(event.record)) return;
-  RecordLeaving(event.record.id);
+  ApplyRecord(event.record.id);
   if (is_new && !event.record.leaving) {
     ++added_engines_;
     return;
@@ -68,11 +68,14 @@
                   event.record.leaving, static_cast<int>(event.record.stage)));
 }
 
-void ServingCore::RecordLeaving(const std::string& engine_id) {
+void ServingCore::ApplyRecord(const std::string& engine_id) {
   EngineState* engine = engines_.Find(engine_id);
   if (engine == nullptr) return;
   if (!engine->record.leaving) engine->leaving_since.reset();
   if (engine->record.leaving && !engine->leaving_since) engine->leaving_since = now_;
+  // What the engine stated holds although its record had disappeared.
+  if (engine->rate_limit) engine_limits_.try_emplace(engine->key, KnownEngineLimit{engine_id, std::nullopt});
+  if (engine->stated_leaving) leaving_engines_.insert(engine->key);
 }
 
 void ServingCore::On(const EngineRemoved& event) {
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -291,8 +291,9 @@
   void EndAttempt(Flow& flow, AttemptId id);
 
   Flow* FindFlow(FlowId id);
-  // Records when this node learnt that the engine is leaving.
-  void RecordLeaving(const std::string& engine_id);
+  // The engine's record was added or changed: notes when this node learnt that the engine is leaving, and which of its
+  // statements the peers have to know.
+  void ApplyRecord(const std::string& engine_id);
   void ScheduleWakeUp(Flow& flow);
   void Log(EventId event, const Flow* flow, std::string details);
   bool SupportsPrefixCopy(const Flow& flow) const;
--- a/tests/core/serving/engine_leaving_test.cc
+++ b/tests/core/serving/engine_leaving_test.cc
@@ -52,6 +52,29 @@
   for (int i = 0; i < 4; ++i) EXPECT_EQ(EngineOfNextRequest(), "u2");
 }
 
+TEST_F(EngineLeavingFlowTest, WhatAnEngineStatedHoldsWhenItsRecordDisappearsAndReturns) {
+  StateLeaving("u1");
+  EngineNotice rest;
+  rest.rest = 60s;
+  Send(EngineNoticeReceived{"p1", core_.engines().Find("p1")->key, rest});
+  EngineNotice limit;
+  limit.requests_per_s = 2;
+  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, limit});
+  const Time rests_until = now_ + 60s;
+  for (const char* id : {"u1", "p1", "d1"}) Send(EngineRemoved{id});
+  Pass(5s);
+  Send(EngineChanged{MakeEngine("u1", "plain", EngineStage::kUniform)});
+  Send(EngineChanged{MakeEngine("p1", "model", EngineStage::kPrefill)});
+  Send(EngineChanged{MakeEngine("d1", "model", EngineStage::kDecode)});
+  EXPECT_TRUE(core_.engines().Find("u1")->record.leaving);
+  EXPECT_EQ(core_.engines().Find("p1")->rests_until, rests_until);
+  EXPECT_EQ(core_.engines().Find("d1")->rate_limit->requests_per_s, 2);
+  EXPECT_EQ(core_.EngineLimitMarks(now_).size(), 1U);
+  EXPECT_EQ(core_.LeavingEngines().size(), 1U);
+  EXPECT_TRUE(core_.needs_nodes());
+  EXPECT_EQ(EngineOfNextRequest(), "u2");
+}
+
 TEST_F(EngineLeavingFlowTest, TheNextIncarnationIsUsed) {
   StateLeaving("u1");
   EngineRecord record = MakeEngine("u1", "plain", EngineStage::kUniform);
