--- a/src/core/serving/engine_limit_steps.cc
+++ b/src/core/serving/engine_limit_steps.cc
@@ -26,7 +26,7 @@
 void ServingCore::On(const EngineNoticeReceived& event) {
   EngineState* engine = engines_.Find(event.engine_id);
   if (engine == nullptr || engine->key != event.engine) return;  // From an earlier incarnation.
-  const bool keeps_limit = event.notice.limit_unreadable && !event.notice.requests_per_s;
+  const bool keeps_limit = !event.notice.requests_per_s && (event.notice.limit_unreadable || !event.is_complete);
   if (!keeps_limit) SetEngineLimit(*engine, event.notice.requests_per_s, now_, "engine");
   if (event.notice.rest) RecordRest(*engine, *event.notice.rest);
   if (event.notice.leaving) RecordLeavingStatement(*engine, "engine");
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -122,6 +122,8 @@
   std::string engine_id;
   EngineKey engine;
   EngineNotice notice;
+  // In a response to a request. Responses to other calls need not state everything: what is absent there still applies.
+  bool is_complete = true;
 };
 struct AttemptHeadReceived {
   FlowId flow = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -172,9 +172,9 @@
 }
 
 void Gateway::DispatchNotice(const std::string& engine_id, const serving::EngineKey& engine,
-                             const http::ResponseHead& head) {
+                             const http::ResponseHead& head, bool is_complete) {
   if (const auto notice = protocol_.DecodeNotice(head))
-    Dispatch(serving::EngineNoticeReceived{engine_id, engine, *notice});
+    Dispatch(serving::EngineNoticeReceived{engine_id, engine, *notice, is_complete});
 }
 
 void Gateway::OnHead(serving::AttemptId id, const http::ResponseHead& head) {
@@ -183,7 +183,7 @@
   entry->second.head = head;
   http::RemoveConnectionFields(entry->second.head.fields);
   const serving::FlowId flow = entry->second.flow;
-  DispatchNotice(entry->second.engine_id, entry->second.engine, head);  // May end the attempt.
+  DispatchNotice(entry->second.engine_id, entry->second.engine, head, true);  // May end the attempt.
   Dispatch(serving::AttemptHeadReceived{flow, id, protocol_.DecodeResponse(head)});
 }
 
@@ -291,7 +291,7 @@
   const serving::EngineState* engine = core_.engines().Find(action.kv_cache_source.engine_id);
   if (engine != nullptr) {
     handlers.on_head = [this, engine_id = engine->record.id, key = engine->key](const http::ResponseHead& head) {
-      DispatchNotice(engine_id, key, head);
+      DispatchNotice(engine_id, key, head, false);
     };
   }
   handlers.on_complete = finish;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -93,8 +93,9 @@
   void Perform(const serving::LogDecision& action);
 
   http::CallHandlers MakeHandlers(serving::AttemptId id);
-  // Passes on what the engine states about itself in a response.
-  void DispatchNotice(const std::string& engine_id, const serving::EngineKey& engine, const http::ResponseHead& head);
+  // Passes on what the engine states about itself in a response; see EngineNoticeReceived.
+  void DispatchNotice(const std::string& engine_id, const serving::EngineKey& engine, const http::ResponseHead& head,
+                      bool is_complete);
   void OnHead(serving::AttemptId id, const http::ResponseHead& head);
   void OnBody(serving::AttemptId id, std::string_view bytes);
   void OnComplete(serving::AttemptId id);
--- a/tests/core/serving/engine_leaving_test.cc
+++ b/tests/core/serving/engine_leaving_test.cc
@@ -75,6 +75,16 @@
   EXPECT_EQ(EngineOfNextRequest(), "u2");
 }
 
+TEST_F(EngineLeavingFlowTest, OnlyTheResponseToARequestEndsALimit) {
+  EngineNotice limit;
+  limit.requests_per_s = 2;
+  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, limit});
+  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, EngineNotice{}, false});
+  EXPECT_TRUE(core_.engines().Find("d1")->rate_limit);
+  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, EngineNotice{}});
+  EXPECT_FALSE(core_.engines().Find("d1")->rate_limit);
+}
+
 TEST_F(EngineLeavingFlowTest, TheNextIncarnationIsUsed) {
   StateLeaving("u1");
   EngineRecord record = MakeEngine("u1", "plain", EngineStage::kUniform);
--- a/tests/platform/soak_standins.py
+++ b/tests/platform/soak_standins.py
@@ -184,9 +184,20 @@
         asyncio.get_running_loop().create_task(self.oracle.publish_stage_change(self))
         return response(202)
 
+    def statements(self, request):
+        """Returns the headers by which the engine states its condition in the response to a request."""
+        return {}
+
+    def rest_asked_of(self, request):
+        """Returns the seconds of rest that the engine asks for instead of running the request; 0: it runs it."""
+        return 0
+
     async def _request(self, headers, body, writer):
         request = headers["x-request-id"]
-        common = {"X-Request-Id": request, "X-Instance-Load": f"{self.running},0,8"}
+        common = {"X-Request-Id": request, "X-Instance-Load": f"{self.running},0,8", **self.statements(request)}
+        if rest := self.rest_asked_of(request):
+            writer.write(response(503, headers={**common, "X-Not-Executed": "1", "Retry-After": f"{rest}"}))
+            return True
         if headers.get("x-stage") == "prefill":
             if self.stage != "prefill":
                 writer.write(response(421, headers=common))
