Changed limits and leaving engines reach the peers at once; permits of a higher limit are void

Change: a node that learns of a change reports it beside the periodic reports, 50 ms apart at least; a lower limit voids the permits that are held. The schedules draw in a fixed order: the seeds of the earlier form depended on the compiler.

--- a/src/core/serving/engine_limit_steps.cc
+++ b/src/core/serving/engine_limit_steps.cc
@@ -14,6 +14,8 @@
 // Reports list at most this many limits, the latest statements first.
 constexpr std::size_t kMaxReportedLimits = 64;
 constexpr std::size_t kMaxReportedLeaving = 64;
+// Of reports beside the periodic ones.
+constexpr Duration kMinReportInterval = 50ms;
 
 }  // namespace
 
@@ -32,10 +34,18 @@
   if (event.notice.leaving) RecordLeavingStatement(*engine, "engine");
 }
 
+// Peers would learn of it with the next periodic report, and keep to the earlier statement until then.
+void ServingCore::ReportStatementsSoon() {
+  if (now_ < next_statement_report_) return;
+  next_statement_report_ = now_ + kMinReportInterval;
+  actions_->push_back(ReportEngineStatements{});
+}
+
 void ServingCore::RecordLeavingStatement(EngineState& engine, std::string_view source) {
   if (engine.stated_leaving) return;
   Log(EventId::kEngineLeaving, nullptr,
       fmt::format(R"("engine":"{}","source":"{}","recorded":{})", engine.record.id, source, engine.record.leaving));
+  ReportStatementsSoon();
   engines_.RecordLeavingStatement(engine);
   ApplyRecord(engine.record.id);
 }
@@ -65,11 +75,13 @@
   } else if (before) {
     engine.rate_limit.reset();
     engine_limits_[engine.key].ended_at = now_;
-    permits_->forget(engine.key.hash);
   }
   const double after = requests_per_s.value_or(-1);
   const double known = before ? before->requests_per_s : -1;
   if (known == after) return;
+  // Permits of a higher limit do not hold any more.
+  if (after < known) permits_->forget(engine.key.hash);
+  ReportStatementsSoon();
   Log(EventId::kEngineLimit, nullptr,
       fmt::format(R"("engine":"{}","requests_per_s":{},"before":{},"source":"{}","age_ms":{})", engine.record.id, after,
                   known, source, (now_ - stated_at).count() / 1000));
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -267,6 +267,8 @@
 };
 // Report requests whose engines crashed to the peers immediately instead of with the next periodic report.
 struct ReportCrashes {};
+// The same for what engines stated: a limit that has changed, or that an engine leaves.
+struct ReportEngineStatements {};
 // Write one line to the decision log.
 struct LogDecision {
   EventId event = EventId::kRequestRouted;
@@ -274,8 +276,9 @@
   std::string details;     // JSON members, without the enclosing braces.
 };
 
-using Action = std::variant<StartAttempt, CancelAttempt, DropIdleConnections, RelayResponse, BeginRelay, EndRelay,
-                            SendLocalReply, AbortResponse, ReleaseKvCache, ExecutionStarted, ExtraArrivalCounted,
-                            ProbeEngine, ReportCrashes, SendLimitMessages, SendPermitMessages, LogDecision>;
+using Action =
+    std::variant<StartAttempt, CancelAttempt, DropIdleConnections, RelayResponse, BeginRelay, EndRelay, SendLocalReply,
+                 AbortResponse, ReleaseKvCache, ExecutionStarted, ExtraArrivalCounted, ProbeEngine, ReportCrashes,
+                 ReportEngineStatements, SendLimitMessages, SendPermitMessages, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -242,6 +242,7 @@
   // Limits that engines name (engine_limit_steps.cc).
   // The engine stated that it is leaving. `source`: who passed that on, for the log.
   void RecordLeavingStatement(EngineState& engine, std::string_view source);
+  void ReportStatementsSoon();
   // The engine asked this node to send nothing for a time.
   void RecordRest(EngineState& engine, Duration rest);
   // `source`: who passed on the engine's statement, for the log.
@@ -324,7 +325,8 @@
     std::optional<Time> ended_at;  // When this node learnt that the engine names no limit any more.
   };
   std::map<EngineKey, KnownEngineLimit> engine_limits_;
-  Time last_rest_ends_{};                // Over all engines.
+  Time last_rest_ends_{};  // Over all engines.
+  Time next_statement_report_{};
   std::set<EngineKey> leaving_engines_;  // Those that stated it and are still present.
   RetryBudgetShare retry_budget_share_;
   Random random_;
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -67,7 +67,7 @@
       duties_(settings, gateway, store, duty_api, lease_, incarnation_),
       quarantine_(gateway, store, !settings.first_start, seed + 1),
       timer_(loop) {
-  gateway.on_report_crashes = [this] { ReportCrashes(); };
+  gateway.on_report_to_peers = [this] { ReportToPeers(); };
   gateway.on_send_limit_messages = [this](const serving::SendLimitMessages& action) { SendLimitMessageBatch(action); };
   gateway.on_send_permit_messages = [this](const serving::SendPermitMessages& action) {
     SendPermitMessageBatch(action);
@@ -387,7 +387,7 @@
   return total;
 }
 
-void FleetCoordinator::ReportCrashes() {
+void FleetCoordinator::ReportToPeers() {
   if (exchange_ != nullptr) exchange_->SendReportWide();
   ExchangeDigestsImmediately();
 }
--- a/src/gateway/fleet_coordinator.h
+++ b/src/gateway/fleet_coordinator.h
@@ -56,8 +56,8 @@
   // Runs the periodic exchange of reports and digests that a large fleet uses.
   void ExchangeDigests();
   void ExchangeDigestsImmediately();
-  // Sends the crash marks that this node holds: requests that were running when engines crashed.
-  void ReportCrashes();
+  // Sends this node's report, with the crash marks and the engines' statements that it knows, beside the periodic ones.
+  void ReportToPeers();
   void UpdateStorePeers();
   // Locality of the peer at `address`.
   TrafficLocality LocalityOf(const std::string& address);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -317,10 +317,14 @@
   });
 }
 
+void Gateway::Perform(const serving::ReportCrashes& /*action*/) { ReportToPeersSoon(); }
+
+void Gateway::Perform(const serving::ReportEngineStatements& /*action*/) { ReportToPeersSoon(); }
+
 // Posted rather than called directly: the reports read the core's state, and the core is still processing an event.
-void Gateway::Perform(const serving::ReportCrashes& /*action*/) {
+void Gateway::ReportToPeersSoon() {
   boost::asio::post(loop_, [this] {
-    if (on_report_crashes) on_report_crashes();
+    if (on_report_to_peers) on_report_to_peers();
   });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,8 +42,8 @@
   std::function<void(const serving::SendLimitMessages&)> on_send_limit_messages;
   // Called to send messages about permits for engines to other nodes.
   std::function<void(const serving::SendPermitMessages&)> on_send_permit_messages;
-  // Called when the peers have to be notified of new crash marks.
-  std::function<void()> on_report_crashes;
+  // Called when the peers have to be notified of new crash marks or engines' statements.
+  std::function<void()> on_report_to_peers;
 
   serving::ServingCore& core() { return core_; }
   GatewayMetrics& metrics() { return metrics_; }
@@ -88,6 +88,8 @@
   void Perform(const serving::ExtraArrivalCounted& action);
   void Perform(const serving::ProbeEngine& action);
   void Perform(const serving::ReportCrashes& action);
+  void Perform(const serving::ReportEngineStatements& action);
+  void ReportToPeersSoon();
   void Perform(const serving::SendLimitMessages& action);
   void Perform(const serving::SendPermitMessages& action);
   void Perform(const serving::LogDecision& action);
--- a/tests/core/serving/engine_limit_test.cc
+++ b/tests/core/serving/engine_limit_test.cc
@@ -104,57 +104,73 @@
   EXPECT_LT(fleet.refused(), fleet.served() / 100);
 }
 
+double DrawLimit(Random& random) {
+  if (random.Chance(0.2)) return 0;
+  const double largest = random.Chance(0.3) ? 20 : 3;
+  return largest * random.Unit();
+}
+
 // Limits that are named, changed and ended while nodes are killed, suspended, added and cut off, and messages are lost.
-void RunSchedule(std::uint64_t seed, int nodes) {
-  Random random(seed);
-  NoticeFleet fleet({.nodes = nodes,
-                     .seed = seed,
-                     .requests_per_s = 10.0 * std::min(nodes, 20),
-                     .loss = random.Chance(0.3) ? 0.1 * random.Unit() : 0});
-  fleet.AddEngines(3, 3, 3);
-  fleet.Begin();
-  const std::vector<std::string> engines = fleet.EngineIds();
-  const auto any_node = [&] { return static_cast<int>(random.Below(fleet.size())); };
-  std::optional<int> killed;
-  for (int step = 0; step < 30; ++step) {
-    fleet.RunFor(random.DurationBelow(1s));
-    const std::string& engine = engines[random.Below(engines.size())];
-    switch (random.Below(9)) {
-      case 0:
-      case 1:
-      case 2:
-        fleet.NameLimit(engine, random.Chance(0.2) ? 0.0 : random.Unit() * (random.Chance(0.3) ? 20 : 3));
-        break;
-      case 3:
-        fleet.NameLimit(engine, std::nullopt);
-        break;
-      case 4:
-        if (killed)
-          fleet.Start(*std::exchange(killed, std::nullopt));
-        else
-          fleet.Kill(*(killed = any_node()));
-        break;
-      case 5:
-        fleet.Suspend(any_node(), random.DurationBelow(3s));
-        break;
-      case 6: {
-        const std::uint64_t side_seed = random.Below(1000);
-        fleet.Partition([=](int node) { return HashPair(side_seed, node) % 4 == 0 ? 1 : 0; }, random.Chance(0.5));
-        break;
-      }
-      case 7:
-        fleet.Heal();
-        break;
-      case 8:
-        if (fleet.size() < nodes + 4) fleet.AddNode();
-        break;
+class Schedule {
+ public:
+  Schedule(std::uint64_t seed, int nodes) : random_(seed), nodes_(nodes), fleet_(Options(seed)) {
+    fleet_.AddEngines(3, 3, 3);
+    fleet_.Begin();
+    engines_ = fleet_.EngineIds();
+  }
+  void Run() {
+    constexpr int kSteps = 30;
+    for (int step = 0; step < kSteps; ++step) {
+      fleet_.RunFor(random_.DurationBelow(1s));
+      Step();
     }
+    fleet_.Heal();
+    fleet_.RunFor(6s);
   }
-  fleet.Heal();
-  fleet.RunFor(6s);
-  for (const std::string& engine : engines)
-    EXPECT_LE(fleet.LimitExcess(engine), 0) << engine << ", seed " << seed << ", " << nodes << " nodes";
-}
+  NoticeFleet& fleet() { return fleet_; }
+
+ private:
+  NoticeFleetOptions Options(std::uint64_t seed) {
+    NoticeFleetOptions options;
+    options.nodes = nodes_;
+    options.seed = seed;
+    options.requests_per_s = 10.0 * std::min(nodes_, 20);
+    if (random_.Chance(0.3)) options.loss = 0.1 * random_.Unit();
+    return options;
+  }
+  int AnyNode() { return static_cast<int>(random_.Below(fleet_.size())); }
+  void Step() {
+    const std::string& engine = engines_[random_.Below(engines_.size())];
+    const std::uint64_t kind = random_.Below(9);
+    if (kind <= 2) fleet_.NameLimit(engine, DrawLimit(random_));
+    if (kind == 3) fleet_.NameLimit(engine, std::nullopt);
+    if (kind == 4) KillOrStart();
+    if (kind == 5) Suspend();
+    if (kind == 6) Partition();
+    if (kind == 7) fleet_.Heal();
+    if (kind == 8 && fleet_.size() < nodes_ + 4) fleet_.AddNode();
+  }
+  void KillOrStart() {
+    if (killed_) return fleet_.Start(*std::exchange(killed_, std::nullopt));
+    killed_ = AnyNode();
+    fleet_.Kill(*killed_);
+  }
+  void Suspend() {
+    const int node = AnyNode();
+    fleet_.Suspend(node, random_.DurationBelow(3s));
+  }
+  void Partition() {
+    const std::uint64_t seed = random_.Below(1000);
+    const bool one_way = random_.Chance(0.5);
+    fleet_.Partition([seed](int node) { return HashPair(seed, node) % 4 == 0 ? 1 : 0; }, one_way);
+  }
+
+  Random random_;
+  int nodes_;
+  NoticeFleet fleet_;
+  std::vector<std::string> engines_;
+  std::optional<int> killed_;
+};
 
 // SALTQUAY_LIMIT_SCHEDULES: the number of schedules for each size of the fleet; SALTQUAY_FIRST_SEED: the first seed.
 std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
@@ -168,7 +184,12 @@
   const int nodes = GetParam();
   const std::uint64_t first = FromEnvironment("SALTQUAY_FIRST_SEED", 1);
   const std::uint64_t count = FromEnvironment("SALTQUAY_LIMIT_SCHEDULES", nodes <= 7 ? 100 : nodes <= 20 ? 30 : 2);
-  for (std::uint64_t seed = first; seed < first + count; ++seed) RunSchedule(seed, nodes);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    Schedule schedule(seed, nodes);
+    schedule.Run();
+    for (const std::string& engine : schedule.fleet().EngineIds())
+      EXPECT_LE(schedule.fleet().LimitExcess(engine), 0) << engine << ", seed " << seed << ", " << nodes << " nodes";
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(FleetSizes, EngineLimitScheduleTest, testing::Values(3, 7, 20, 77));
--- a/tests/support/notice_fleet.cc
+++ b/tests/support/notice_fleet.cc
@@ -108,7 +108,7 @@
   Send(node, ConfigurationChanged{config_});
   Send(node, EnginesReplaced{Records()});
   Send(node, StoreConnectivityChanged{true});
-  AtNode(node, now_ + random_.DurationBelow(kTickInterval), [this, node] { Report(node); });
+  AtNode(node, now_ + random_.DurationBelow(kTickInterval), [this, node] { ReportPeriodically(node); });
   AtNode(node, now_ + random_.DurationBelow(kTickInterval), [this, node] { UpdateNodes(node); });
 }
 
@@ -117,8 +117,12 @@
   AtNode(to, now_ + kLinkDelay + random_.DurationBelow(kMaxJitter), [this, to, event] { Send(to, event); });
 }
 
+void NoticeFleet::ReportPeriodically(int from) {
+  AtNode(from, now_ + kReportInterval, [this, from] { ReportPeriodically(from); });
+  Report(from);
+}
+
 void NoticeFleet::Report(int from) {
-  AtNode(from, now_ + kReportInterval, [this, from] { Report(from); });
   const PeerEngineLimitsReported reported{nodes_[from].core->EngineLimitMarks(now_)};
   const PeerLeavingEnginesReported leaving{nodes_[from].core->LeavingEngines()};
   for (int to = 0; to < size(); ++to) {
@@ -229,6 +233,8 @@
       ++refused_;
       longest_refusal_ = std::max(longest_refusal_, now_ - arrived_at_[reply->flow]);
       retry_after_sum_ += reply->retry_after.value_or(0s);
+    } else if (std::holds_alternative<ReportEngineStatements>(action)) {
+      AtNode(node, now_, [this, node] { Report(node); });
     } else if (std::holds_alternative<ReleaseKvCache>(action)) {
       ++released_;
     } else if (std::holds_alternative<EndRelay>(action) || std::holds_alternative<RelayResponse>(action)) {
--- a/tests/support/notice_fleet.h
+++ b/tests/support/notice_fleet.h
@@ -122,6 +122,7 @@
   void SendRequest();
   // Messages between nodes.
   void Transmit(int from, int to, const Event& event);
+  void ReportPeriodically(int from);
   void Report(int from);
   void UpdateNodes(int node);
   void Arrive(int node, const StartAttempt& start);
