A response that was on its way when an engine named its limit does not end it

Cause: found by reading the change: a response without a limit, delayed on a lossy link behind one that names it, ended the limit at its node and, by the reports, at all. Change: only the response to a request that was sent after the last statement ends a limit. The steps for what engines state are in a file of that name.

--- a/src/core/serving/engine_limit_steps.cc
+++ b/src/core/serving/engine_notice_steps.cc
@@ -1,4 +1,5 @@
-// Limits that engines name for the requests of all nodes together; see saltquay/limits/engine_permits.h.
+// What engines state about themselves: limits for the requests of all nodes together
+// (saltquay/limits/engine_permits.h), rests, and that they are leaving.
 #include <algorithm>
 
 #include <fmt/format.h>
@@ -28,8 +29,10 @@
 void ServingCore::On(const EngineNoticeReceived& event) {
   EngineState* engine = engines_.Find(event.engine_id);
   if (engine == nullptr || engine->key != event.engine) return;  // From an earlier incarnation.
-  const bool keeps_limit = !event.notice.requests_per_s && (event.notice.limit_unreadable || !event.is_complete);
-  if (!keeps_limit) SetEngineLimit(*engine, event.notice.requests_per_s, now_, "engine");
+  // A response that states no limit may have been on its way when the engine named one, unless its request was sent
+  // after that.
+  const bool ends_limit = !event.notice.limit_unreadable && event.sent_at && *event.sent_at >= engine->limit_stated_at;
+  if (event.notice.requests_per_s || ends_limit) SetEngineLimit(*engine, event.notice.requests_per_s, now_, "engine");
   if (event.notice.rest) RecordRest(*engine, *event.notice.rest);
   if (event.notice.leaving) RecordLeavingStatement(*engine, "engine");
 }
@@ -74,7 +77,7 @@
     engine_limits_[engine.key] = {engine.record.id, std::nullopt};
   } else if (before) {
     engine.rate_limit.reset();
-    engine_limits_[engine.key].ended_at = now_;
+    engine_limits_[engine.key] = {engine.record.id, now_};
   }
   const double after = requests_per_s.value_or(-1);
   const double known = before ? before->requests_per_s : -1;
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -122,8 +122,8 @@
   std::string engine_id;
   EngineKey engine;
   EngineNotice notice;
-  // In a response to a request. Responses to other calls need not state everything: what is absent there still applies.
-  bool is_complete = true;
+  // When the request was sent; nullopt for a call of another kind, whose response need not state everything.
+  std::optional<Time> sent_at;
 };
 struct AttemptHeadReceived {
   FlowId flow = 0;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -239,7 +239,7 @@
   void DropIdleConnectionsTo(const Attempt& attempt);
   void ExpireAttemptsAt(const std::string& engine_id);
 
-  // Limits that engines name (engine_limit_steps.cc).
+  // What engines state about themselves (engine_notice_steps.cc).
   // The engine stated that it is leaving. `source`: who passed that on, for the log.
   void RecordLeavingStatement(EngineState& engine, std::string_view source);
   void ReportStatementsSoon();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -137,6 +137,7 @@
   attempt.flow = action.flow;
   attempt.mode = action.mode;
   attempt.engine_id = action.engine_id;
+  attempt.sent_at = Now();
   attempt.streams = action.streams && action.mode != serving::AttemptMode::kPrefill;
   if (flow == flows_.end() || !endpoint.ok()) {
     boost::asio::post(loop_, [this, id = action.attempt] { OnFailure(id, http::CallFailure::kNotSent); });
@@ -172,9 +173,9 @@
 }
 
 void Gateway::DispatchNotice(const std::string& engine_id, const serving::EngineKey& engine,
-                             const http::ResponseHead& head, bool is_complete) {
+                             const http::ResponseHead& head, std::optional<Time> sent_at) {
   if (const auto notice = protocol_.DecodeNotice(head))
-    Dispatch(serving::EngineNoticeReceived{engine_id, engine, *notice, is_complete});
+    Dispatch(serving::EngineNoticeReceived{engine_id, engine, *notice, sent_at});
 }
 
 void Gateway::OnHead(serving::AttemptId id, const http::ResponseHead& head) {
@@ -183,7 +184,7 @@
   entry->second.head = head;
   http::RemoveConnectionFields(entry->second.head.fields);
   const serving::FlowId flow = entry->second.flow;
-  DispatchNotice(entry->second.engine_id, entry->second.engine, head, true);  // May end the attempt.
+  DispatchNotice(entry->second.engine_id, entry->second.engine, head, entry->second.sent_at);  // May end the attempt.
   Dispatch(serving::AttemptHeadReceived{flow, id, protocol_.DecodeResponse(head)});
 }
 
@@ -291,7 +292,7 @@
   const serving::EngineState* engine = core_.engines().Find(action.kv_cache_source.engine_id);
   if (engine != nullptr) {
     handlers.on_head = [this, engine_id = engine->record.id, key = engine->key](const http::ResponseHead& head) {
-      DispatchNotice(engine_id, key, head, false);
+      DispatchNotice(engine_id, key, head, std::nullopt);
     };
   }
   handlers.on_complete = finish;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,6 +65,7 @@
     serving::AttemptMode mode = serving::AttemptMode::kWhole;
     std::string engine_id;
     serving::EngineKey engine;  // Its incarnation when the attempt started.
+    Time sent_at{};
     std::string request_id;
     std::unique_ptr<http::Call> call;
     http::ResponseHead head;
@@ -97,7 +98,7 @@
   http::CallHandlers MakeHandlers(serving::AttemptId id);
   // Passes on what the engine states about itself in a response; see EngineNoticeReceived.
   void DispatchNotice(const std::string& engine_id, const serving::EngineKey& engine, const http::ResponseHead& head,
-                      bool is_complete);
+                      std::optional<Time> sent_at);
   void OnHead(serving::AttemptId id, const http::ResponseHead& head);
   void OnBody(serving::AttemptId id, std::string_view bytes);
   void OnComplete(serving::AttemptId id);
--- a/tests/core/serving/engine_leaving_test.cc
+++ b/tests/core/serving/engine_leaving_test.cc
@@ -35,7 +35,7 @@
   void StateLeaving(const std::string& engine) {
     EngineNotice notice;
     notice.leaving = true;
-    Send(EngineNoticeReceived{engine, core_.engines().Find(engine)->key, notice});
+    Send(EngineNoticeReceived{engine, core_.engines().Find(engine)->key, notice, now_});
   }
   std::string EngineOfNextRequest() {
     Arrive("safe");
@@ -48,7 +48,7 @@
   EngineRecord record = MakeEngine("u1", "plain", EngineStage::kUniform);
   Send(EngineChanged{record});
   for (int i = 0; i < 4; ++i) EXPECT_EQ(EngineOfNextRequest(), "u2");
-  Send(EngineNoticeReceived{"u1", core_.engines().Find("u1")->key, EngineNotice{}});
+  Send(EngineNoticeReceived{"u1", core_.engines().Find("u1")->key, EngineNotice{}, now_});
   for (int i = 0; i < 4; ++i) EXPECT_EQ(EngineOfNextRequest(), "u2");
 }
 
@@ -56,10 +56,10 @@
   StateLeaving("u1");
   EngineNotice rest;
   rest.rest = 60s;
-  Send(EngineNoticeReceived{"p1", core_.engines().Find("p1")->key, rest});
+  Send(EngineNoticeReceived{"p1", core_.engines().Find("p1")->key, rest, now_});
   EngineNotice limit;
   limit.requests_per_s = 2;
-  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, limit});
+  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, limit, now_});
   const Time rests_until = now_ + 60s;
   for (const char* id : {"u1", "p1", "d1"}) Send(EngineRemoved{id});
   Pass(5s);
@@ -75,13 +75,18 @@
   EXPECT_EQ(EngineOfNextRequest(), "u2");
 }
 
-TEST_F(EngineLeavingFlowTest, OnlyTheResponseToARequestEndsALimit) {
+TEST_F(EngineLeavingFlowTest, OnlyTheResponseToALaterRequestEndsALimit) {
+  const EngineKey key = core_.engines().Find("d1")->key;
   EngineNotice limit;
   limit.requests_per_s = 2;
-  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, limit});
-  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, EngineNotice{}, false});
+  Send(EngineNoticeReceived{"d1", key, limit, now_});
+  const Time before = now_ - 10ms;
+  Pass(10ms);
+  Send(EngineNoticeReceived{"d1", key, EngineNotice{}, std::nullopt});
   EXPECT_TRUE(core_.engines().Find("d1")->rate_limit);
-  Send(EngineNoticeReceived{"d1", core_.engines().Find("d1")->key, EngineNotice{}});
+  Send(EngineNoticeReceived{"d1", key, EngineNotice{}, before});
+  EXPECT_TRUE(core_.engines().Find("d1")->rate_limit);
+  Send(EngineNoticeReceived{"d1", key, EngineNotice{}, now_});
   EXPECT_FALSE(core_.engines().Find("d1")->rate_limit);
 }
 
--- a/tests/core/serving/engine_rest_test.cc
+++ b/tests/core/serving/engine_rest_test.cc
@@ -88,7 +88,7 @@
   void AskForRest(const StartAttempt& start, Duration rest) {
     EngineNotice notice;
     notice.rest = rest;
-    Send(EngineNoticeReceived{start.engine_id, core_.engines().Find(start.engine_id)->key, notice});
+    Send(EngineNoticeReceived{start.engine_id, core_.engines().Find(start.engine_id)->key, notice, now_});
     Respond(start, 503, true);
   }
 };
@@ -102,7 +102,7 @@
   AskForRest(first, 3s);
   const StartAttempt again = One<StartAttempt>();
   EXPECT_EQ(again.engine_id, second.engine_id);
-  Send(EngineNoticeReceived{first.engine_id, core_.engines().Find(first.engine_id)->key, EngineNotice{}});
+  Send(EngineNoticeReceived{first.engine_id, core_.engines().Find(first.engine_id)->key, EngineNotice{}, now_});
   Pass(2s);
   for (int i = 0; i < 4; ++i) {
     Arrive("safe");
--- a/tests/support/notice_fleet.cc
+++ b/tests/support/notice_fleet.cc
@@ -223,7 +223,8 @@
   for (const Action& action : actions) {
     if (const auto* start = std::get_if<StartAttempt>(&action)) {
       // The request is on its way even if the node stops now.
-      At(now_ + kLinkDelay + random_.DurationBelow(kMaxJitter), [this, node, start = *start] { Arrive(node, start); });
+      At(now_ + kLinkDelay + random_.DurationBelow(kMaxJitter),
+         [this, node, start = *start, sent_at = now_] { Arrive(node, start, sent_at); });
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
       nodes_[node].cancelled.insert(cancel->attempt);
     } else if (const auto* permits = std::get_if<SendPermitMessages>(&action)) {
@@ -266,23 +267,26 @@
   Send(node, arrived);
 }
 
-void NoticeFleet::Arrive(int node, const StartAttempt& start) {
+void NoticeFleet::Arrive(int node, const StartAttempt& start, Time sent_at) {
   Engine& engine = engines_.at(start.engine_id);
   const auto told = engine.told_at.find(node);
   const bool node_was_told = told != engine.told_at.end() && now_ - told->second >= kToldDelay;
   engine.arrivals.push_back({now_, node, node_was_told, arrived_at_[start.flow]});
   const bool decodes = engine.record.stage == EngineStage::kDecode;
   if (decodes && options_.decode_slots > 0 && engine.running >= options_.decode_slots)
-    return AtNode(node, now_ + kLinkDelay, [this, node, start] { Respond(node, start, Outcome::kFull); });
+    return AtNode(node, now_ + kLinkDelay,
+                  [this, node, start, sent_at] { Respond(node, start, sent_at, Outcome::kFull); });
   if (random_.Chance(engine.rejected_share))
-    return AtNode(node, now_ + kLinkDelay, [this, node, start] { Respond(node, start, Outcome::kAsksForRest); });
+    return AtNode(node, now_ + kLinkDelay,
+                  [this, node, start, sent_at] { Respond(node, start, sent_at, Outcome::kAsksForRest); });
   const Duration time = start.mode == AttemptMode::kPrefill ? kPrefillTime : kRunTime;
   ++engine.running;
   At(now_ + time, [&engine] { --engine.running; });
-  AtNode(node, now_ + time + kLinkDelay, [this, node, start] { Respond(node, start, Outcome::kRun); });
+  AtNode(node, now_ + time + kLinkDelay,
+         [this, node, start, sent_at] { Respond(node, start, sent_at, Outcome::kRun); });
 }
 
-void NoticeFleet::Respond(int node, const StartAttempt& start, Outcome outcome) {
+void NoticeFleet::Respond(int node, const StartAttempt& start, Time sent_at, Outcome outcome) {
   if (nodes_[node].cancelled.contains(start.attempt)) return;
   Engine& engine = engines_.at(start.engine_id);
   EngineNotice notice;
@@ -294,7 +298,7 @@
     notice.rest = engine.rest;
     engine.rests.push_back({node, now_, now_ + engine.rest});
   }
-  Send(node, EngineNoticeReceived{start.engine_id, EngineKey(start.engine_id), notice});
+  Send(node, EngineNoticeReceived{start.engine_id, EngineKey(start.engine_id), notice, sent_at});
   EngineResponseHead head{200, false, true, std::nullopt};
   if (outcome == Outcome::kFull) head = {503, true, false, EngineLoad{options_.decode_slots, 0, options_.decode_slots}};
   if (outcome == Outcome::kAsksForRest) head = {503, true, false, std::nullopt};
--- a/tests/support/notice_fleet.h
+++ b/tests/support/notice_fleet.h
@@ -125,9 +125,9 @@
   void ReportPeriodically(int from);
   void Report(int from);
   void UpdateNodes(int node);
-  void Arrive(int node, const StartAttempt& start);
+  void Arrive(int node, const StartAttempt& start, Time sent_at);
   enum class Outcome { kRun, kFull, kAsksForRest };
-  void Respond(int node, const StartAttempt& start, Outcome outcome);
+  void Respond(int node, const StartAttempt& start, Time sent_at, Outcome outcome);
   std::vector<EngineRecord> Records() const;
   static std::string NameOf(int node) { return "n" + std::to_string(node); }
   // The node is excused from what it was told: it was restarted, suspended or cut off.
