--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -76,6 +76,20 @@
   return peers;
 }
 
+std::vector<flatbuffers::Offset<wire::ServiceDemand>> DemandToWire(flatbuffers::FlatBufferBuilder& builder,
+                                                                   const std::vector<serving::ServiceDemand>& items) {
+  std::vector<flatbuffers::Offset<wire::ServiceDemand>> demand;
+  demand.reserve(items.size());
+  for (const auto& item : items) {
+    demand.push_back(
+        wire::CreateServiceDemand(builder, builder.CreateString(item.service), static_cast<float>(item.prefill_engines),
+                                  static_cast<float>(item.decode_engines), static_cast<float>(item.prefill_depth),
+                                  item.depth_nodes, item.region.empty() ? 0 : builder.CreateSharedString(item.region),
+                                  static_cast<float>(item.unloaded_prefill_engines)));
+  }
+  return demand;
+}
+
 flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>> LeavingEnginesToWire(
     flatbuffers::FlatBufferBuilder& builder, const std::vector<serving::EngineKey>& engines) {
   if (engines.empty()) return 0;
@@ -102,14 +116,7 @@
   std::vector<wire::KeptPart> kept;
   kept.reserve(report.kept.size());
   for (const auto& item : report.kept) kept.emplace_back(item.engine.hash, item.part);
-  std::vector<flatbuffers::Offset<wire::ServiceDemand>> demand;
-  for (const auto& item : report.demand) {
-    demand.push_back(
-        wire::CreateServiceDemand(builder, builder.CreateString(item.service), static_cast<float>(item.prefill_engines),
-                                  static_cast<float>(item.decode_engines), static_cast<float>(item.prefill_depth),
-                                  item.depth_nodes, item.region.empty() ? 0 : builder.CreateSharedString(item.region),
-                                  static_cast<float>(item.unloaded_prefill_engines)));
-  }
+  const std::vector<flatbuffers::Offset<wire::ServiceDemand>> demand = DemandToWire(builder, report.demand);
   std::vector<flatbuffers::Offset<wire::EngineHold>> holds;
   for (const auto& item : report.holds) {
     holds.push_back(wire::CreateEngineHold(builder, builder.CreateString(item.engine_id), Milliseconds(item.left)));
@@ -163,6 +170,18 @@
   });
 }
 
+void ReadEngineStatements(const wire::Report& source, serving::PeerReport& report) {
+  ForEach(source.permits(), [&](const wire::PermitMessage& item) {
+    if (auto message = PermitMessageFromWire(item)) report.permits.push_back(std::move(*message));
+  });
+  ForEach(source.engine_limits(), [&](const wire::EngineLimit& item) {
+    if (const auto mark = EngineLimitFromWire(item)) report.engine_limits.push_back(*mark);
+  });
+  if (source.leaving_engines() != nullptr) {
+    for (const std::uint64_t hash : *source.leaving_engines()) report.leaving_engines.emplace_back(hash);
+  }
+}
+
 }  // namespace
 
 absl::StatusOr<serving::PeerReport> DecodeReport(std::string_view bytes) {
@@ -198,15 +217,7 @@
   ForEach(source->limits(), [&](const wire::LimitMessage& item) {
     if (auto message = LimitMessageFromWire(item)) report.limits.push_back(std::move(*message));
   });
-  ForEach(source->permits(), [&](const wire::PermitMessage& item) {
-    if (auto message = PermitMessageFromWire(item)) report.permits.push_back(std::move(*message));
-  });
-  ForEach(source->engine_limits(), [&](const wire::EngineLimit& item) {
-    if (const auto mark = EngineLimitFromWire(item)) report.engine_limits.push_back(*mark);
-  });
-  if (source->leaving_engines() != nullptr) {
-    for (const std::uint64_t hash : *source->leaving_engines()) report.leaving_engines.emplace_back(hash);
-  }
+  ReadEngineStatements(*source, report);
   ForEach(source->records(), [&](const wire::RecordMark& item) {
     report.records.push_back({Text(item.kind()), item.changed_at()});
   });
--- a/tests/support/notice_fleet.cc
+++ b/tests/support/notice_fleet.cc
@@ -171,6 +171,7 @@
 
 void NoticeFleet::Partition(const std::function<int(int node)>& side_of, bool one_way) {
   std::vector<int> sides;
+  sides.reserve(nodes_.size());
   for (int node = 0; node < size(); ++node) sides.push_back(side_of(node));
   is_cut_ = [sides, one_way](int from, int to) {
     const auto side = [&](int node) { return node < static_cast<int>(sides.size()) ? sides[node] : 0; };
