--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -224,28 +224,6 @@
   gateway_.Dispatch(changed);
 }
 
-template <typename Addressed, typename Message>
-void FleetCoordinator::SendBatch(const std::vector<Addressed>& messages,
-                                 std::vector<Message> serving::PeerReport::*member) {
-  if (exchange_ == nullptr) return;
-  std::map<std::string, serving::FleetMessage> by_address;
-  for (const Addressed& addressed : messages) {
-    serving::FleetMessage& message = by_address[addressed.address];
-    message.addresses = {addressed.address};
-    message.report.scope = serving::ReportScope::kLimits;
-    (message.report.*member).push_back(addressed.message);
-  }
-  for (auto& [address, message] : by_address) exchange_->Send({message});
-}
-
-void FleetCoordinator::SendLimitMessageBatch(const serving::SendLimitMessages& action) {
-  SendBatch(action.messages, &serving::PeerReport::limits);
-}
-
-void FleetCoordinator::SendPermitMessageBatch(const serving::SendPermitMessages& action) {
-  SendBatch(action.messages, &serving::PeerReport::permits);
-}
-
 void FleetCoordinator::AddPeerReports(serving::PeersChanged& changed) {
   changed.age = PeerExchangeOptions{}.interval / 2;  // A report is half an interval old on average.
   changed.nodes = static_cast<int>(Members().size()) + 1;
--- a/src/gateway/fleet_coordinator_traffic.cc
+++ b/src/gateway/fleet_coordinator_traffic.cc
@@ -1,5 +1,6 @@
-// Bytes between nodes by kind and locality, for metrics and the log.
+// Messages about limits and permits in batches; bytes between nodes by kind and locality, for metrics and the log.
 #include <algorithm>
+#include <map>
 
 #include "src/gateway/fleet_coordinator.h"
 
@@ -31,4 +32,26 @@
   next_traffic_log_ = now + kTrafficLogInterval;
 }
 
+template <typename Addressed, typename Message>
+void FleetCoordinator::SendBatch(const std::vector<Addressed>& messages,
+                                 std::vector<Message> serving::PeerReport::*member) {
+  if (exchange_ == nullptr) return;
+  std::map<std::string, serving::FleetMessage> by_address;
+  for (const Addressed& addressed : messages) {
+    serving::FleetMessage& message = by_address[addressed.address];
+    message.addresses = {addressed.address};
+    message.report.scope = serving::ReportScope::kLimits;
+    (message.report.*member).push_back(addressed.message);
+  }
+  for (auto& [address, message] : by_address) exchange_->Send({message});
+}
+
+void FleetCoordinator::SendLimitMessageBatch(const serving::SendLimitMessages& action) {
+  SendBatch(action.messages, &serving::PeerReport::limits);
+}
+
+void FleetCoordinator::SendPermitMessageBatch(const serving::SendPermitMessages& action) {
+  SendBatch(action.messages, &serving::PeerReport::permits);
+}
+
 }  // namespace saltquay::gateway
