Log each failed call to an engine with what this node and its peers last heard from it

Change: event 619 attempt_failed: engine, outcome, time since this node heard from the engine, responses that peers reported of it. No decision uses the new field yet.

--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -62,6 +62,7 @@
   kRequestCleared = 616,
   kQuarantineStored = 617,
   kExtraArrival = 618,
+  kAttemptFailed = 619,
   kLimitHome = 620,
   kLimitChanged = 621,
   kStoreUnavailable = 700,
--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -160,7 +160,8 @@
 
 void EngineDirectory::SetPeerWork(const std::map<EngineKey, EngineWork>& work) {
   for (const EngineKey& key : peer_work_) {
-    if (EngineState* engine = FindPresent(key)) engine->peers_outstanding = 0, engine->peers_prompt_tokens = 0;
+    EngineState* engine = FindPresent(key);
+    if (engine != nullptr) engine->peers_outstanding = engine->peers_prompt_tokens = engine->peers_responses = 0;
   }
   peer_work_.clear();
   for (const auto& [key, peers] : work) {
@@ -168,6 +169,7 @@
     if (engine == nullptr) continue;
     engine->peers_outstanding = peers.outstanding;
     engine->peers_prompt_tokens = peers.prompt_tokens;
+    engine->peers_responses = peers.response_count;
     peer_work_.push_back(key);
   }
 }
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -91,6 +91,7 @@
   // Work in flight of other nodes, from their reports.
   int peers_outstanding = 0;
   std::int64_t peers_prompt_tokens = 0;
+  int peers_responses = 0;  // Responses that other nodes received from it within the last one to two seconds.
 
   RecentOutcomes outcomes;  // Outcomes of this node's requests.
   double error_share = 0;   // Moving average over responses to this node.
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -321,6 +321,7 @@
   const bool unreachable = event.failure == AttemptFailure::kNotSent;
   // An engine that has responded to other requests since then is alive and only rejects connections.
   const bool alive = unreachable && engine != nullptr && engine->last_response_time > attempt.sent_at;
+  LogAttemptFailure(*flow, attempt, event.failure);
   if (alive) {
     engines_.RecordRejection(attempt.engine_id, now_);
   } else {
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -303,6 +303,7 @@
   void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start,
                  std::int64_t tokens_to_prefill);
   void LogEngineHealth(const std::optional<HealthChange>& change);
+  void LogAttemptFailure(const Flow& flow, const Attempt& attempt, AttemptFailure failure);
   // Gives the selector an estimate of the work that other nodes have started since their last reports.
   void EstimateUnreportedWork(const std::string& service);
   std::string ChooseService(const Route& route);
--- a/src/core/serving/timeout_steps.cc
+++ b/src/core/serving/timeout_steps.cc
@@ -100,6 +100,20 @@
   }
 }
 
+// What this node and its peers last heard from the engine tells a broken path from a broken engine.
+void ServingCore::LogAttemptFailure(const Flow& flow, const Attempt& attempt, AttemptFailure failure) {
+  const EngineState* engine = engines_.Find(attempt.engine_id);
+  if (engine == nullptr) return;
+  const bool heard = engine->last_response_time != Time{};
+  const std::string_view outcome = failure == AttemptFailure::kNotSent  ? "not sent"
+                                   : failure == AttemptFailure::kBroken ? "broken"
+                                                                        : "malformed";
+  Log(EventId::kAttemptFailed, &flow,
+      fmt::format(R"("engine":"{}","outcome":"{}","after_ms":{},"heard_ms_ago":{},"peers_responses":{})",
+                  attempt.engine_id, outcome, (now_ - attempt.sent_at).count() / 1000,
+                  heard ? (now_ - engine->last_response_time).count() / 1000 : -1, engine->peers_responses));
+}
+
 void ServingCore::LogEngineHealth(const std::optional<HealthChange>& change) {
   if (!change) return;
   Log(EventId::kEngineEjected, nullptr,
