--- a/tests/support/serving_fleet.cc
+++ b/tests/support/serving_fleet.cc
@@ -58,23 +58,37 @@
   const Duration gap = FromSeconds(1 / per_second);
   int count = 0;
   for (Time at = now_; at < end; at += gap, ++count) {
-    const PromptMetadata metadata = prompt(count);
-    At(at, [this, route, metadata] {
-      const int node = static_cast<int>(random_.Below(nodes_.size()));
-      RequestArrived arrived;
-      arrived.flow = ++last_flow_;
-      arrived.metadata.request_id = "r" + std::to_string(last_flow_);
-      arrived.metadata.host = "h.example";
-      arrived.metadata.path = "/" + route + "/x";
-      arrived.metadata.prompt = metadata;
-      arrived.metadata.fingerprint = kPoisonFingerprint + arrived.flow;
-      requests_.push_back(now_);
-      arrived_at_[{node, arrived.flow}] = now_;
-      Send(node, arrived);
-    });
+    At(at,
+       [this, route, metadata = prompt(count)] { SendRequest(route, metadata, kPoisonFingerprint + last_flow_ + 1); });
   }
 }
 
+void ServingFleet::OfferRepeated(const std::string& route, double per_second, Time end, std::uint64_t distinct) {
+  const Duration gap = FromSeconds(1 / per_second);
+  std::uint64_t count = 0;
+  for (Time at = now_; at < end; at += gap, ++count) {
+    At(at, [this, route, fingerprint = 1 + count % distinct] { SendRequest(route, std::nullopt, fingerprint); });
+  }
+}
+
+void ServingFleet::SendRequest(const std::string& route, const std::optional<PromptMetadata>& prompt,
+                               std::uint64_t fingerprint) {
+  const int node = static_cast<int>(random_.Below(nodes_.size()));
+  RequestArrived arrived;
+  arrived.flow = ++last_flow_;
+  arrived.metadata.request_id = "r" + std::to_string(last_flow_);
+  arrived.metadata.host = "h.example";
+  arrived.metadata.path = "/" + route + "/x";
+  arrived.metadata.prompt = prompt;
+  arrived.metadata.fingerprint = fingerprint;
+  requests_.push_back(now_);
+  arrived_at_[{node, arrived.flow}] = now_;
+  request_ids_[{node, arrived.flow}] = arrived.metadata.request_id;
+  records_[arrived.metadata.request_id].at_most_once =
+      config_.FindRoute("h.example", arrived.metadata.path)->kind == RouteKind::kAtMostOnce;
+  Send(node, arrived);
+}
+
 void ServingFleet::SendPoisonRequests(const std::string& route, const PromptMetadata& prompt, Duration gap, Time end) {
   for (Time at = now_; at < end; at += gap) {
     At(at, [this, route, prompt] {
@@ -120,20 +134,23 @@
 
 void ServingFleet::FinishRequest(int node, FlowId flow, int* count) {
   ++*count;
-  arrived_at_.erase({node, flow});
+  const auto arrived = arrived_at_.find({node, flow});
+  if (arrived == arrived_at_.end()) return;
+  outcomes_.push_back({arrived->second, node, count == &completed_, now_ - arrived->second});
+  if (count == &refused_) records_[request_ids_[{node, flow}]].refused = true;
+  arrived_at_.erase(arrived);
 }
 
 void ServingFleet::Perform(int node, const std::vector<Action>& actions) {
   for (const Action& action : actions) {
     if (const auto* start = std::get_if<StartAttempt>(&action)) {
-      At(now_ + kLinkDelay, [this, node, start = *start] { Arrive(node, start); });
+      Connect(node, *start);
     } else if (std::holds_alternative<saltquay::serving::ReportCrashes>(action)) {
       At(now_ + 1us, [this, node] { ReportCrashes(node); });
     } else if (const auto* check = std::get_if<ProbeEngine>(&action)) {
-      At(now_ + 2 * kLinkDelay, [this, node, id = check->engine_id] {
-        const bool crashed = engines_.at(id).crashed;
-        Send(node, EngineProbed{id, crashed ? EngineProbeOutcome::kRefused : EngineProbeOutcome::kAccepted});
-      });
+      Probe(node, check->engine_id);
+    } else if (const auto* drop = std::get_if<DropIdleConnections>(&action)) {
+      idle_connections_.erase({node, drop->engine_id});
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
       cancelled_.insert({node, cancel->attempt});
     } else if (const auto* own = std::get_if<SendLocalReply>(&action)) {
@@ -151,6 +168,8 @@
       if (log->event == EventId::kEngineEjected) {
         const std::size_t from = log->details.find(":\"") + 2;
         ejected_.insert(log->details.substr(from, log->details.find('"', from) - from));
+      } else if (log->event == EventId::kEngineEnded) {
+        ++reported_crashes_;
       } else if (log->event == EventId::kRequestQuarantined) {
         const std::size_t from = log->details.find(":\"") + 2;
         quarantined_.insert(log->details.substr(from, log->details.find('"', from) - from));
@@ -177,6 +196,7 @@
 
 void ServingFleet::Begin(SimulatedEngine& simulated, const Call& call) {
   CountArrival(call, true);
+  if (call.start.mode != AttemptMode::kPrefill) RecordRun(call.node, call.start.flow);
   ++simulated.running;
   simulated.outstanding[{call.node, call.start.attempt}] = call;
   const bool is_poison = poison_.contains({call.node, call.start.flow}) && call.start.mode != AttemptMode::kPrefill;
@@ -191,7 +211,7 @@
 
 void ServingFleet::Refuse(SimulatedEngine& simulated, const Call& call) {
   CountArrival(call, false);
-  if (cancelled_.contains({call.node, call.start.attempt})) return;
+  if (!DeliversResponse(call)) return;
   Send(call.node, AttemptHeadReceived{call.start.flow, call.start.attempt,
                                       EngineResponseHead{503, true, false, LoadOf(simulated)}});
   Send(call.node, AttemptCompleted{call.start.flow, call.start.attempt, ""});
@@ -217,7 +237,7 @@
       Begin(simulated, next);
     }
   }
-  if (!is_wanted || cancelled_.contains({call.node, call.start.attempt})) return;
+  if (!is_wanted || !DeliversResponse(call)) return;
   const bool fails = simulated.engine.health == EngineHealth::kFailsOften && random_.Unit() < kErrorShare;
   Send(call.node, AttemptHeadReceived{call.start.flow, call.start.attempt,
                                       EngineResponseHead{fails ? 500 : 200, false, true, LoadOf(simulated)}});
@@ -232,7 +252,7 @@
   std::vector<Call> aborted_calls(simulated.waiting.begin(), simulated.waiting.end());
   for (const auto& [key, call] : simulated.outstanding) aborted_calls.push_back(call);
   for (const Call& call : aborted_calls) {
-    if (cancelled_.contains({call.node, call.start.attempt})) continue;
+    if (!DeliversResponse(call)) continue;
     Send(call.node, AttemptFailed{call.start.flow, call.start.attempt, AttemptFailure::kBroken});
   }
   At(now_ + kRecordRetention, [this, id = simulated.engine.record.id] { SendAll(EngineRemoved{id}); });
--- a/tests/support/serving_fleet.h
+++ b/tests/support/serving_fleet.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +28,18 @@
   EngineHealth health = EngineHealth::kHealthy;
 };
 
+// How a partition from engines shows at a node. kSilent: open connections fall silent, new ones hang. kReset: open ones
+// are reset, new ones refused. kNewRefused: open ones work on, new ones are refused.
+enum class PartitionKind { kSilent, kReset, kNewRefused };
+
+// The end of a request at the node that its client called.
+struct RequestOutcome {
+  Time at{};  // When it arrived.
+  int node = 0;
+  bool served = false;
+  Duration took = 0s;
+};
+
 // An execution of a poison request.
 struct PoisonRun {
   Time at{};  // When it reached the engine.
@@ -50,6 +63,8 @@
   void Begin();
   // Sends `per_second` requests of the route to random nodes until `end`.
   void Offer(const std::string& route, double per_second, Time end, const std::function<PromptMetadata(int)>& prompt);
+  // The same with only `distinct` different requests, which clients send again and again.
+  void OfferRepeated(const std::string& route, double per_second, Time end, std::uint64_t distinct);
   // Sends a request that crashes each engine that starts to run it to a random node, once every `gap`. A crashed engine
   // is replaced by a new one at its address after `EngineRestartDelay()`.
   void SendPoisonRequests(const std::string& route, const PromptMetadata& prompt, Duration gap, Time end);
@@ -58,6 +73,9 @@
   void set_sides(std::vector<int> sides) { sides_ = std::move(sides); }
   // Crashed engines restart under the same id, as a new incarnation.
   void set_restart_with_same_ids() { same_ids_ = true; }
+  // Partitions the node from the engines; empty: from all. Peers, the store and clients still reach it.
+  void PartitionFromEngines(int node, PartitionKind kind, const std::set<std::string>& engines = {});
+  void HealPartition(int node);
   // Share of messages between nodes that are lost.
   void set_loss(double share) { loss_ = share; }
   // Restarts the node: its state and its requests in flight are lost.
@@ -77,6 +95,11 @@
   const std::vector<PoisonRun>& poison_runs() const { return poison_runs_; }
   // Requests in quarantine on any node, by fingerprint; each ordinary request has a unique one.
   const std::set<std::string>& quarantined() const { return quarantined_; }
+  // How often a node recorded that an engine had crashed.
+  int reported_crashes() const { return reported_crashes_; }
+  const std::vector<RequestOutcome>& outcomes() const { return outcomes_; }
+  // Broken promises: at-most-once requests that ran twice, and refused requests that ran.
+  std::vector<std::string> Violations() const;
   int calls_at(const std::string& engine) const { return engines_.at(engine).calls; }
   // Maximum of the counted arrivals minus (ratio x requests + slack) over all windows; negative if never exceeded.
   double MaxBudgetExcess(double ratio, double slack, Duration window) const;
@@ -96,15 +119,27 @@
     bool crashed = false;
     std::map<std::pair<int, AttemptId>, Call> outstanding;
   };
+  struct Partition {
+    PartitionKind kind = PartitionKind::kSilent;
+    std::set<std::string> engines;
+  };
+  // What became of one client request, by its id.
+  struct RequestRecord {
+    bool at_most_once = false;
+    bool refused = false;
+    int runs = 0;
+  };
   struct RequestArrivals {
     int runs = 0;
     int prefills = 0;
   };
 
+  void SendRequest(const std::string& route, const std::optional<PromptMetadata>& prompt, std::uint64_t fingerprint);
   void At(Time at, std::function<void()> step) { events_.emplace(at, std::move(step)); }
   void Send(int node, const Event& event);
   void Perform(int node, const std::vector<Action>& actions);
   void Wake(int node);
+  void Connect(int node, const StartAttempt& start);
   void Arrive(int node, const StartAttempt& start);
   void Begin(SimulatedEngine& simulated, const Call& call);
   void Finish(SimulatedEngine& simulated, const Call& call);
@@ -122,6 +157,18 @@
   bool ReceivesFrom(int to, int from) const { return to != from && (sides_.empty() || sides_[to] == sides_[from]); }
   EngineLoad LoadOf(const SimulatedEngine& simulated) const;
   void FinishRequest(int node, FlowId flow, int* count);
+  // The partition between the node and the engine; nullptr if there is none.
+  const Partition* FindPartition(int node, const std::string& engine) const;
+  // Takes an idle connection; returns false if there is none.
+  bool TakeConnection(int node, const StartAttempt& start);
+  void FailAttempt(int node, const StartAttempt& start, AttemptFailure failure);
+  void ResetConnections(int node);
+  // The node's calls at engines that it is partitioned from.
+  std::vector<StartAttempt> CallsInFlight(int node) const;
+  void Probe(int node, const std::string& engine);
+  // Whether the response of this call still reaches its node; its connection becomes idle.
+  bool DeliversResponse(const Call& call);
+  void RecordRun(int node, FlowId flow);
 
   ServingConfig config_;
   std::vector<std::unique_ptr<ServingCore>> nodes_;
@@ -141,6 +188,12 @@
   bool same_ids_ = false;
   double loss_ = 0;
   std::vector<int> sides_;  // By node.
+  std::map<int, Partition> partitions_;
+  std::map<std::pair<int, std::string>, int> idle_connections_;
+  std::set<std::pair<int, AttemptId>> silenced_;  // Their connections fell silent: no response arrives.
+  std::map<std::pair<int, FlowId>, std::string> request_ids_;
+  std::map<std::string, RequestRecord> records_;
+  std::vector<RequestOutcome> outcomes_;
   Random random_;
   Time now_{1s};
   FlowId last_flow_ = 0;
@@ -148,6 +201,7 @@
   int within_objective_ = 0;
   int refused_ = 0;
   int failed_ = 0;
+  int reported_crashes_ = 0;
 };
 
 }  // namespace saltquay::serving
