--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -43,6 +43,7 @@
   kEngineLimit = 510,
   kEngineRest = 511,
   kEngineLeaving = 512,
+  kEnginePath = 513,
   kUsageSealed = 520,
   kUsageReported = 521,
   kUsageNotReported = 522,
--- a/src/core/serving/crash_steps.cc
+++ b/src/core/serving/crash_steps.cc
@@ -33,12 +33,9 @@
   const EngineState* engine = engines_.Find(engine_id);
   // An engine that was leaving or already removed exits as planned.
   if (engine == nullptr || engine->gone || engine->record.leaving) return;
-  const bool should_probe = crash_detector_.RecordBrokenResponse(engine_id, engine->key, fingerprint, now_);
-  if (should_probe) actions_->push_back(ProbeEngine{engine_id, engine->record.address});
+  if (crash_detector_.RecordBrokenResponse(engine_id, engine->key, fingerprint, now_)) RequestProbe(*engine);
 }
 
-void ServingCore::On(const EngineProbed& event) { crash_detector_.RecordProbeOutcome(event.engine_id, event.outcome); }
-
 void ServingCore::HandleCrashedEngines() {
   const auto has_work = [this](const std::string& id) {
     const EngineState* engine = engines_.Find(id);
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -103,9 +103,11 @@
   Time backed_off_until{};
   int probation_limit = 0;    // Maximum number of this node's concurrent requests during probation; 0: no limit.
   Time last_response_time{};  // Time of the last response of any kind.
-  Time changing_until{};      // While a stage change is in progress.
-  Time held_until{};          // While a stage change is announced.
-  Time rests_until{};         // This node shall send nothing until then.
+  bool unreachable = false;   // This node cannot connect to it; see engine_path_monitor.h.
+  Time unreachable_since{};
+  Time changing_until{};                          // While a stage change is in progress.
+  Time held_until{};                              // While a stage change is announced.
+  Time rests_until{};                             // This node shall send nothing until then.
   std::optional<limits::EngineLimit> rate_limit;  // As the engine last stated to any node; nullopt: none.
   Time limit_stated_at{};                         // Of that statement.
 
@@ -114,7 +116,8 @@
   // Whether the engine should receive no new requests now, for any reason.
   bool IsOutOfService(Time now) const {
     const bool probation_full = probation_limit > 0 && outstanding >= probation_limit;
-    return probation_full || now < std::max({ejected_until, backed_off_until, changing_until, held_until, rests_until});
+    return unreachable || probation_full ||
+           now < std::max({ejected_until, backed_off_until, changing_until, held_until, rests_until});
   }
 };
 
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -44,9 +44,11 @@
   if (flow.arrivals > 0 && !retry_budget_share_.MayTake(flow.service, now_, unsettled_calls)) return false;
   std::optional<EngineAdmission> admission = gate_->Admit(*engine, now_);
   if (!admission) return false;
-  if (flow.arrivals > 0) ChargeRetryBudget(flow, ExtraArrival::kExecutionRetried);
+  const bool extra = flow.arrivals > 0;
+  if (extra) ChargeRetryBudget(flow, ExtraArrival::kExecutionRetried);
   ++flow.arrivals;
   Start(flow, std::move(*admission), mode);
+  flow.attempts.rbegin()->second.charged = extra;
   flow.kv_cache.reset();  // A handle can be used once.
   return true;
 }
@@ -288,6 +290,7 @@
   flow.response_missing = true;
   const bool arrived = failure != AttemptFailure::kNotSent;
   if (!arrived) {
+    if (attempt.charged) retry_budget_share_.RefundExtraArrival(flow.service, now_);
     if (attempt.kv_cache) flow.kv_cache = attempt.kv_cache;
     if (attempt.mode == AttemptMode::kPrefill) --flow.prefills;
     if (attempt.mode != AttemptMode::kPrefill) {
--- a/src/core/serving/prefill_steps.cc
+++ b/src/core/serving/prefill_steps.cc
@@ -163,6 +163,7 @@
   if (extra) ChargeRetryBudget(flow, ExtraArrival::kPrefillRetried);
   ++flow.prefills;
   Start(flow, std::move(*admission), AttemptMode::kPrefill);
+  flow.attempts.rbegin()->second.charged = extra;
   if (!extra) {
     flow.attempts.rbegin()->second.unsettled_calls = &unsettled_calls;
     ++unsettled_calls;
@@ -203,9 +204,11 @@
   if (prefill_ms > parameters_.overflow_prefill_share * ObjectiveMs(flow)) return false;
   std::optional<EngineAdmission> admission = gate_->Admit(*engine, now_);
   if (!admission) return false;
-  if (flow.arrivals > 0) ChargeRetryBudget(flow, ExtraArrival::kExecutionRetried);
+  const bool extra = flow.arrivals > 0;
+  if (extra) ChargeRetryBudget(flow, ExtraArrival::kExecutionRetried);
   ++flow.arrivals;
   Start(flow, std::move(*admission), AttemptMode::kWhole);
+  flow.attempts.rbegin()->second.charged = extra;
   return true;
 }
 
--- a/src/core/serving/retry_budget_share.h
+++ b/src/core/serving/retry_budget_share.h
@@ -62,6 +62,12 @@
     PrunedUsage(service, now).extra_arrivals.push_back(now);
   }
 
+  // Takes back one charge: that call never reached an engine.
+  void RefundExtraArrival(const std::string& service, Time now) {
+    std::deque<Time>& charged = PrunedUsage(service, now).extra_arrivals;
+    if (!charged.empty()) charged.pop_back();
+  }
+
   // Charges one extra arrival; returns false if the share of this window, less the expected charges of
   // `unsettled_calls` calls, is spent. Unsettled calls are in flight and will be charged only if they are refused.
   bool TryTake(const std::string& service, Time now, int unsettled_calls = 0) {
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -25,6 +25,7 @@
   if (limiter_ != nullptr) StepLimiter();
   if (dispatch_pending_ || (next_dispatch_ && now_ >= *next_dispatch_)) DispatchAllPrefills();
   StepPermits();
+  StepPaths();
   actions_ = nullptr;
 }
 
@@ -32,6 +33,7 @@
   std::optional<Time> next = limiter_ == nullptr ? std::nullopt : limiter_->next_deadline();
   const auto consider = [&next](Time at) { next = next ? std::min(*next, at) : at; };
   if (const std::optional<Time> at = permits_->next_deadline()) consider(*at);
+  if (const std::optional<Time> at = paths_.next_deadline()) consider(*at);
   if (!wake_up_queue_.empty()) consider(wake_up_queue_.begin()->first);
   if (next_dispatch_) consider(*next_dispatch_);
   return next;
@@ -263,6 +265,7 @@
   Attempt& attempt = flow->attempts[event.attempt];
   attempt.head_seen = true;
   attempt.response_head = event.response_head;
+  RecordEngineHeard(attempt);
   crash_detector_.RecordActivity(attempt.engine_id, attempt.sent_at, now_);
   if (event.response_head.load) engines_.RecordLoad(attempt.engine_id, *event.response_head.load, now_);
   if (!event.response_head.not_executed) {
@@ -303,34 +306,6 @@
   FinishExecution(*flow, attempt);
 }
 
-void ServingCore::On(const AttemptFailed& event) {
-  if (const auto detached = detached_attempts_.extract(event.attempt)) {
-    if (event.failure == AttemptFailure::kBroken) {
-      RecordBrokenResponse(detached.mapped().engine_id, detached.mapped().fingerprint);
-    }
-    return;
-  }
-  Flow* flow = FindFlow(event.flow);
-  if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
-  const Attempt attempt = flow->attempts[event.attempt];
-  // A plain request whose response is lost has usually been executed; a prompt has usually not reached its first token.
-  if (event.failure != AttemptFailure::kNotSent && !flow->language) CountTenantUsage(*flow, attempt);
-  EndAttempt(*flow, event.attempt);
-  if (event.failure == AttemptFailure::kBroken) RecordBrokenResponse(attempt.engine_id, flow->fingerprint);
-  const EngineState* engine = engines_.Find(attempt.engine_id);
-  const bool unreachable = event.failure == AttemptFailure::kNotSent;
-  // An engine that has responded to other requests since then is alive and only rejects connections.
-  const bool alive = unreachable && engine != nullptr && engine->last_response_time > attempt.sent_at;
-  LogAttemptFailure(*flow, attempt, event.failure);
-  if (alive) {
-    engines_.RecordRejection(attempt.engine_id, now_);
-  } else {
-    LogEngineHealth(
-        engines_.RecordFailure(attempt.engine_id, unreachable ? "connection failed" : "response interrupted", now_));
-  }
-  OnAttemptLost(*flow, attempt, event.failure);
-}
-
 void ServingCore::On(const TimerFired& /*event*/) {
   while (!wake_up_queue_.empty() && wake_up_queue_.begin()->first <= now_) {
     const FlowId id = wake_up_queue_.begin()->second;
@@ -368,7 +343,9 @@
   if (flow.hedge_at && *flow.hedge_at > now_) at = std::min(at, *flow.hedge_at);
   if (flow.engine_wait_ends) at = std::min({at, *flow.engine_wait_ends, now_ + kWaitStep});
   for (const auto& [id, attempt] : flow.attempts) {
-    if (!attempt.timeout_handled && !attempt.head_seen) at = std::min(at, attempt.times_out_at);
+    if (attempt.head_seen) continue;
+    if (!attempt.silence_checked) at = std::min(at, attempt.sent_at + parameters_.silence_check_delay);
+    if (!attempt.timeout_handled) at = std::min(at, attempt.times_out_at);
   }
   const auto armed = wake_ups_.find(flow.id);
   if (armed != wake_ups_.end()) wake_up_queue_.erase({armed->second, flow.id});
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -24,6 +24,7 @@
 #include "src/core/serving/demand_meter.h"
 #include "src/core/serving/engine_crash_detector.h"
 #include "src/core/serving/engine_gate.h"
+#include "src/core/serving/engine_path_monitor.h"
 #include "src/core/serving/engine_selector.h"
 #include "src/core/serving/events.h"
 #include "src/core/serving/retry_budget_share.h"
@@ -42,9 +43,11 @@
   EngineResponseHead response_head;
   Time times_out_at{};  // Handled once, at this time, unless a response head has arrived.
   bool timeout_handled = false;
+  bool silence_checked = false;                    // The engine was checked for being reachable, or did not need to be.
   std::optional<KvCacheSource> kv_cache;           // The KV cache that the attempt decodes from.
   bool engine_was_idle = false;                    // No other work was known to be in flight there.
   admission::ConcurrencyWindow* window = nullptr;  // The window that the attempt occupies a slot of.
+  bool charged = false;                            // To the retry budget.
   int* unsettled_calls = nullptr;                  // The counter that includes the attempt until it ends.
   Duration target = 0s;                            // Target for the prefill time.
 };
@@ -146,6 +149,8 @@
   const EngineDirectory& engines() const { return engines_; }
   EngineSelector& selector() { return selector_; }
   CrashLedger& crashes() { return crashes_; }
+  // Engines that this node cannot connect to.
+  std::size_t unreachable_engines() const { return paths_.unreachable_count(); }
   // This node's work and demand, for its report to the peers.
   std::vector<EngineWork> LocalWork(Time now) { return engines_.LocalWork(now); }
   std::vector<ServiceDemand> LocalDemand(Time now);
@@ -268,6 +273,25 @@
   void StepLimiter();
   void LogOwnershipChange(const limits::OwnershipChange& change);
 
+  // Paths to engines (path_steps.cc).
+  // Decides whether the failure says something about the engine or only about the path to it.
+  void AttributeFailure(const Flow& flow, const Attempt& attempt, AttemptFailure failure);
+  void SuspectEngine(EngineState& engine, AttemptFailure failure);
+  // Probes the engine, at most once during an event.
+  void RequestProbe(const EngineState& engine);
+  void OnProbeFailed(EngineState& engine, EngineProbeOutcome outcome);
+  void CheckRelatedEngines(const EngineState& unreachable);
+  void CheckSilentEngine(const Attempt& attempt);
+  void RecordSilence(const Attempt& attempt);
+  void MarkUnreachable(EngineState& engine, std::string_view cause);
+  void MarkReachable(EngineState& engine, std::string_view cause);
+  // The engine responded to the attempt.
+  void RecordEngineHeard(const Attempt& attempt);
+  // Starts the probes that are due.
+  void StepPaths();
+  void LogPath(const EngineState& engine, std::string_view cause);
+  void LogAttemptFailure(const Flow& flow, const Attempt& attempt, AttemptFailure failure);
+
   // Engines that crashed while running requests (crash_steps.cc).
   void RecordBrokenResponse(const std::string& engine_id, std::uint64_t fingerprint);
   // At-most-once attempts go on after the client disconnects. If the engine crashes, the request is still blamed.
@@ -303,7 +327,6 @@
   void LogRouted(const Flow& flow, const EngineState& engine, const StartAttempt& start,
                  std::int64_t tokens_to_prefill);
   void LogEngineHealth(const std::optional<HealthChange>& change);
-  void LogAttemptFailure(const Flow& flow, const Attempt& attempt, AttemptFailure failure);
   // Gives the selector an estimate of the work that other nodes have started since their last reports.
   void EstimateUnreportedWork(const std::string& service);
   std::string ChooseService(const Route& route);
@@ -338,6 +361,7 @@
     std::uint64_t fingerprint = 0;
   };
   std::map<AttemptId, DetachedAttempt> detached_attempts_;
+  EnginePathMonitor paths_;
   EngineCrashDetector crash_detector_;
   CrashLedger crashes_;
   TenantDirectory tenants_;  // Built from config_.
--- a/src/core/serving/serving_parameters.h
+++ b/src/core/serving/serving_parameters.h
@@ -115,6 +115,8 @@
   double hedge_delay_share = 0.8;
   // An engine that has work in flight and sends nothing for this long is ejected.
   Duration unresponsive_timeout = 1500ms;
+  // An engine that sends nothing for this long after a request was sent to it is probed.
+  Duration silence_check_delay = 500ms;
   // A prefill that takes this multiple of its expected time is retried at another engine.
   double prefill_timeout_factor = 3;
   // Connect timeout as a share of the objective, clamped to these bounds.
--- a/src/core/serving/timeout_steps.cc
+++ b/src/core/serving/timeout_steps.cc
@@ -36,13 +36,15 @@
 // work move to another engine; other work stays.
 void ServingCore::CheckAttemptTimeouts(Flow& flow) {
   for (auto& [id, attempt] : flow.attempts) {
-    if (attempt.timeout_handled || attempt.head_seen || now_ < attempt.times_out_at) continue;
+    if (attempt.head_seen) continue;
+    if (!attempt.silence_checked && now_ >= attempt.sent_at + parameters_.silence_check_delay) {
+      attempt.silence_checked = true;
+      CheckSilentEngine(attempt);
+    }
+    if (attempt.timeout_handled || now_ < attempt.times_out_at) continue;
     attempt.timeout_handled = true;
     const bool unresponsive = EngineUnresponsiveSince(attempt);
-    if (unresponsive) {
-      DropIdleConnectionsTo(attempt);
-      LogEngineHealth(engines_.RecordFailure(attempt.engine_id, "silent", now_));
-    }
+    if (unresponsive) RecordSilence(attempt);
     if (!ShouldAbandon(flow, attempt, unresponsive)) continue;
     flow.tried_engines.insert(attempt.engine_id);
     flow.response_missing = true;
@@ -52,6 +54,14 @@
   }
 }
 
+// An engine that cannot be reached is not to blame.
+void ServingCore::RecordSilence(const Attempt& attempt) {
+  DropIdleConnectionsTo(attempt);
+  const EngineState* engine = engines_.Find(attempt.engine_id);
+  if (engine != nullptr && !engine->unreachable)
+    LogEngineHealth(engines_.RecordFailure(attempt.engine_id, "silent", now_));
+}
+
 bool ServingCore::EngineUnresponsiveSince(const Attempt& attempt) {
   const EngineState* engine = engines_.Find(attempt.engine_id);
   return engine == nullptr || engine->last_response_time < attempt.sent_at;
@@ -100,20 +110,6 @@
   }
 }
 
-// What this node and its peers last heard from the engine tells a broken path from a broken engine.
-void ServingCore::LogAttemptFailure(const Flow& flow, const Attempt& attempt, AttemptFailure failure) {
-  const EngineState* engine = engines_.Find(attempt.engine_id);
-  if (engine == nullptr) return;
-  const bool heard = engine->last_response_time != Time{};
-  const std::string_view outcome = failure == AttemptFailure::kNotSent  ? "not sent"
-                                   : failure == AttemptFailure::kBroken ? "broken"
-                                                                        : "malformed";
-  Log(EventId::kAttemptFailed, &flow,
-      fmt::format(R"("engine":"{}","outcome":"{}","after_ms":{},"heard_ms_ago":{},"peers_responses":{})",
-                  attempt.engine_id, outcome, (now_ - attempt.sent_at).count() / 1000,
-                  heard ? (now_ - engine->last_response_time).count() / 1000 : -1, engine->peers_responses));
-}
-
 void ServingCore::LogEngineHealth(const std::optional<HealthChange>& change) {
   if (!change) return;
   Log(EventId::kEngineEjected, nullptr,
