Requests whose engines a node cannot reach are served by a peer (RECOVER)

Cause: nothing let a node serve a request whose engines it does not reach. Its attempts went from engine to engine behind the same partition and ended in 503. Class: a failure of a pair (node, engine) treated as one of the engine. Change: a node that cannot reach a stage that the request needs, or whose connections to two engines failed, hands the request to a peer (ForwardingPeers, forward_steps, forward_protocol), which serves it like its own clients' requests and never hands it on. What the peer may have executed is not repeated; a peer that cannot serve says so and the next one is asked, four at most. Deadline, attempts, executions, engines tried, usage and configuration version go along; the tenant's limit is charged once, at the node that the client called. Peers accept requests only from known nodes. A connection to an engine is given 100 ms and four round trips instead of up to 400 ms.

--- a/include/saltquay/replica/relay_server.h
+++ b/include/saltquay/replica/relay_server.h
@@ -3,6 +3,7 @@
 // started and has no copy yet. 503: this node is not connected to the store, neither directly nor through other nodes.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,11 @@
     absl::Status listen(std::string const& address);
     // Responds to pending watches of `kind` after its changes arrived or the copy was confirmed without changes.
     void on_record_update(std::string const& kind);
+    // Applies to requests that begin later.
+    void set_limits(http::ServerLimits const& limits) { server_->set_limits(limits); }
+
+    // Called first with every request; returns whether it has taken the request. May be empty.
+    std::function<bool(std::shared_ptr<http::Exchange> const&)> request_filter;
 
 private:
     struct PendingWatch {
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -66,6 +66,7 @@
   kAttemptFailed = 619,
   kLimitHome = 620,
   kLimitChanged = 621,
+  kRequestForwarded = 630,
   kStoreUnavailable = 700,
   kStoreRecovered = 701,
   kStoreContact = 702,
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -43,7 +43,7 @@
 EngineState* EngineSelector::CheapestOf(const Candidates& candidates, const EngineIds& tried, Time now, Cost cost) {
   struct Best {
     EngineState* engine = nullptr;
-    std::pair<bool, double> rank;
+    std::tuple<bool, bool, double> rank;
   };
   Best open;
   Best without_permit;  // Of the engines that only need a permit.
@@ -51,7 +51,7 @@
     if (tried.contains(candidate.engine->record.id)) continue;
     const bool is_open = IsOpen(*candidate.engine, now);
     if (!is_open && !gate_->MayRequestPermit(*candidate.engine, now)) continue;
-    const std::pair<bool, double> rank{candidate.engine->IsOutOfService(now), cost(candidate)};
+    const std::tuple rank{candidate.engine->unreachable, candidate.engine->IsOutOfService(now), cost(candidate)};
     Best& best = is_open ? open : without_permit;
     if (best.engine == nullptr || rank < best.rank) best = {candidate.engine, rank};
   }
@@ -173,6 +173,12 @@
   return earliest;
 }
 
+bool EngineSelector::ReachesNone(EngineDirectory& engines, const std::string& service, EngineStage stage) {
+  const Candidates& members = GroupOf(engines, service, stage).all();
+  return !members.empty() && std::all_of(members.begin(), members.end(),
+                                         [](const IndexedEngine& member) { return member.engine->unreachable; });
+}
+
 EngineCount EngineSelector::CountEngines(EngineDirectory& engines, const std::string& service, EngineStage stage,
                                          Time now) {
   const GroupTotals& totals = GroupOf(engines, service, stage).Totals(now);
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -44,6 +44,17 @@
   std::vector<PromptPart> parts;  // In prompt order; the last one is specific to this request and not shared.
 };
 
+// What has become of a request at the node that its client called, which handed it to this node.
+struct ForwardedRequest {
+  std::string node;
+  std::uint64_t config_version = 0;  // The version in force there.
+  int arrivals = 0;                  // These three as in Flow, over the engines that the node called itself.
+  int prefills = 0;
+  int executions = 0;
+  bool usage_counted = false;
+  std::vector<std::string> tried_engines;
+};
+
 struct RequestMetadata {
   std::string request_id;
   std::string host;
@@ -55,17 +66,26 @@
   std::string api_key;
   // Identifies the request across attempts, nodes, connections and client retries; 0 if unknown.
   std::uint64_t fingerprint = 0;
+  std::optional<ForwardedRequest> forwarded;
 };
 
 // Units of the tenant's limit that the request consumes.
 std::int64_t CostOf(const limits::TenantLimit& limit, const RequestMetadata& metadata);
 
+// How a peer responds to a request that it was handed. kNone: with an engine's response; kRefused: it did not execute
+// the request, and others would not either; kElsewhere: it did not execute the request, but others may; kFailed: an
+// error of its own, the request may have been executed.
+enum class PeerReply { kNone, kRefused, kElsewhere, kFailed };
+
 // The fields of an engine's response head that the core uses.
 struct EngineResponseHead {
   int status = 0;
   bool not_executed = false;
   bool signed_by_engine = false;
   std::optional<EngineLoad> load;
+  // For a request that was handed to a peer.
+  PeerReply peer_reply = PeerReply::kNone;
+  std::optional<Duration> retry_after = std::nullopt;
 };
 
 // What an engine states about itself in every response. A field that is absent from a response no longer applies.
@@ -81,6 +101,7 @@
   kWhole,     // Prefill and decode at the same engine.
   kPrefill,   // Prefill only; the engine keeps the KV cache under a handle.
   kContinue,  // Decode from a KV cache that another engine holds.
+  kForward,   // A peer serves the request; there is no engine of this node's.
 };
 
 struct ConfigurationChanged {
@@ -168,6 +189,10 @@
   std::vector<limits::LimiterNode> nodes;
   limits::Reach reach;
 };
+// All known nodes that are not stopping, excluding this one.
+struct PeersListed {
+  std::vector<PeerNode> nodes;
+};
 // A message of the limit protocol from another node.
 struct LimitMessageArrived {
   limits::LimitMessage message;
@@ -184,7 +209,7 @@
     std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
                  StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected, EngineNoticeReceived,
                  AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted, AttemptFailed, EngineProbed,
-                 PeerCrashesReported, PeerEngineLimitsReported, PeerLeavingEnginesReported, NodesChanged,
+                 PeerCrashesReported, PeerEngineLimitsReported, PeerLeavingEnginesReported, NodesChanged, PeersListed,
                  LimitMessageArrived, PermitMessageArrived, NodeStopping, TimerFired>;
 
 struct KvCacheSource {
@@ -209,6 +234,17 @@
   std::string tenant;  // Empty for an anonymous client.
   bool on_new_connection = false;
 };
+// Send the request to a peer, which serves it like one of its own clients.
+struct ForwardRequest {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+  PeerNode peer;
+  ForwardedRequest state;
+  std::string last_event_id;
+  Duration time_left = 0s;
+  Duration connect_timeout = 0s;
+  bool streams = false;
+};
 struct CancelAttempt {
   AttemptId attempt = 0;
 };
@@ -234,6 +270,7 @@
   FlowId flow = 0;
   int status = 0;
   std::optional<Duration> retry_after;
+  bool elsewhere = false;  // For a request of a peer: another node may serve it.
 };
 // Terminate the response such that the client can detect that it is incomplete.
 struct AbortResponse {
@@ -277,8 +314,8 @@
 };
 
 using Action =
-    std::variant<StartAttempt, CancelAttempt, DropIdleConnections, RelayResponse, BeginRelay, EndRelay, SendLocalReply,
-                 AbortResponse, ReleaseKvCache, ExecutionStarted, ExtraArrivalCounted, ProbeEngine, ReportCrashes,
-                 ReportEngineStatements, SendLimitMessages, SendPermitMessages, LogDecision>;
+    std::variant<StartAttempt, ForwardRequest, CancelAttempt, DropIdleConnections, RelayResponse, BeginRelay, EndRelay,
+                 SendLocalReply, AbortResponse, ReleaseKvCache, ExecutionStarted, ExtraArrivalCounted, ProbeEngine,
+                 ReportCrashes, ReportEngineStatements, SendLimitMessages, SendPermitMessages, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -18,6 +18,7 @@
 
 std::string_view ModeName(AttemptMode mode) {
   if (mode == AttemptMode::kPrefill) return "prefill";
+  if (mode == AttemptMode::kForward) return "forward";
   return mode == AttemptMode::kContinue ? "continue" : "whole";
 }
 
@@ -29,6 +30,8 @@
 
 // Starts the next attempt that the flow needs, or waits for an engine.
 void ServingCore::Advance(Flow& flow) {
+  if (MustRefuseElsewhere(flow)) return RefuseElsewhere(flow, "engines not reachable");
+  if (CannotReachEngines(flow) && StartForward(flow)) return;
   const bool wants_prefill = SplitsPrompt(flow, parameters_) && !flow.kv_cache;
   if (wants_prefill && EnqueuePrefill(flow)) return;
   if (StartExecution(flow)) return;
@@ -38,7 +41,8 @@
 bool ServingCore::StartExecution(Flow& flow) {
   const AttemptMode mode = flow.kv_cache ? AttemptMode::kContinue : AttemptMode::kWhole;
   EngineState* engine = ChooseExecutionEngine(flow, mode);
-  if (engine == nullptr) return false;
+  if (PrefersPeer(flow, engine) && StartForward(flow)) return true;
+  if (engine == nullptr || engine->unreachable) return false;
   // Leave enough budget for the unsettled first prefills.
   const int unsettled_calls = flow.language ? PrefillStateOf(flow.service).unsettled_calls : 0;
   if (flow.arrivals > 0 && !retry_budget_share_.MayTake(flow.service, now_, unsettled_calls)) return false;
@@ -92,7 +96,6 @@
   StartAttempt start;
   if (mode != AttemptMode::kContinue && flow.language) PlanPrefillWork(flow, engine, attempt, start);
   engines_.BeginWork(engine, attempt.prompt_tokens);
-  const double connect_seconds = ToSeconds(flow.route.objective) * parameters_.connect_share;
   start.flow = flow.id;
   start.attempt = attempt.id;
   start.engine_id = engine.record.id;
@@ -101,8 +104,7 @@
   if (mode == AttemptMode::kContinue) start.kv_cache_source = attempt.kv_cache = flow.kv_cache;
   start.last_event_id = flow.last_event_id;
   start.time_left = flow.expires_at + parameters_.response_margin - now_;
-  start.connect_timeout =
-      std::clamp(FromSeconds(connect_seconds), parameters_.min_connect_timeout, parameters_.max_connect_timeout);
+  start.connect_timeout = ConnectTimeout(engine.record.zone);
   start.priority = flow.route.priority;
   start.tenant = flow.tenant;
   start.streams = flow.route.kind == RouteKind::kStreaming;
@@ -115,6 +117,11 @@
   ScheduleWakeUp(flow);
 }
 
+// A few times the usual time: a connection that is not accepted by then has carried nothing.
+Duration ServingCore::ConnectTimeout(const std::string& zone) const {
+  return parameters_.connect_timeout + parameters_.connect_round_trips * 2 * selector_.topology().LatencyTo(zone);
+}
+
 void ServingCore::MeterDispatch(Flow& flow, const Attempt& attempt) {
   // A prompt that overflows to a decode engine is still demand for prefill engines.
   const bool separate = attempt.mode == AttemptMode::kPrefill || SplitsPrompt(flow, parameters_);
@@ -290,6 +297,7 @@
   flow.response_missing = true;
   const bool arrived = failure != AttemptFailure::kNotSent;
   if (!arrived) {
+    ++flow.connect_failures;
     if (attempt.charged) retry_budget_share_.RefundExtraArrival(flow.service, now_);
     if (attempt.kv_cache) flow.kv_cache = attempt.kv_cache;
     if (attempt.mode == AttemptMode::kPrefill) --flow.prefills;
@@ -342,6 +350,7 @@
 void ServingCore::EndAttempt(Flow& flow, AttemptId id) {
   const auto entry = flow.attempts.find(id);
   if (entry == flow.attempts.end()) return;
+  if (entry->second.mode == AttemptMode::kForward) forwarding_peers_.RecordEnd(entry->second.peer);
   MeterDecodeDemand(flow, entry->second);
   if (entry->second.unsettled_calls != nullptr) --*entry->second.unsettled_calls;
   if (entry->second.window != nullptr) {
--- a/src/core/serving/limit_steps.cc
+++ b/src/core/serving/limit_steps.cc
@@ -77,7 +77,8 @@
 }
 
 void ServingCore::BeginServing(Flow& flow) {
-  retry_budget_share_.RecordRequest(flow.service, now_);
+  // A request of a peer earns that peer's share of the budget.
+  if (!flow.metadata.forwarded) retry_budget_share_.RecordRequest(flow.service, now_);
   Advance(flow);
 }
 
--- a/src/core/serving/path_steps.cc
+++ b/src/core/serving/path_steps.cc
@@ -1,5 +1,6 @@
 // What failed calls say about engines and about the paths to them; see engine_path_monitor.h for the protocol.
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -34,6 +35,7 @@
   // A plain request whose response is lost has usually been executed; a prompt has usually not reached its first token.
   if (event.failure != AttemptFailure::kNotSent && !flow->language) CountTenantUsage(*flow, attempt);
   EndAttempt(*flow, event.attempt);
+  if (attempt.mode == AttemptMode::kForward) return OnForwardLost(*flow, attempt, event.failure);
   LogAttemptFailure(*flow, attempt, event.failure);
   AttributeFailure(*flow, attempt, event.failure);
   OnAttemptLost(*flow, attempt, event.failure);
@@ -116,6 +118,7 @@
   if (engine.gone || engine.record.leaving || !paths_.RecordUnreachable(engine.record.id, now_)) return;
   engine.unreachable = true;
   engine.unreachable_since = now_;
+  paths_lost_ = true;
   LogPath(engine, cause);
 }
 
@@ -134,6 +137,7 @@
 }
 
 void ServingCore::StepPaths() {
+  if (std::exchange(paths_lost_, false)) ForwardQueuedPrompts();
   for (const std::string& id : paths_.TakeDueProbes(now_)) {
     EngineState* engine = engines_.Find(id);
     const bool exists = engine != nullptr && !engine->gone && !engine->record.leaving && engine->unreachable;
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -13,6 +13,7 @@
       selector_(parameters, zone, seed),
       retry_budget_share_(parameters.retry_budget),
       random_(seed + 1),
+      forwarding_peers_(parameters.forwarding),
       crashes_(parameters.crashes) {
   set_engine_permits(std::make_unique<limits::EnginePermits>(limits::LimiterNode{}, seed, true, Time{}));
 }
@@ -148,7 +149,7 @@
 
 // Decode demand is the share of an engine that the attempt occupied, times its duration.
 void ServingCore::MeterDecodeDemand(const Flow& flow, const Attempt& attempt) {
-  if (!flow.language || attempt.mode == AttemptMode::kPrefill) return;
+  if (!flow.language || attempt.mode == AttemptMode::kPrefill || attempt.mode == AttemptMode::kForward) return;
   const Service* service = config_ ? config_->FindService(flow.service) : nullptr;
   if (service == nullptr || !service->language) return;
   const LanguageEngineTraits& traits = *service->language;
@@ -180,7 +181,10 @@
   flow.arrived = now_;
   flow.last_event_id = event.metadata.last_event_id;
   flows_[flow.id] = std::move(new_flow);
-  if (!ready()) return Refuse(flow, "no configuration received yet");
+  if (!ready()) {
+    return flow.metadata.forwarded ? RefuseElsewhere(flow, "no configuration received yet")
+                                   : Refuse(flow, "no configuration received yet");
+  }
   const Route* route = config_->FindRoute(event.metadata.host, event.metadata.path);
   if (route == nullptr) {
     // Only a node that is connected to the store can determine that a route does not exist.
@@ -189,6 +193,7 @@
   }
   flow.route = *route;
   if (!Authenticate(flow)) return;
+  if (flow.metadata.forwarded && !AdoptForwarded(flow)) return;
   if (flow.metadata.fingerprint != 0) flow.fingerprint = HashPair(flow.metadata.fingerprint, HashText(flow.tenant));
   if (RefuseIfQuarantined(flow)) return;
   flow.service = ChooseService(*route);
@@ -232,6 +237,7 @@
 // when the request arrives and send their response when they are done.
 void ServingCore::CountTenantUsage(Flow& flow, const Attempt& attempt) {
   if (flow.usage_counted || flow.tenant.empty() || attempt.mode == AttemptMode::kPrefill) return;
+  if (attempt.mode == AttemptMode::kForward) return;  // The peer counts it.
   flow.usage_counted = true;
   actions_->push_back(ExecutionStarted{flow.tenant, flow.language ? now_ : attempt.sent_at});
 }
@@ -246,6 +252,7 @@
   if (flow == nullptr) return;
   CountUsageWithoutResponse(*flow);
   Log(EventId::kClientLeft, flow, fmt::format(R"("attempts":{})", flow->attempts.size()));
+  CancelForwards(*flow);  // The peer decides the same.
   const bool keeps_running = flow->route.kind == RouteKind::kAtMostOnce;
   if (keeps_running) {
     TrackDetachedAttempts(*flow);
@@ -301,6 +308,7 @@
   const Attempt attempt = flow->attempts[event.attempt];
   EndAttempt(*flow, event.attempt);
   crash_detector_.RecordActivity(attempt.engine_id, attempt.sent_at, now_);
+  if (attempt.mode == AttemptMode::kForward) return FinishForward(*flow, attempt);
   if (attempt.response_head.not_executed) return OnRefusal(*flow, attempt);
   if (attempt.mode == AttemptMode::kPrefill) return FinishPrefill(*flow, attempt, event.handle);
   FinishExecution(*flow, attempt);
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -27,69 +27,13 @@
 #include "src/core/serving/engine_path_monitor.h"
 #include "src/core/serving/engine_selector.h"
 #include "src/core/serving/events.h"
+#include "src/core/serving/flow.h"
+#include "src/core/serving/forwarding_peers.h"
 #include "src/core/serving/retry_budget_share.h"
 #include "src/core/serving/serving_parameters.h"
 
 namespace saltquay::serving {
 
-struct Attempt {
-  AttemptId id = 0;
-  std::string engine_id;
-  EngineKey engine_key;  // Identifies the engine's incarnation that the attempt was sent to.
-  AttemptMode mode = AttemptMode::kWhole;
-  Time sent_at{};
-  std::int64_t prompt_tokens = 0;  // Estimate of the tokens that the engine has to prefill.
-  bool head_seen = false;          // The engine's response head has arrived.
-  EngineResponseHead response_head;
-  Time times_out_at{};  // Handled once, at this time, unless a response head has arrived.
-  bool timeout_handled = false;
-  bool silence_checked = false;                    // The engine was checked for being reachable, or did not need to be.
-  std::optional<KvCacheSource> kv_cache;           // The KV cache that the attempt decodes from.
-  bool engine_was_idle = false;                    // No other work was known to be in flight there.
-  admission::ConcurrencyWindow* window = nullptr;  // The window that the attempt occupies a slot of.
-  bool charged = false;                            // To the retry budget.
-  int* unsettled_calls = nullptr;                  // The counter that includes the attempt until it ends.
-  Duration target = 0s;                            // Target for the prefill time.
-};
-
-struct Flow {
-  FlowId id = 0;
-  RequestMetadata metadata;
-  Route route;  // The route at the time of arrival.
-  std::string service;
-  std::string tenant;  // Empty for an anonymous client.
-  // Combines request and tenant, so that identical requests of two tenants differ. 0 if unknown.
-  std::uint64_t fingerprint = 0;
-  bool language = false;
-  Time arrived{};
-  Time expires_at{};
-  std::map<AttemptId, Attempt> attempts;
-  EngineIds tried_engines;
-  std::optional<KvCacheSource> kv_cache;
-  std::string kv_cache_zone;
-  EngineIds rejected_by;                         // Engines that rejected it without running it, of `tried_engines`.
-  std::vector<std::string> kv_cache_refused_by;  // Engines that refused the KV handoff, for whatever reason.
-  int arrivals = 0;                              // Attempts sent, not counting prefills.
-  int prefills = 0;
-  int executions = 0;             // Attempts that may have been executed.
-  int attempt_count = 0;          // All attempts.
-  bool response_missing = false;  // An attempt got no response; its connection may have been dead.
-  bool relaying = false;          // The response head of a stream has been sent to the client.
-  std::string last_event_id;
-  std::optional<Time> engine_wait_ends;  // How long to wait until any engine becomes available.
-  std::optional<Time> hedge_at;
-  AttemptId relayed_attempt = 0;
-  bool queued = false;               // The prompt waits in the service's prefill queue.
-  bool committed = false;            // It was committed there: its prefill can still finish in time.
-  double value = 0;                  // Value relative to the mean of the route; 0: not known yet.
-  bool prefill_metered = false;      // The prefill is included in the measured demand.
-  std::optional<Time> prefilled_at;  // When the separate prefill was completed.
-  bool usage_counted = false;        // The request has been counted as usage of its tenant.
-  std::int64_t limit_cost = 0;       // Units of the tenant's limit that the request consumes; 0: no limit.
-  bool limit_pending = false;        // The limiter has not decided yet.
-  std::string limit_owner;           // Name of the node that decided on the limit.
-};
-
 // The prompts of a service that wait for prefill, and what has been measured of them.
 struct PrefillState {
   explicit PrefillState(const ServingParameters& parameters)
@@ -151,6 +95,8 @@
   CrashLedger& crashes() { return crashes_; }
   // Engines that this node cannot connect to.
   std::size_t unreachable_engines() const { return paths_.unreachable_count(); }
+  // Whether this node can connect to at least half of the engines that it knows.
+  bool ReachesMostEngines() const { return 2 * paths_.unreachable_count() <= engines_.all().size(); }
   // This node's work and demand, for its report to the peers.
   std::vector<EngineWork> LocalWork(Time now) { return engines_.LocalWork(now); }
   std::vector<ServiceDemand> LocalDemand(Time now);
@@ -179,6 +125,7 @@
   void On(const PeerEngineLimitsReported& event);
   void On(const PeerLeavingEnginesReported& event);
   void On(const NodesChanged& event);
+  void On(const PeersListed& event);
   void On(const LimitMessageArrived& event);
   void On(const PermitMessageArrived& event);
   void On(const NodeStopping& event);
@@ -213,6 +160,7 @@
   bool StartExecution(Flow& flow);
   EngineState* ChooseExecutionEngine(Flow& flow, AttemptMode mode);
   void Start(Flow& flow, EngineAdmission admission, AttemptMode mode);
+  Duration ConnectTimeout(const std::string& zone) const;
   void WaitOrRefuse(Flow& flow);
   // How long the flow waits until any engine becomes available. `all_closed`: those that it may go to have asked for
   // fewer requests.
@@ -292,6 +240,28 @@
   void LogPath(const EngineState& engine, std::string_view cause);
   void LogAttemptFailure(const Flow& flow, const Attempt& attempt, AttemptFailure failure);
 
+  // Requests handed to peers (forward_steps.cc).
+  // Hands the request to a peer; returns false if there is none to ask now.
+  bool StartForward(Flow& flow);
+  ForwardRequest MakeForward(const Flow& flow, const PeerNode& peer) const;
+  // Whether this node cannot reach any engine of a stage that the request needs.
+  bool LacksPath(const Flow& flow);
+  // The same, or connections to several engines have failed.
+  bool CannotReachEngines(const Flow& flow);
+  // Whether to hand the request to a peer rather than to send it to the engine, which may be nullptr.
+  bool PrefersPeer(const Flow& flow, const EngineState* engine);
+  void FinishForward(Flow& flow, const Attempt& attempt);
+  void OnForwardLost(Flow& flow, const Attempt& attempt, AttemptFailure failure);
+  // Takes over the state of a request that a peer has handed to this node. Returns false if the request was refused.
+  bool AdoptForwarded(Flow& flow);
+  // Refuses a request of a peer so that it asks another node; nothing was executed here.
+  void RefuseElsewhere(Flow& flow, std::string_view cause);
+  // Whether this node has executed nothing for the request of a peer, and cannot serve it.
+  bool MustRefuseElsewhere(const Flow& flow);
+  void CancelForwards(Flow& flow);
+  // Hands over prompts that are queued for engines which became unreachable.
+  void ForwardQueuedPrompts();
+
   // Engines that crashed while running requests (crash_steps.cc).
   void RecordBrokenResponse(const std::string& engine_id, std::uint64_t fingerprint);
   // At-most-once attempts go on after the client disconnects. If the engine crashes, the request is still blamed.
@@ -362,6 +332,8 @@
   };
   std::map<AttemptId, DetachedAttempt> detached_attempts_;
   EnginePathMonitor paths_;
+  bool paths_lost_ = false;  // During this event.
+  ForwardingPeers forwarding_peers_;
   EngineCrashDetector crash_detector_;
   CrashLedger crashes_;
   TenantDirectory tenants_;  // Built from config_.
--- a/src/core/serving/serving_parameters.h
+++ b/src/core/serving/serving_parameters.h
@@ -10,6 +10,7 @@
 #include "src/base/time.h"
 #include "src/core/serving/crash_ledger.h"
 #include "src/core/serving/engine_directory.h"
+#include "src/core/serving/forwarding_peers.h"
 #include "src/core/serving/retry_budget_share.h"
 #include "src/core/serving/topology.h"
 
@@ -23,6 +24,7 @@
   EjectionPolicy ejection;
   CrashLedgerParameters crashes;
   RetryBudgetBounds retry_budget;
+  ForwardingParameters forwarding;
 
   // Maps each zone to its region; see Topology.
   std::map<std::string, std::string, std::less<>> regions;
@@ -119,10 +121,9 @@
   Duration silence_check_delay = 500ms;
   // A prefill that takes this multiple of its expected time is retried at another engine.
   double prefill_timeout_factor = 3;
-  // Connect timeout as a share of the objective, clamped to these bounds.
-  double connect_share = 0.4;
-  Duration min_connect_timeout = 60ms;
-  Duration max_connect_timeout = 400ms;
+  // Time for a connection to be accepted, in addition to some round trips.
+  Duration connect_timeout = 100ms;
+  int connect_round_trips = 4;
   // The final response is sent this much before the deadline.
   Duration response_margin = 15ms;
   Duration retry_after = 400ms;
--- a/src/core/serving/timeout_steps.cc
+++ b/src/core/serving/timeout_steps.cc
@@ -91,6 +91,7 @@
   CountUsageWithoutResponse(flow);
   for (const auto& [id, attempt] : flow.attempts) {
     if (EngineUnresponsiveSince(attempt)) DropIdleConnectionsTo(attempt);
+    if (attempt.mode == AttemptMode::kForward) forwarding_peers_.RecordFailure(attempt.peer, now_);
   }
   CancelAttempts(flow, 0);
   if (may_have_run) return Fail(flow, kGatewayTimeout, "deadline exceeded; request may have run");
--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -84,22 +84,33 @@
   return metadata;
 }
 
-http::RequestHead EngineProtocol::MakeRequest(const http::RequestHead& client,
-                                              const serving::StartAttempt& attempt) const {
+http::RequestHead EngineProtocol::CopyRequest(const http::RequestHead& client, Duration time_left,
+                                              const std::string& last_event_id) const {
   http::RequestHead head;
   head.method = client.method;
   head.target = client.target;
   head.fields = client.fields;
   http::RemoveConnectionFields(head.fields);
-  for (const std::string& name : names_.system_fields) head.fields.Remove(name);
   head.fields.Remove(names_.deadline_ms);
   head.fields.Remove(names_.last_event_id);
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(attempt.time_left).count();
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left).count();
   head.fields.Add(names_.deadline_ms, std::to_string(std::max<std::int64_t>(1, left)));
+  if (!last_event_id.empty()) head.fields.Add(names_.last_event_id, last_event_id);
+  return head;
+}
+
+http::RequestHead EngineProtocol::MakePeerRequest(const http::RequestHead& client,
+                                                  const serving::ForwardRequest& forward) const {
+  return CopyRequest(client, forward.time_left, forward.last_event_id);
+}
+
+http::RequestHead EngineProtocol::MakeRequest(const http::RequestHead& client,
+                                              const serving::StartAttempt& attempt) const {
+  http::RequestHead head = CopyRequest(client, attempt.time_left, attempt.last_event_id);
+  for (const std::string& name : names_.system_fields) head.fields.Remove(name);
   head.fields.Add(names_.expected_engine, attempt.engine_id);
   head.fields.Add(names_.priority, std::to_string(std::clamp(attempt.priority, 0, 9)));
   if (!attempt.tenant.empty()) head.fields.Add(names_.tenant, attempt.tenant);
-  if (!attempt.last_event_id.empty()) head.fields.Add(names_.last_event_id, attempt.last_event_id);
   if (attempt.mode == serving::AttemptMode::kPrefill) head.fields.Add(names_.stage, names_.stage_prefill);
   if (!attempt.copy_from.empty()) head.fields.Add(names_.copy_source, attempt.copy_from);
   if (attempt.kv_cache_source)
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -62,6 +62,8 @@
   serving::RequestMetadata DecodeRequest(const http::RequestHead& head) const;
   // Returns the client's request head rewritten for the engine of `attempt`.
   http::RequestHead MakeRequest(const http::RequestHead& client, const serving::StartAttempt& attempt) const;
+  // Returns the client's request head for a peer that serves the request instead of this node.
+  http::RequestHead MakePeerRequest(const http::RequestHead& client, const serving::ForwardRequest& forward) const;
   serving::EngineResponseHead DecodeResponse(const http::ResponseHead& head) const;
   // Returns nullopt if the response does not come from the engine that was called.
   std::optional<serving::EngineNotice> DecodeNotice(const http::ResponseHead& head) const;
@@ -78,6 +80,10 @@
   std::string MakeOrderBody(const serving::SendStageOrder& action, const std::string& holder) const;
 
  private:
+  // The client's request head with the time that is left and the last event received, without fields of connections.
+  http::RequestHead CopyRequest(const http::RequestHead& client, Duration time_left,
+                                const std::string& last_event_id) const;
+
   EngineProtocolFields names_;
 };
 
--- a/src/gateway/fleet_coordinator.cc
+++ b/src/gateway/fleet_coordinator.cc
@@ -292,6 +292,7 @@
     DispatchPeersChanged({});
   }
   UpdateStorePeers();
+  UpdateForwardingPeers();
   ExchangeDigests();
   DispatchNodesChanged();
   const std::vector<serving::PeerNode>& members = Members();
@@ -323,7 +324,9 @@
 // also plans engine roles. Without them, one node on which all nodes agree (the one with the smallest name) plans, and
 // the lease is taken only for the duration of orders.
 bool FleetCoordinator::IsCandidate(const std::vector<serving::PeerNode>& members) {
-  const bool may_plan = !stopping_ && store_connected_ && gateway_.core().ready();
+  // A node that cannot connect to the engines cannot order them either.
+  const bool may_plan =
+      !stopping_ && store_connected_ && gateway_.core().ready() && gateway_.core().ReachesMostEngines();
   if (!may_plan) return false;
   return duties_.is_enabled() ? lease_.IsHeldFor(gateway_.Now()) : peers_.HasLowestName(members);
 }
--- a/src/gateway/fleet_coordinator.h
+++ b/src/gateway/fleet_coordinator.h
@@ -31,6 +31,8 @@
   absl::Status Start();
   // Called when this node begins to stop: it stops planning, resigns the lease and notifies its peers.
   void StartStopping();
+  // Whether a known node has that IP address.
+  bool IsPeerAddress(const std::string& ip) const;
   void set_store_connected(bool connected) { store_connected_ = connected; }
 
  private:
@@ -59,6 +61,8 @@
   // Sends this node's report, with the crash marks and the engines' statements that it knows, beside the periodic ones.
   void ReportToPeers();
   void UpdateStorePeers();
+  // Passes the nodes that requests may be handed to on to the serving core, if they have changed.
+  void UpdateForwardingPeers();
   // Locality of the peer at `address`.
   TrafficLocality LocalityOf(const std::string& address);
   void LogTraffic();
@@ -104,6 +108,7 @@
   Time next_traffic_log_{};
   // The version of the peer table that the store was given, and whether the fleet was large then.
   std::optional<std::pair<std::uint64_t, bool>> store_membership_;
+  std::optional<std::uint64_t> listed_peers_version_;  // Of the peer table.
   bool stopping_ = false;
   bool store_connected_ = false;
 };
--- a/src/gateway/fleet_coordinator_traffic.cc
+++ b/src/gateway/fleet_coordinator_traffic.cc
@@ -25,6 +25,22 @@
   return peer_localities_[address] = gateway_.traffic().LocalityOf(peer->zone);
 }
 
+bool FleetCoordinator::IsPeerAddress(const std::string& ip) const {
+  const std::vector<serving::PeerNode>& nodes = peers_.Nodes();
+  return !ip.empty() && std::any_of(nodes.begin(), nodes.end(),
+                                    [&](const serving::PeerNode& node) { return node.address.starts_with(ip + ":"); });
+}
+
+void FleetCoordinator::UpdateForwardingPeers() {
+  if (listed_peers_version_ == peers_.version()) return;
+  listed_peers_version_ = peers_.version();
+  serving::PeersListed listed;
+  for (const serving::PeerNode& node : peers_.Nodes()) {
+    if (!node.stopping) listed.nodes.push_back(node);
+  }
+  gateway_.Dispatch(listed);
+}
+
 void FleetCoordinator::LogTraffic() {
   const Time now = gateway_.Now();
   if (now < next_traffic_log_) return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,6 +15,7 @@
 
 std::string ModeName(serving::AttemptMode mode) {
   if (mode == serving::AttemptMode::kPrefill) return "prefill";
+  if (mode == serving::AttemptMode::kForward) return "forward";
   return mode == serving::AttemptMode::kContinue ? "continue" : "whole";
 }
 
@@ -42,6 +43,7 @@
                  LogStream& log, std::uint64_t seed)
     : loop_(loop),
       protocol_(std::move(protocol)),
+      node_name_(settings.node_name),
       fingerprint_key_(settings.fingerprint_key),
       log_(log),
       core_(settings.parameters, settings.zone, seed),
@@ -105,15 +107,19 @@
   });
 }
 
-void Gateway::Handle(const std::shared_ptr<http::Exchange>& exchange) {
+void Gateway::HandleRequest(const std::shared_ptr<http::Exchange>& exchange,
+                            const std::optional<serving::ForwardedRequest>& forwarded) {
   const serving::FlowId id = ++last_flow_;
   serving::RequestArrived arrived;
   arrived.flow = id;
   arrived.metadata = protocol_.DecodeRequest(exchange->head);
   arrived.metadata.fingerprint = FingerprintRequest(exchange->head, exchange->body, fingerprint_key_);
-  flows_[id] = ActiveFlow{exchange, arrived.metadata.request_id, Now(), false, false};
-  exchange->on_client_left = [this, id] {
-    if (flows_.erase(id) > 0) Dispatch(serving::ClientDisconnected{id});
+  arrived.metadata.forwarded = forwarded;
+  flows_[id] = ActiveFlow{exchange, arrived.metadata.request_id, Now(), false, false, forwarded.has_value()};
+  exchange->on_client_left = [this, id, of_peer = forwarded.has_value()] {
+    if (flows_.erase(id) == 0) return;
+    if (of_peer) --requests_of_peers_;
+    Dispatch(serving::ClientDisconnected{id});
   };
   Dispatch(arrived);
 }
@@ -184,8 +190,11 @@
   entry->second.head = head;
   http::RemoveConnectionFields(entry->second.head.fields);
   const serving::FlowId flow = entry->second.flow;
-  DispatchNotice(entry->second.engine_id, entry->second.engine, head, entry->second.sent_at);  // May end the attempt.
-  Dispatch(serving::AttemptHeadReceived{flow, id, protocol_.DecodeResponse(head)});
+  const serving::EngineResponseHead decoded = DecodeResponse(entry->second, head);
+  const bool from_engine = entry->second.mode != serving::AttemptMode::kForward;
+  // May end the attempt.
+  if (from_engine) DispatchNotice(entry->second.engine_id, entry->second.engine, head, entry->second.sent_at);
+  Dispatch(serving::AttemptHeadReceived{flow, id, decoded});
 }
 
 void Gateway::OnBody(serving::AttemptId id, std::string_view bytes) {
@@ -216,6 +225,7 @@
   // In a complete response, the bytes after the last complete event belong to the response.
   if (attempt.relaying && flow != flows_.end()) flow->second.exchange->Write(attempt.events.TakeIncompleteEvent());
   metrics_.CountAttempt(ModeName(attempt.mode), std::to_string(attempt.head.status));
+  if (!attempt.peer.empty()) metrics_.CountForward(attempt.peer, std::to_string(attempt.head.status));
   serving::AttemptCompleted completed{attempt.flow, id, ""};
   if (attempt.mode == serving::AttemptMode::kPrefill) completed.handle = protocol_.DecodeKvHandle(attempt.body);
   Dispatch(completed);
@@ -226,7 +236,9 @@
   const auto entry = attempts_.find(id);
   if (entry == attempts_.end()) return;
   const serving::FlowId flow = entry->second.flow;
-  metrics_.CountAttempt(ModeName(entry->second.mode), failure == http::CallFailure::kNotSent ? "not_sent" : "broken");
+  const std::string outcome = failure == http::CallFailure::kNotSent ? "not_sent" : "broken";
+  metrics_.CountAttempt(ModeName(entry->second.mode), outcome);
+  if (!entry->second.peer.empty()) metrics_.CountForward(entry->second.peer, outcome);
   attempts_.erase(entry);
   Dispatch(serving::AttemptFailed{flow, id, ToAttemptFailure(failure)});
 }
@@ -241,6 +253,7 @@
   const auto attempt = attempts_.find(action.attempt);
   const auto flow = flows_.find(action.flow);
   if (attempt == attempts_.end() || flow == flows_.end()) return;
+  MarkForPeer(flow->second, attempt->second.head, serving::PeerReply::kNone);
   flow->second.exchange->Respond(attempt->second.head, attempt->second.body);
   EndFlow(action.flow, attempt->second.head.status);
 }
@@ -250,6 +263,7 @@
   const auto flow = flows_.find(action.flow);
   if (attempt == attempts_.end() || flow == flows_.end()) return;
   attempt->second.relaying = true;
+  MarkForPeer(flow->second, attempt->second.head, serving::PeerReply::kNone);
   if (!flow->second.head_sent) flow->second.exchange->BeginStream(attempt->second.head);
   flow->second.head_sent = true;
 }
@@ -271,6 +285,8 @@
   if (action.retry_after) {
     head.fields.Add("Retry-After", fmt::format("{:.2f}", ToSeconds(*action.retry_after)));
   }
+  const serving::PeerReply refusal = action.elsewhere ? serving::PeerReply::kElsewhere : serving::PeerReply::kRefused;
+  MarkForPeer(flow->second, head, action.retry_after ? refusal : serving::PeerReply::kFailed);
   flow->second.exchange->Respond(head, "");
   EndFlow(action.flow, action.status);
 }
@@ -345,6 +361,7 @@
 void Gateway::EndFlow(serving::FlowId id, int status) {
   const auto flow = flows_.find(id);
   if (flow == flows_.end()) return;
+  if (flow->second.of_peer) --requests_of_peers_;
   metrics_.CountRequest(status);
   metrics_.ObserveResponse(ToSeconds(Now() - flow->second.arrived));
   // The on_client_left handler may be executing now and must not be destroyed before this call returns.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,9 @@
 
   // Passes an event to the core and performs the resulting actions.
   void Dispatch(const serving::Event& event);
-  void Handle(const std::shared_ptr<http::Exchange>& exchange);
+  void Handle(const std::shared_ptr<http::Exchange>& exchange) { HandleRequest(exchange, std::nullopt); }
+  // Serves a request that a peer has handed to this node.
+  void HandleForwarded(const std::shared_ptr<http::Exchange>& exchange, const serving::ForwardedRequest& state);
   // Responds 503 to a request that was never passed to the core, so it has not run. `retry_after`: seconds.
   void RefuseUndispatched(const std::shared_ptr<http::Exchange>& exchange, std::string_view cause,
                           std::string_view retry_after);
@@ -49,6 +52,8 @@
   GatewayMetrics& metrics() { return metrics_; }
   TrafficMeter& traffic() { return traffic_; }
   std::size_t open_requests() const { return flows_.size(); }
+  // Those of them that peers have handed to this node.
+  std::size_t requests_of_peers() const { return requests_of_peers_; }
   Time Now() const;
   void Log(EventId event, std::string_view request_id, std::string_view members);
 
@@ -59,10 +64,12 @@
     Time arrived{};
     bool head_sent = false;
     bool first_event_sent = false;
+    bool of_peer = false;  // Handed to this node by a peer.
   };
   struct ActiveAttempt {
     serving::FlowId flow = 0;
     serving::AttemptMode mode = serving::AttemptMode::kWhole;
+    std::string peer;  // For kForward, instead of the engine.
     std::string engine_id;
     serving::EngineKey engine;  // Its incarnation when the attempt started.
     Time sent_at{};
@@ -76,7 +83,10 @@
     EventSplitter events;
   };
 
+  void HandleRequest(const std::shared_ptr<http::Exchange>& exchange,
+                     const std::optional<serving::ForwardedRequest>& forwarded);
   void Perform(const serving::StartAttempt& action);
+  void Perform(const serving::ForwardRequest& action);
   void Perform(const serving::CancelAttempt& action);
   void Perform(const serving::DropIdleConnections& action);
   void Perform(const serving::RelayResponse& action);
@@ -95,6 +105,9 @@
   void Perform(const serving::SendPermitMessages& action);
   void Perform(const serving::LogDecision& action);
 
+  serving::EngineResponseHead DecodeResponse(const ActiveAttempt& attempt, const http::ResponseHead& head) const;
+  // Marks the response if the request is a peer's.
+  static void MarkForPeer(const ActiveFlow& flow, http::ResponseHead& head, serving::PeerReply reply);
   http::CallHandlers MakeHandlers(serving::AttemptId id);
   // Passes on what the engine states about itself in a response; see EngineNoticeReceived.
   void DispatchNotice(const std::string& engine_id, const serving::EngineKey& engine, const http::ResponseHead& head,
@@ -110,6 +123,7 @@
 
   boost::asio::io_context& loop_;
   EngineProtocol protocol_;
+  std::string node_name_;
   std::string fingerprint_key_;
   LogStream& log_;
   serving::ServingCore core_;
@@ -126,6 +140,7 @@
   std::map<std::uint64_t, std::unique_ptr<http::Call>> releases_;
   std::uint64_t last_release_ = 0;
   serving::FlowId last_flow_ = 0;
+  std::size_t requests_of_peers_ = 0;
 };
 
 // Wall clock time in milliseconds since the Unix epoch. It may jump: use Gateway::Now() to measure durations.
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -24,6 +24,8 @@
   };
   requests_ = counter("saltquay_requests_total", "Client requests by final status");
   attempts_ = counter("saltquay_attempts_total", "Calls to engines by mode and outcome");
+  forwards_ = counter("saltquay_forwards_total", "Requests handed to peers by peer and outcome");
+  requests_of_peers_ = counter("saltquay_requests_of_peers_total", "Requests that peers handed to this node, by peer");
   extra_arrivals_ =
       counter("saltquay_extra_arrivals_total", "Calls to engines that count against the retry budget, and why");
   store_calls_ = counter("saltquay_store_calls_total", "Calls to the store by kind of object, call and cause");
@@ -52,6 +54,7 @@
   config_version_ = gauge("saltquay_config_version", "Version of the configuration in force");
   engines_ = gauge("saltquay_engines", "Engines known");
   limited_engines_ = gauge("saltquay_engines_limited", "Engines that name a limit for the requests of all nodes");
+  unreachable_engines_ = gauge("saltquay_engines_unreachable", "Engines that this node cannot connect to");
   open_requests_ = gauge("saltquay_open_requests", "Requests under way");
   members_known_ = gauge("saltquay_members_known", "Nodes that this node knows, with itself");
   digest_nodes_ = gauge("saltquay_digest_nodes", "Nodes whose work the newest digest covers; 1: no digest");
@@ -70,6 +73,20 @@
   attempts_->Add({{"mode", mode}, {"outcome", outcome}}).Increment();
 }
 
+std::string GatewayMetrics::PeerLabel(const std::string& peer) {
+  constexpr std::size_t kMaxPeerSeries = 50;
+  if (labelled_peers_.size() < kMaxPeerSeries) labelled_peers_.insert(peer);
+  return labelled_peers_.contains(peer) ? peer : "(others)";
+}
+
+void GatewayMetrics::CountForward(const std::string& peer, const std::string& outcome) {
+  forwards_->Add({{"peer", PeerLabel(peer)}, {"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::CountRequestOfPeer(const std::string& peer) {
+  requests_of_peers_->Add({{"peer", PeerLabel(peer)}}).Increment();
+}
+
 void GatewayMetrics::CountExtraArrival(const std::string& service, const std::string& cause) {
   extra_arrivals_->Add({{"service", service}, {"cause", cause}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,12 @@
 
   void CountRequest(int status);
   void CountAttempt(const std::string& mode, const std::string& outcome);
+  // Counts a request handed to a peer, by peer and outcome.
+  void CountForward(const std::string& peer, const std::string& outcome);
+  // Counts a request that a peer has handed to this node.
+  void CountRequestOfPeer(const std::string& peer);
+  // Number of engines that this node cannot connect to.
+  void SetUnreachableEngines(double engines) { unreachable_engines_->Set(engines); }
   // Counts an engine call that is charged to the service's retry budget, by cause.
   void CountExtraArrival(const std::string& service, const std::string& cause);
   void CountAbortedStream() { aborted_streams_->Increment(); }
@@ -51,14 +58,19 @@
 
  private:
   void RegisterGauges(const prometheus::Labels& labels);
+  // Returns the label for the peer; peers beyond a maximum share one.
+  std::string PeerLabel(const std::string& peer);
 
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>* requests_;
   prometheus::Family<prometheus::Counter>* attempts_;
+  prometheus::Family<prometheus::Counter>* forwards_;
+  prometheus::Family<prometheus::Counter>* requests_of_peers_;
   prometheus::Family<prometheus::Counter>* extra_arrivals_;
   prometheus::Family<prometheus::Counter>* store_calls_;
   prometheus::Family<prometheus::Counter>* traffic_;
   prometheus::Family<prometheus::Gauge>* limit_units_;
+  std::set<std::string> labelled_peers_;
   std::vector<prometheus::Gauge*> limit_series_;  // Registered by the last call of SetLimits.
   prometheus::Counter* aborted_streams_;
   prometheus::Counter* engine_crash_times_;
@@ -69,6 +81,7 @@
   prometheus::Gauge* config_version_;
   prometheus::Gauge* engines_;
   prometheus::Gauge* limited_engines_;
+  prometheus::Gauge* unreachable_engines_;
   prometheus::Gauge* open_requests_;
   prometheus::Gauge* members_known_;
   prometheus::Gauge* digest_nodes_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -57,6 +57,15 @@
   return server;
 }
 
+// Requests of peers carry some fields of the nodes' own.
+http::ServerLimits PeerServerLimitsFor(const serving::IngressLimits& limits) {
+  constexpr std::uint32_t kForwardingHeadBytes = 8192;
+  http::ServerLimits server;
+  server.parser.head_bytes = std::max(server.parser.head_bytes, limits.head_bytes + kForwardingHeadBytes);
+  server.parser.body_bytes = std::max(server.parser.body_bytes, limits.body_bytes);
+  return server;
+}
+
 }  // namespace
 
 GatewayProcess::GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings,
@@ -72,6 +81,7 @@
       log_(LogOptions(settings)),
       gateway_(loop, settings, protocol, log_, RandomSeed()),
       coordinator_(loop, settings, protocol, gateway_, store_, duty_api, RandomSeed()),
+      peer_requests_(gateway_, [this](const std::string& address) { return coordinator_.IsPeerAddress(address); }),
       signals_(loop, SIGTERM, SIGINT, SIGHUP),
       stop_timer_(loop) {}
 
@@ -108,6 +118,9 @@
   status = listen(
       settings_.ready_listen, [this](const std::shared_ptr<http::Exchange>& exchange) { HandleReadyRequest(exchange); },
       ready_server_);
+  relay_.request_filter = [this](const std::shared_ptr<http::Exchange>& exchange) {
+    return peer_requests_.Handle(exchange);
+  };
   if (status.ok() && !settings_.peer_listen.empty()) status = relay_.listen(settings_.peer_listen);
   if (!status.ok() || settings_.metrics_listen.empty()) return status;
   return listen(
@@ -164,6 +177,7 @@
     return;
   }
   if (client_server_ != nullptr) client_server_->set_limits(ServerLimitsFor(config->limits));
+  if (!settings_.peer_listen.empty()) relay_.set_limits(PeerServerLimitsFor(config->limits));
   gateway_.Dispatch(serving::ConfigurationChanged{std::move(*config)});
 }
 
@@ -228,6 +242,7 @@
   const std::vector<serving::EngineLimitMark> marks = gateway_.core().EngineLimitMarks(gateway_.Now());
   const auto limited = std::count_if(
       marks.begin(), marks.end(), [](const serving::EngineLimitMark& mark) { return mark.requests_per_s.has_value(); });
+  gateway_.metrics().SetUnreachableEngines(static_cast<double>(gateway_.core().unreachable_engines()));
   gateway_.metrics().SetLimitedEngines(static_cast<double>(limited));
   gateway_.metrics().SetTraffic(gateway_.traffic());
   http::ResponseHead head;
@@ -268,6 +283,7 @@
   stop_began_ = BootClock::now();
   gateway_.Log(EventId::kNodeStopping, "", fmt::format(R"("open_requests":{})", gateway_.open_requests()));
   client_server_->StartClosing();
+  peer_requests_.StartStopping();
   coordinator_.StartStopping();
   ContinueStopping();
 }
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -22,6 +22,7 @@
 #include "src/gateway/compacting_store.h"
 #include "src/gateway/fleet_coordinator.h"
 #include "src/gateway/gateway.h"
+#include "src/gateway/peer_request_handler.h"
 #include "src/gateway/stop_schedule.h"
 
 namespace saltquay::gateway {
@@ -80,6 +81,7 @@
   LogStream log_;
   Gateway gateway_;
   FleetCoordinator coordinator_;
+  PeerRequestHandler peer_requests_;
   std::unique_ptr<http::Server> client_server_;
   std::unique_ptr<http::Server> ready_server_;
   std::unique_ptr<http::Server> metrics_server_;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -50,6 +50,8 @@
   // Ends the connection so that the answer does not look complete.
   void Abort();
 
+  // IP address of the client; empty once its connection has ended.
+  std::string remote_address() const;
   bool client_left() const { return client_left_; }
   bool answer_begun() const { return answer_begun_; }
   // Called at most once, when the client leaves before the answer's end.
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -55,12 +55,23 @@
   if (const auto connection = connection_.lock()) connection->AbortAnswer();
 }
 
+std::string Exchange::remote_address() const {
+  const auto connection = connection_.lock();
+  return connection == nullptr ? "" : connection->RemoteAddress();
+}
+
 ServerConnection::ServerConnection(Server& server, boost::asio::ip::tcp::socket socket)
     : server_(&server), socket_(std::move(socket)), limits_(server.limits_) {
   DisableDelay(socket_);
   since_ = BootClock::now();
 }
 
+std::string ServerConnection::RemoteAddress() const {
+  boost::system::error_code error;
+  const auto endpoint = socket_.remote_endpoint(error);
+  return error ? "" : endpoint.address().to_string();
+}
+
 void ServerConnection::Start() {
   parser_ = std::make_unique<RequestParser>(limits_.parser);
   Read();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -24,6 +24,7 @@
   void CheckTimes(BootClock::time_point now);
 
   // Called by Exchange.
+  std::string RemoteAddress() const;
   void SendWhole(const ResponseHead& head, std::string_view body);
   void SendHead(const ResponseHead& head);
   void SendChunk(std::string_view bytes);
--- a/src/replica/relay_server.cc
+++ b/src/replica/relay_server.cc
@@ -73,6 +73,8 @@
 
 void RelayServer::handle(std::shared_ptr<http::Exchange> const& exchange)
 {
+    if (request_filter && request_filter(exchange))
+        return;
     std::string_view const target = exchange->head.target;
     auto const path = http::PathOf(target);
     if (!path.starts_with(prefix))
--- a/tests/support/serving_fleet.h
+++ b/tests/support/serving_fleet.h
@@ -86,6 +86,7 @@
   int completed() const { return completed_; }
   int completed_within_objective() const { return within_objective_; }
   int refused() const { return refused_; }
+  int forwards() const { return forwards_; }
   int failed() const { return failed_; }
   const std::vector<Time>& requests() const { return requests_; }
   const std::vector<BudgetedArrival>& counted() const { return counted_; }
@@ -129,6 +130,12 @@
     bool refused = false;
     int runs = 0;
   };
+  // A request that one node has handed to another.
+  struct Forwarded {
+    int from = 0;
+    FlowId flow = 0;  // At `from`, like the attempt.
+    AttemptId attempt = 0;
+  };
   struct RequestArrivals {
     int runs = 0;
     int prefills = 0;
@@ -169,6 +176,11 @@
   // Whether the response of this call still reaches its node; its connection becomes idle.
   bool DeliversResponse(const Call& call);
   void RecordRun(int node, FlowId flow);
+  void ListPeers();
+  void Forward(int from, const ForwardRequest& forward);
+  // Performs actions that concern forwarded requests; returns whether it did.
+  bool PerformForwarding(int node, const Action& action);
+  void ReplyToForward(const Forwarded& forwarded, const EngineResponseHead& head, bool completes);
 
   ServingConfig config_;
   std::vector<std::unique_ptr<ServingCore>> nodes_;
@@ -193,7 +205,12 @@
   std::set<std::pair<int, AttemptId>> silenced_;  // Their connections fell silent: no response arrives.
   std::map<std::pair<int, FlowId>, std::string> request_ids_;
   std::map<std::string, RequestRecord> records_;
+  std::map<std::string, RequestMetadata> sent_;  // By request id.
   std::vector<RequestOutcome> outcomes_;
+  std::map<std::pair<int, FlowId>, Forwarded> forwarded_;                        // By the node that serves it.
+  std::map<std::pair<int, AttemptId>, std::pair<int, FlowId>> forwarded_flows_;  // By the attempt to forward it.
+  std::map<std::pair<int, AttemptId>, EngineResponseHead> heads_;                // Of engines.
+  int forwards_ = 0;
   Random random_;
   Time now_{1s};
   FlowId last_flow_ = 0;
