A partition never quarantines a request: crashes need the word of several nodes

Callers saw: after a partition of a zone's nodes, requests that clients repeat were refused on all nodes, 0 of 305 served at nodes that were not partitioned, also after the partition had healed. Cause: a node took broken responses and a refused probe for the crash of an engine, and the crash ledger of all nodes counted its word. A reset partition looks exactly like that. Class: one observer's failure taken for the state of the observed. Change: an engine has crashed only if, besides this node, at least two peers of four asked (in as many zones as possible) find that its connections are refused while they can connect to another engine, and none of them is accepted. Nodes ask each other over HTTP (engine_checks.h). A node that has no peers waits for the removal of the engine's record while the store was in contact throughout, or for a later incarnation.

--- a/src/core/serving/crash_steps.cc
+++ b/src/core/serving/crash_steps.cc
@@ -36,6 +36,29 @@
   if (crash_detector_.RecordBrokenResponse(engine_id, engine->key, fingerprint, now_)) RequestProbe(*engine);
 }
 
+void ServingCore::AskPeersAbout(const EngineState& engine) {
+  std::vector<PeerNode> peers = forwarding_peers_.Sample(EngineCrashDetector::kPeersAsked, random_);
+  crash_detector_.RecordPeersAsked(engine.record.id, peers.size());
+  if (!peers.empty()) actions_->push_back(CheckEngineAtPeers{engine.record.id, engine.key, std::move(peers)});
+}
+
+void ServingCore::On(const PeerProbedEngine& event) {
+  crash_detector_.RecordPeerProbe(event.engine_id, event.engine, event.outcome);
+}
+
+// Prefers one of the same zone: partitions often concern the path to a zone.
+const EngineState* ServingCore::ControlEngine(const std::string& engine_id) const {
+  const auto checked = engines_.all().find(engine_id);
+  const EngineState* control = nullptr;
+  for (const auto& [id, engine] : engines_.all()) {
+    if (id == engine_id || engine.gone || engine.record.leaving || engine.unreachable) continue;
+    const bool same_zone = checked != engines_.all().end() && engine.record.zone == checked->second.record.zone;
+    if (control == nullptr || same_zone) control = &engine;
+    if (same_zone) break;
+  }
+  return control;
+}
+
 void ServingCore::HandleCrashedEngines() {
   const auto has_work = [this](const std::string& id) {
     const EngineState* engine = engines_.Find(id);
--- a/src/core/serving/engine_crash_detector.cc
+++ b/src/core/serving/engine_crash_detector.cc
@@ -1,12 +1,17 @@
 #include "src/core/serving/engine_crash_detector.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace saltquay::serving {
 namespace {
 
 // Data that an engine sent before it crashed is read within a few iterations of the event loop.
 constexpr Duration kInFlightTolerance = 20ms;
-// Longer than a probe takes, and the connections of other work take to fail.
-constexpr Duration kSuspicionTimeout = 5s;
+// Longer than the platform takes to remove the record of an engine that sends no more heartbeats.
+constexpr Duration kSuspicionTimeout = 8s;
+// Besides this node.
+constexpr std::size_t kRequiredPeers = 2;
 
 }  // namespace
 
@@ -21,14 +26,37 @@
   return is_new;
 }
 
-void EngineCrashDetector::RecordProbeOutcome(const std::string& engine_id, EngineProbeOutcome outcome) {
+bool EngineCrashDetector::RecordProbeOutcome(const std::string& engine_id, EngineProbeOutcome outcome) {
   const auto suspect = suspects_.find(engine_id);
-  if (suspect == suspects_.end()) return;
-  if (outcome == EngineProbeOutcome::kRefused) {
-    suspect->second.refused = true;
-  } else {
+  if (suspect == suspects_.end()) return false;
+  if (outcome != EngineProbeOutcome::kRefused) {
     suspects_.erase(suspect);
+    return false;
   }
+  return !std::exchange(suspect->second.refused, true);
+}
+
+void EngineCrashDetector::RecordPeersAsked(const std::string& engine_id, std::size_t count) {
+  const auto suspect = suspects_.find(engine_id);
+  if (suspect != suspects_.end()) suspect->second.peers_asked = count;
+}
+
+void EngineCrashDetector::RecordPeerProbe(const std::string& engine_id, EngineKey incarnation,
+                                          EngineProbeOutcome outcome) {
+  const auto suspect = suspects_.find(engine_id);
+  if (suspect == suspects_.end() || suspect->second.incarnation != incarnation) return;
+  ++suspect->second.peers_heard;
+  if (outcome == EngineProbeOutcome::kRefused) ++suspect->second.peers_refused;
+  if (outcome == EngineProbeOutcome::kAccepted) suspects_.erase(suspect);
+}
+
+void EngineCrashDetector::RecordRemoval(const std::string& engine_id) {
+  const auto suspect = suspects_.find(engine_id);
+  if (suspect != suspects_.end()) suspect->second.removed = suspect->second.records_reliable;
+}
+
+void EngineCrashDetector::RecordStoreLost() {
+  for (auto& [id, suspect] : suspects_) suspect.records_reliable = false;
 }
 
 void EngineCrashDetector::RecordActivity(const std::string& engine_id, Time sent_at, Time now) {
@@ -37,6 +65,13 @@
   if (sent_at > suspect->second.since || now > suspect->second.since + kInFlightTolerance) suspects_.erase(suspect);
 }
 
+bool EngineCrashDetector::IsConfirmed(const Suspect& suspect) {
+  if (!suspect.refused) return false;
+  const bool all_heard = suspect.peers_asked > 0 && suspect.peers_heard >= suspect.peers_asked;
+  const bool peers_agree = all_heard && suspect.peers_refused >= std::min(kRequiredPeers, suspect.peers_asked);
+  return peers_agree || suspect.removed;
+}
+
 std::vector<std::uint64_t> EngineCrashDetector::RequestsOf(const Suspect& suspect) {
   return {suspect.requests.begin(), suspect.requests.end()};
 }
--- a/src/core/serving/engine_crash_detector.h
+++ b/src/core/serving/engine_crash_detector.h
@@ -1,10 +1,15 @@
-// Distinguishes an engine whose process crashed from one of which only a connection broke.
+// Distinguishes an engine whose process crashed from one of which only a connection broke, or only this node's path.
 //
-// Protocol. The first response of an engine that is interrupted triggers a probe: one connection to its address. The
-// process is taken to have crashed if that connection is refused and none of this node's other work there makes
-// progress. Anything that the engine sends, other than data already in flight, or an accepted connection clears it. A
-// probe without result (network partition, unresponsive engine) proves nothing. An engine that announced its shutdown
-// is not probed: its work was lost as planned.
+// Protocol. The first response of an engine that is interrupted triggers a probe: one connection to its address. If it
+// is refused, some peers are asked to probe the engine as well (see engine_checks.h). The process is taken to have
+// crashed if at least two nodes besides this one find that the connection is refused, no node finds it accepted, and
+// none of this node's other work there makes progress. A peer that cannot connect to any other engine either has no
+// say: a partition looks the same to every node within it. In a fleet of two nodes, one peer suffices; a node without
+// peers waits until the platform removes the engine's record or reports a later incarnation.
+//
+// Anything that the engine sends, other than data already in flight, or an accepted connection clears it. A probe
+// without result (network partition, unresponsive engine) proves nothing. An engine that announced its shutdown is not
+// probed: its work was lost as planned.
 #pragma once
 
 #include <cstdint>
@@ -22,7 +27,7 @@
 enum class EngineProbeOutcome {
   kRefused,   // No process is listening.
   kAccepted,  // A process is listening.
-  kUnknown,   // Neither before the timeout.
+  kUnknown,   // Neither before the timeout. Of a peer's probe: or the peer could not say.
 };
 
 // A crashed engine and the fingerprints of the requests that were running there.
@@ -35,10 +40,21 @@
 
 class EngineCrashDetector {
  public:
+  // Peers to ask about a suspected crash; some may not respond.
+  static constexpr std::size_t kPeersAsked = 4;
+
   // A response of this incarnation was interrupted; `request`: its fingerprint, 0 if unknown. Returns whether to probe
   // the engine now.
   bool RecordBrokenResponse(const std::string& engine_id, EngineKey incarnation, std::uint64_t request, Time now);
-  void RecordProbeOutcome(const std::string& engine_id, EngineProbeOutcome outcome);
+  // Returns whether to ask peers now.
+  bool RecordProbeOutcome(const std::string& engine_id, EngineProbeOutcome outcome);
+  void RecordPeersAsked(const std::string& engine_id, std::size_t count);
+  // A peer's probe of that incarnation, or kUnknown if the peer did not respond. Call it once for each peer asked.
+  void RecordPeerProbe(const std::string& engine_id, EngineKey incarnation, EngineProbeOutcome outcome);
+  // The platform removed the engine's record, or it has restarted.
+  void RecordRemoval(const std::string& engine_id);
+  // Records may disappear although their engines run.
+  void RecordStoreLost();
   // The engine responded to a request sent at `sent_at`, or sent more of a response at `now`.
   void RecordActivity(const std::string& engine_id, Time sent_at, Time now);
   // Removes and returns the engines that have crashed. `has_work`: whether this node has work in flight at an engine.
@@ -46,7 +62,7 @@
   std::vector<CrashedEngine> TakeCrashed(HasWork has_work, Time now) {
     std::vector<CrashedEngine> crashed;
     for (auto& [id, suspect] : suspects_) {
-      if (suspect.refused && !has_work(id))
+      if (IsConfirmed(suspect) && !has_work(id))
         crashed.push_back({id, suspect.incarnation, suspect.since, RequestsOf(suspect)});
     }
     for (const CrashedEngine& engine : crashed) suspects_.erase(engine.engine_id);
@@ -59,10 +75,16 @@
   struct Suspect {
     EngineKey incarnation;
     Time since{};
-    bool refused = false;
+    bool refused = false;  // This node's connection.
+    bool removed = false;  // By the platform.
+    bool records_reliable = true;
+    std::size_t peers_asked = 0;
+    std::size_t peers_heard = 0;    // Of those asked; all are awaited, since one that was accepted decides.
+    std::size_t peers_refused = 0;  // Their connections were refused.
     std::set<std::uint64_t> requests;
   };
 
+  static bool IsConfirmed(const Suspect& suspect);
   static std::vector<std::uint64_t> RequestsOf(const Suspect& suspect);
   void ForgetExpired(Time now);
 
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -172,6 +172,13 @@
   std::string engine_id;
   EngineProbeOutcome outcome = EngineProbeOutcome::kUnknown;
 };
+// A peer's result of a CheckEngineAtPeers action; kUnknown if it did not respond, or cannot connect to other engines
+// either.
+struct PeerProbedEngine {
+  std::string engine_id;
+  EngineKey engine;
+  EngineProbeOutcome outcome = EngineProbeOutcome::kUnknown;
+};
 // A peer's records of requests whose engines crashed.
 struct PeerCrashesReported {
   std::vector<CrashMark> marks;
@@ -209,8 +216,8 @@
     std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
                  StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected, EngineNoticeReceived,
                  AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted, AttemptFailed, EngineProbed,
-                 PeerCrashesReported, PeerEngineLimitsReported, PeerLeavingEnginesReported, NodesChanged, PeersListed,
-                 LimitMessageArrived, PermitMessageArrived, NodeStopping, TimerFired>;
+                 PeerProbedEngine, PeerCrashesReported, PeerEngineLimitsReported, PeerLeavingEnginesReported,
+                 NodesChanged, PeersListed, LimitMessageArrived, PermitMessageArrived, NodeStopping, TimerFired>;
 
 struct KvCacheSource {
   std::string engine_id;
@@ -294,6 +301,12 @@
   std::string engine_id;
   std::string address;
 };
+// Ask each of these peers whether it can connect to the engine.
+struct CheckEngineAtPeers {
+  std::string engine_id;
+  EngineKey engine;
+  std::vector<PeerNode> peers;
+};
 // Send the messages to other nodes, one datagram each; several messages to one node may share a datagram.
 struct SendLimitMessages {
   std::vector<limits::AddressedLimitMessage> messages;
@@ -313,9 +326,9 @@
   std::string details;     // JSON members, without the enclosing braces.
 };
 
-using Action =
-    std::variant<StartAttempt, ForwardRequest, CancelAttempt, DropIdleConnections, RelayResponse, BeginRelay, EndRelay,
-                 SendLocalReply, AbortResponse, ReleaseKvCache, ExecutionStarted, ExtraArrivalCounted, ProbeEngine,
-                 ReportCrashes, ReportEngineStatements, SendLimitMessages, SendPermitMessages, LogDecision>;
+using Action = std::variant<StartAttempt, ForwardRequest, CancelAttempt, DropIdleConnections, RelayResponse, BeginRelay,
+                            EndRelay, SendLocalReply, AbortResponse, ReleaseKvCache, ExecutionStarted,
+                            ExtraArrivalCounted, ProbeEngine, CheckEngineAtPeers, ReportCrashes, ReportEngineStatements,
+                            SendLimitMessages, SendPermitMessages, LogDecision>;
 
 }  // namespace saltquay::serving
--- a/src/core/serving/forwarding_peers.cc
+++ b/src/core/serving/forwarding_peers.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace saltquay::serving {
 
@@ -27,6 +28,21 @@
   return InFlight(second->node) < InFlight(first->node) ? second : first;
 }
 
+std::vector<PeerNode> ForwardingPeers::Sample(std::size_t count, Random& random) const {
+  std::map<std::string, std::vector<const PeerNode*>> by_zone;
+  for (const PeerNode& node : nodes_) by_zone[node.zone].push_back(&node);
+  std::vector<PeerNode> sample;
+  while (sample.size() < std::min(count, nodes_.size())) {
+    for (auto& [zone, members] : by_zone) {
+      if (members.empty() || sample.size() >= count) continue;
+      std::swap(members[random.Below(members.size())], members.back());
+      sample.push_back(*members.back());
+      members.pop_back();
+    }
+  }
+  return sample;
+}
+
 std::set<std::string> ForwardingPeers::FailingZones() const {
   std::map<std::string, int> failing;
   for (const PeerNode& node : nodes_) {
--- a/src/core/serving/forwarding_peers.h
+++ b/src/core/serving/forwarding_peers.h
@@ -36,6 +36,9 @@
   // Returns nullptr if there is no peer to ask now.
   const PeerNode* Choose(const Topology& topology, const std::set<std::string>& tried, Random& random, Time now);
 
+  // Random peers, of as many zones as possible.
+  std::vector<PeerNode> Sample(std::size_t count, Random& random) const;
+
   void RecordSent(const std::string& node);
   void RecordEnd(const std::string& node);
   // The peer did not execute the request, but other nodes may.
--- a/src/core/serving/path_steps.cc
+++ b/src/core/serving/path_steps.cc
@@ -68,11 +68,12 @@
 }
 
 void ServingCore::On(const EngineProbed& event) {
-  crash_detector_.RecordProbeOutcome(event.engine_id, event.outcome);
+  const bool ask_peers = crash_detector_.RecordProbeOutcome(event.engine_id, event.outcome);
   paths_.RecordProbeEnd(event.engine_id, now_);
   const std::vector<std::string_view> suspicions = paths_.TakeSuspicions(event.engine_id);
   EngineState* engine = engines_.Find(event.engine_id);
   if (engine == nullptr) return;
+  if (ask_peers) AskPeersAbout(*engine);
   if (event.outcome != EngineProbeOutcome::kAccepted) return OnProbeFailed(*engine, event.outcome);
   MarkReachable(*engine, "connection accepted");
   for (const std::string_view cause : suspicions)
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -58,8 +58,11 @@
 }
 
 void ServingCore::On(const EngineChanged& event) {
-  const bool is_new = engines_.Find(event.record.id) == nullptr;
+  const EngineState* known = engines_.Find(event.record.id);
+  const bool is_new = known == nullptr;
+  const EngineKey key = is_new ? EngineKey{} : known->key;
   if (!engines_.Update(event.record)) return;
+  if (!is_new && known->key != key) crash_detector_.RecordRemoval(event.record.id);
   ApplyRecord(event.record.id);
   if (is_new && !event.record.leaving) {
     ++added_engines_;
@@ -83,6 +86,7 @@
 
 void ServingCore::On(const EngineRemoved& event) {
   engines_.Remove(event.id);
+  crash_detector_.RecordRemoval(event.id);
   Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engine":"{}","cause":"gone")", event.id));
 }
 
@@ -95,6 +99,7 @@
 void ServingCore::On(const StoreConnectivityChanged& event) {
   if (store_connected_ == event.connected) return;
   store_connected_ = event.connected;
+  if (!store_connected_) crash_detector_.RecordStoreLost();
   Log(EventId::kStoreContact, nullptr, fmt::format(R"("in_contact":{})", store_connected_));
 }
 
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -97,6 +97,8 @@
   std::size_t unreachable_engines() const { return paths_.unreachable_count(); }
   // Whether this node can connect to at least half of the engines that it knows.
   bool ReachesMostEngines() const { return 2 * paths_.unreachable_count() <= engines_.all().size(); }
+  // Another engine, to find out whether this node can connect to any; nullptr if there is none.
+  const EngineState* ControlEngine(const std::string& engine_id) const;
   // This node's work and demand, for its report to the peers.
   std::vector<EngineWork> LocalWork(Time now) { return engines_.LocalWork(now); }
   std::vector<ServiceDemand> LocalDemand(Time now);
@@ -121,6 +123,7 @@
   void On(const AttemptCompleted& event);
   void On(const AttemptFailed& event);
   void On(const EngineProbed& event);
+  void On(const PeerProbedEngine& event);
   void On(const PeerCrashesReported& event);
   void On(const PeerEngineLimitsReported& event);
   void On(const PeerLeavingEnginesReported& event);
@@ -267,6 +270,8 @@
   // At-most-once attempts go on after the client disconnects. If the engine crashes, the request is still blamed.
   void TrackDetachedAttempts(const Flow& flow);
   void HandleCrashedEngines();
+  // Asks peers whether the engine has crashed.
+  void AskPeersAbout(const EngineState& engine);
   // Refuses the request if it is quarantined; returns whether it did.
   bool RefuseIfQuarantined(Flow& flow);
   // The request's crash count grew: if it is quarantined now, logs that and terminates its flows.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -334,6 +334,10 @@
   });
 }
 
+void Gateway::Perform(const serving::CheckEngineAtPeers& action) {
+  if (on_check_engine_at_peers) on_check_engine_at_peers(action);
+}
+
 void Gateway::Perform(const serving::ReportCrashes& /*action*/) { ReportToPeersSoon(); }
 
 void Gateway::Perform(const serving::ReportEngineStatements& /*action*/) { ReportToPeersSoon(); }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,6 +45,8 @@
   std::function<void(const serving::SendLimitMessages&)> on_send_limit_messages;
   // Called to send messages about permits for engines to other nodes.
   std::function<void(const serving::SendPermitMessages&)> on_send_permit_messages;
+  // Called to ask peers about an engine that seems to have crashed.
+  std::function<void(const serving::CheckEngineAtPeers&)> on_check_engine_at_peers;
   // Called when the peers have to be notified of new crash marks or engines' statements.
   std::function<void()> on_report_to_peers;
 
@@ -98,6 +100,7 @@
   void Perform(const serving::ExecutionStarted& action);
   void Perform(const serving::ExtraArrivalCounted& action);
   void Perform(const serving::ProbeEngine& action);
+  void Perform(const serving::CheckEngineAtPeers& action);
   void Perform(const serving::ReportCrashes& action);
   void Perform(const serving::ReportEngineStatements& action);
   void ReportToPeersSoon();
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -81,9 +81,13 @@
       log_(LogOptions(settings)),
       gateway_(loop, settings, protocol, log_, RandomSeed()),
       coordinator_(loop, settings, protocol, gateway_, store_, duty_api, RandomSeed()),
-      peer_requests_(gateway_, [this](const std::string& address) { return coordinator_.IsPeerAddress(address); }),
+      engine_checks_(loop, gateway_),
+      peer_requests_(gateway_, engine_checks_,
+                     [this](const std::string& address) { return coordinator_.IsPeerAddress(address); }),
       signals_(loop, SIGTERM, SIGINT, SIGHUP),
-      stop_timer_(loop) {}
+      stop_timer_(loop) {
+  gateway_.on_check_engine_at_peers = [this](const serving::CheckEngineAtPeers& action) { engine_checks_.Ask(action); };
+}
 
 GatewayProcess::~GatewayProcess() = default;
 
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -81,6 +81,7 @@
   LogStream log_;
   Gateway gateway_;
   FleetCoordinator coordinator_;
+  EngineChecks engine_checks_;
   PeerRequestHandler peer_requests_;
   std::unique_ptr<http::Server> client_server_;
   std::unique_ptr<http::Server> ready_server_;
--- a/src/gateway/peer_request_handler.cc
+++ b/src/gateway/peer_request_handler.cc
@@ -15,24 +15,24 @@
 }  // namespace
 
 bool PeerRequestHandler::Handle(const std::shared_ptr<http::Exchange>& exchange) {
-  if (!exchange->head.fields.Has(kForwardedField)) return false;
-  if (!is_peer_(exchange->remote_address())) {
-    Reject(*exchange, kForbidden, "the sender is not a known node", serving::PeerReply::kElsewhere);
-    return true;
-  }
-  const absl::StatusOr<serving::ForwardedRequest> state = DecodeForwardedState(exchange->head);
-  if (!state.ok()) {
-    Reject(*exchange, kBadRequest, MessageOf(state.status()), serving::PeerReply::kElsewhere);
-  } else if (stopping_) {
-    Reject(*exchange, kUnavailable, "this node is stopping", serving::PeerReply::kElsewhere);
-  } else if (gateway_.requests_of_peers() >= kMaxRequestsOfPeers) {
-    Reject(*exchange, kUnavailable, "too many requests of peers", serving::PeerReply::kElsewhere);
-  } else {
-    gateway_.HandleForwarded(exchange, *state);
-  }
+  const bool forwarded = exchange->head.fields.Has(kForwardedField);
+  if (!forwarded) return is_peer_(exchange->remote_address()) && checks_.Handle(exchange);
+  HandleForwarded(exchange);
   return true;
 }
 
+void PeerRequestHandler::HandleForwarded(const std::shared_ptr<http::Exchange>& exchange) {
+  constexpr serving::PeerReply kElsewhere = serving::PeerReply::kElsewhere;
+  if (!is_peer_(exchange->remote_address()))
+    return Reject(*exchange, kForbidden, "the sender is not a known node", kElsewhere);
+  const absl::StatusOr<serving::ForwardedRequest> state = DecodeForwardedState(exchange->head);
+  if (!state.ok()) return Reject(*exchange, kBadRequest, MessageOf(state.status()), kElsewhere);
+  if (stopping_) return Reject(*exchange, kUnavailable, "this node is stopping", kElsewhere);
+  if (gateway_.requests_of_peers() >= kMaxRequestsOfPeers)
+    return Reject(*exchange, kUnavailable, "too many requests of peers", kElsewhere);
+  gateway_.HandleForwarded(exchange, *state);
+}
+
 void PeerRequestHandler::Reject(http::Exchange& exchange, int status, std::string_view cause,
                                 serving::PeerReply reply) {
   gateway_.Log(EventId::kPeerDataRefused, "",
--- a/tests/support/serving_fleet.cc
+++ b/tests/support/serving_fleet.cc
@@ -155,6 +155,8 @@
       At(now_ + 1us, [this, node] { ReportCrashes(node); });
     } else if (const auto* check = std::get_if<ProbeEngine>(&action)) {
       Probe(node, check->engine_id);
+    } else if (const auto* check_at_peers = std::get_if<CheckEngineAtPeers>(&action)) {
+      for (const PeerNode& peer : check_at_peers->peers) CheckAtPeer(node, *check_at_peers, peer);
     } else if (const auto* drop = std::get_if<DropIdleConnections>(&action)) {
       idle_connections_.erase({node, drop->engine_id});
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
--- a/tests/support/serving_fleet.h
+++ b/tests/support/serving_fleet.h
@@ -173,6 +173,8 @@
   // The node's calls at engines that it is partitioned from.
   std::vector<StartAttempt> CallsInFlight(int node) const;
   void Probe(int node, const std::string& engine);
+  EngineProbeOutcome ProbeOutcome(int node, const std::string& engine) const;
+  void CheckAtPeer(int node, const CheckEngineAtPeers& check, const PeerNode& peer);
   // Whether the response of this call still reaches its node; its connection becomes idle.
   bool DeliversResponse(const Call& call);
   void RecordRun(int node, FlowId flow);
