--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -105,18 +105,21 @@
   Time last_response_time{};  // Time of the last response of any kind.
   bool unreachable = false;   // This node cannot connect to it; see engine_path_monitor.h.
   Time unreachable_since{};
-  Time changing_until{};                          // While a stage change is in progress.
-  Time held_until{};                              // While a stage change is announced.
-  Time rests_until{};                             // This node shall send nothing until then.
+  Time path_checked_until{};  // A probe is under way, since this node cannot connect to a similar engine.
+  Time changing_until{};      // While a stage change is in progress.
+  Time held_until{};          // While a stage change is announced.
+  Time rests_until{};         // This node shall send nothing until then.
   std::optional<limits::EngineLimit> rate_limit;  // As the engine last stated to any node; nullopt: none.
   Time limit_stated_at{};                         // Of that statement.
 
   // Whether the engine has stated something that holds although its record has disappeared.
   bool HasStatements() const { return stated_leaving || rate_limit.has_value() || rests_until != Time{}; }
+  // Whether a request may be lost on the way to it.
+  bool HasDoubtfulPath(Time now) const { return unreachable || now < path_checked_until; }
   // Whether the engine should receive no new requests now, for any reason.
   bool IsOutOfService(Time now) const {
     const bool probation_full = probation_limit > 0 && outstanding >= probation_limit;
-    return unreachable || probation_full ||
+    return HasDoubtfulPath(now) || probation_full ||
            now < std::max({ejected_until, backed_off_until, changing_until, held_until, rests_until});
   }
 };
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -51,7 +51,8 @@
     if (tried.contains(candidate.engine->record.id)) continue;
     const bool is_open = IsOpen(*candidate.engine, now);
     if (!is_open && !gate_->MayRequestPermit(*candidate.engine, now)) continue;
-    const std::tuple rank{candidate.engine->unreachable, candidate.engine->IsOutOfService(now), cost(candidate)};
+    const std::tuple rank{candidate.engine->HasDoubtfulPath(now), candidate.engine->IsOutOfService(now),
+                          cost(candidate)};
     Best& best = is_open ? open : without_permit;
     if (best.engine == nullptr || rank < best.rank) best = {candidate.engine, rank};
   }
@@ -173,10 +174,11 @@
   return earliest;
 }
 
-bool EngineSelector::ReachesNone(EngineDirectory& engines, const std::string& service, EngineStage stage) {
+bool EngineSelector::ReachesNone(EngineDirectory& engines, const std::string& service, EngineStage stage, Time now) {
   const Candidates& members = GroupOf(engines, service, stage).all();
-  return !members.empty() && std::all_of(members.begin(), members.end(),
-                                         [](const IndexedEngine& member) { return member.engine->unreachable; });
+  return !members.empty() && std::all_of(members.begin(), members.end(), [now](const IndexedEngine& member) {
+    return member.engine->HasDoubtfulPath(now);
+  });
 }
 
 EngineCount EngineSelector::CountEngines(EngineDirectory& engines, const std::string& service, EngineStage stage,
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -72,8 +72,8 @@
   // if there is no such engine.
   std::optional<Time> OpensAt(EngineDirectory& engines, const std::string& service, EngineStage stage,
                               const EngineIds& tried, Time now);
-  // Whether the service has engines of the stage and this node can connect to none of them.
-  bool ReachesNone(EngineDirectory& engines, const std::string& service, EngineStage stage);
+  // Whether the service has engines of the stage, and requests may be lost on the way to each of them.
+  bool ReachesNone(EngineDirectory& engines, const std::string& service, EngineStage stage, Time now);
   // Engines of the service and stage that may receive requests.
   EngineCount CountEngines(EngineDirectory& engines, const std::string& service, EngineStage stage, Time now);
   // Prefill time in milliseconds on the engine that caches most of the prompt.
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -42,7 +42,7 @@
   const AttemptMode mode = flow.kv_cache ? AttemptMode::kContinue : AttemptMode::kWhole;
   EngineState* engine = ChooseExecutionEngine(flow, mode);
   if (PrefersPeer(flow, engine) && StartForward(flow)) return true;
-  if (engine == nullptr || engine->unreachable) return false;
+  if (engine == nullptr || engine->HasDoubtfulPath(now_)) return false;
   // Leave enough budget for the unsettled first prefills.
   const int unsettled_calls = flow.language ? PrefillStateOf(flow.service).unsettled_calls : 0;
   if (flow.arrivals > 0 && !retry_budget_share_.MayTake(flow.service, now_, unsettled_calls)) return false;
--- a/src/core/serving/forward_steps.cc
+++ b/src/core/serving/forward_steps.cc
@@ -21,7 +21,9 @@
 
 bool ServingCore::LacksPath(const Flow& flow) {
   if (paths_.unreachable_count() == 0) return false;
-  const auto reaches_none = [&](EngineStage stage) { return selector_.ReachesNone(engines_, flow.service, stage); };
+  const auto reaches_none = [&](EngineStage stage) {
+    return selector_.ReachesNone(engines_, flow.service, stage, now_);
+  };
   if (reaches_none(EngineStage::kUniform)) return true;
   if (!flow.language) return false;
   const bool needs_prefill = flow.metadata.prompt->tokens > parameters_.max_unsplit_prompt_tokens && !flow.kv_cache;
@@ -34,7 +36,7 @@
 
 bool ServingCore::PrefersPeer(const Flow& flow, const EngineState* engine) {
   if (engine == nullptr) return flow.connect_failures > 0;
-  if (engine->unreachable) return true;
+  if (engine->HasDoubtfulPath(now_)) return true;
   const bool heard = engine->last_response_time != Time{} && now_ - engine->last_response_time < kRecentlyHeard;
   return flow.connect_failures > 0 && !heard;
 }
--- a/src/core/serving/path_steps.cc
+++ b/src/core/serving/path_steps.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kRelatedChecks = 4;
 // An engine that was heard within this time needs no check.
 constexpr Duration kRecentlyHeard = 500ms;
+// A probe has ended by then.
+constexpr Duration kCheckTime = 300ms;
 
 std::string_view NameOf(AttemptFailure failure) {
   if (failure == AttemptFailure::kNotSent) return "not sent";
@@ -48,7 +50,9 @@
   if (failure != AttemptFailure::kNotSent) return SuspectEngine(*engine, failure);
   // An engine that has responded to other requests since then is alive and only rejects connections.
   if (engine->last_response_time > attempt.sent_at) return engines_.RecordRejection(attempt.engine_id, now_);
-  MarkUnreachable(*engine, "connection failed");
+  const bool timed_out = now_ - attempt.sent_at >= ConnectTimeout(engine->record.zone);
+  MarkUnreachable(*engine, timed_out ? "connection timed out" : "connection refused");
+  if (timed_out) CheckRelatedEngines();
 }
 
 void ServingCore::SuspectEngine(EngineState& engine, AttemptFailure failure) {
@@ -75,6 +79,8 @@
   if (engine == nullptr) return;
   if (ask_peers) AskPeersAbout(*engine);
   if (event.outcome != EngineProbeOutcome::kAccepted) return OnProbeFailed(*engine, event.outcome);
+  engine->path_checked_until = Time{};
+  dispatch_pending_ = true;
   MarkReachable(*engine, "connection accepted");
   for (const std::string_view cause : suspicions)
     LogEngineHealth(engines_.RecordFailure(event.engine_id, std::string(cause), now_));
@@ -88,21 +94,22 @@
   if (!silent || !was_reachable) return;
   actions_->push_back(DropIdleConnections{engine.record.id, engine.record.address});
   ExpireAttemptsAt(engine.record.id);
-  CheckRelatedEngines(engine);
+  CheckRelatedEngines();
 }
 
-// Requests on open connections to other engines would be lost as well if the whole path is broken.
-void ServingCore::CheckRelatedEngines(const EngineState& unreachable) {
-  std::vector<const EngineState*> candidates;
-  engines_.ForEachServing(unreachable.record.service, [&](const EngineState& engine) {
+// Requests on open connections to other engines would be lost as well if the whole path is silent.
+void ServingCore::CheckRelatedEngines() {
+  std::vector<EngineState*> candidates;
+  engines_.ForEachPresent([&](EngineState& engine) {
     const bool heard = now_ - engine.last_response_time < kRecentlyHeard && engine.last_response_time != Time{};
-    if (!engine.unreachable && !heard) candidates.push_back(&engine);
+    if (!engine.record.leaving && !engine.unreachable && !heard) candidates.push_back(&engine);
   });
   std::size_t started = 0;
   const std::size_t first = candidates.empty() ? 0 : random_.Below(candidates.size());
   for (std::size_t i = 0; i < candidates.size() && started < kRelatedChecks; ++i) {
-    const EngineState& engine = *candidates[(first + i) % candidates.size()];
+    EngineState& engine = *candidates[(first + i) % candidates.size()];
     if (!paths_.TryStartCheck(engine.record.id, now_)) continue;
+    engine.path_checked_until = now_ + kCheckTime;
     RequestProbe(engine);
     ++started;
   }
--- a/src/core/serving/prefill_steps.cc
+++ b/src/core/serving/prefill_steps.cc
@@ -157,7 +157,7 @@
   EstimateUnreportedWork(flow.service);
   EngineState* engine = selector_.ChoosePrefillEngine(engines_, flow.service, EngineStage::kPrefill,
                                                       *flow.metadata.prompt, flow.tried_engines, now_);
-  if (engine == nullptr || engine->unreachable) return false;
+  if (engine == nullptr || engine->HasDoubtfulPath(now_)) return false;
   std::optional<EngineAdmission> admission = gate_->Admit(*engine, now_);
   if (!admission) return false;
   if (extra) ChargeRetryBudget(flow, ExtraArrival::kPrefillRetried);
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -231,7 +231,7 @@
   // Probes the engine, at most once during an event.
   void RequestProbe(const EngineState& engine);
   void OnProbeFailed(EngineState& engine, EngineProbeOutcome outcome);
-  void CheckRelatedEngines(const EngineState& unreachable);
+  void CheckRelatedEngines();
   void CheckSilentEngine(const Attempt& attempt);
   void RecordSilence(const Attempt& attempt);
   void MarkUnreachable(EngineState& engine, std::string_view cause);
