A request that an engine may have run is not refused when no other engine is left

Callers saw: 503, which promises that nothing ran, for repeatable requests and streams that an engine had begun, if the next attempts found no engine. Cause: WaitOrRefuse refused without looking at the executions. Only repeatable requests get there after an execution. Change: Refuse itself answers 502 if an engine may have executed the request; no caller has to remember it. Regression test in flow_test. serving_core_test passes.

--- a/src/core/serving/flow_end_steps.cc
+++ b/src/core/serving/flow_end_steps.cc
@@ -8,6 +8,7 @@
 namespace saltquay::serving {
 namespace {
 
+constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 
 }  // namespace
@@ -52,6 +53,8 @@
 
 void ServingCore::Refuse(Flow& flow, int status, std::string_view cause, Duration retry_after,
                          std::string_view members) {
+  // A refusal promises that the request was not executed.
+  if (flow.executions > 0) return Fail(flow, kBadGateway, fmt::format("{}; request may have run", cause));
   CancelAttempts(flow, 0);
   Log(EventId::kRequestRefused, &flow,
       fmt::format(R"("status":{},"cause":"{}","held_ms":{},"tries":{},"version":{},"retry_after_ms":{}{})", status,
--- a/src/core/serving/forward_steps.cc
+++ b/src/core/serving/forward_steps.cc
@@ -101,7 +101,6 @@
     return Retry(flow, "peer cannot serve it");
   }
   if (flow.relaying) return AbortFlow(flow, "refused by a peer");
-  if (flow.executions > 0) return Fail(flow, kBadGateway, "refused by a peer; request may have run before");
   Refuse(flow, head.status, "refused by a peer", head.retry_after.value_or(parameters_.retry_after), "");
 }
 
--- a/tests/core/serving/flow_test.cc
+++ b/tests/core/serving/flow_test.cc
@@ -375,5 +375,15 @@
   EXPECT_TRUE(copied);  // The source is a home engine that is too busy for another prefill.
 }
 
+// Guards against: a request that an engine has run is refused because no other engine is left.
+TEST_F(FlowTest, RepeatableRequestThatMayHaveRunIsNotRefused) {
+  Arrive("safe");
+  Fail(One<StartAttempt>(), AttemptFailure::kBroken);
+  Fail(One<StartAttempt>(), AttemptFailure::kNotSent);
+  Pass(500ms);
+  EXPECT_EQ(One<SendLocalReply>().status, 502);
+  EXPECT_FALSE(One<SendLocalReply>().retry_after);
+}
+
 }  // namespace
 }  // namespace saltquay::serving
