Silence counts against an engine only if the request was sent after the engine was known to listen

Callers saw: an engine that had served without fault was ejected at a node for a second after a short silent partition. Cause: requests that were lost with the path reached their timeout when the path had healed, and were taken for the silence of an engine that listens. Change: a request that was sent before the engine became reachable again, or before the first connection that it accepted after its last response, does not count. Regression test in engine_path_test.

--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -105,6 +105,8 @@
   Time last_response_time{};  // Time of the last response of any kind.
   bool unreachable = false;   // This node cannot connect to it; see engine_path_monitor.h.
   Time unreachable_since{};
+  Time reachable_since{};     // Since it was unreachable.
+  Time listening_since{};     // The first connection that it accepted after its last response.
   Time path_checked_until{};  // A probe is under way, since this node cannot connect to a similar engine.
   Time changing_until{};      // While a stage change is in progress.
   Time held_until{};          // While a stage change is announced.
--- a/src/core/serving/path_steps.cc
+++ b/src/core/serving/path_steps.cc
@@ -80,6 +80,7 @@
   if (ask_peers) AskPeersAbout(*engine);
   if (event.outcome != EngineProbeOutcome::kAccepted) return OnProbeFailed(*engine, event.outcome);
   engine->path_checked_until = Time{};
+  if (engine->listening_since <= engine->last_response_time) engine->listening_since = now_;
   dispatch_pending_ = true;
   MarkReachable(*engine, "connection accepted");
   for (const std::string_view cause : suspicions)
@@ -133,6 +134,7 @@
 void ServingCore::MarkReachable(EngineState& engine, std::string_view cause) {
   if (!paths_.RecordReachable(engine.record.id, now_)) return;
   engine.unreachable = false;
+  engine.reachable_since = now_;
   LogPath(engine, cause);
   dispatch_pending_ = true;
 }
--- a/src/core/serving/timeout_steps.cc
+++ b/src/core/serving/timeout_steps.cc
@@ -54,12 +54,14 @@
   }
 }
 
-// An engine that cannot be reached is not to blame.
+// The request may have been lost with the path to the engine unless it was sent after the engine was known to listen.
 void ServingCore::RecordSilence(const Attempt& attempt) {
   DropIdleConnectionsTo(attempt);
   const EngineState* engine = engines_.Find(attempt.engine_id);
-  if (engine != nullptr && !engine->unreachable)
-    LogEngineHealth(engines_.RecordFailure(attempt.engine_id, "silent", now_));
+  if (engine == nullptr) return;
+  const bool may_be_lost =
+      engine->unreachable || std::max(engine->reachable_since, engine->listening_since) > attempt.sent_at;
+  if (!may_be_lost) LogEngineHealth(engines_.RecordFailure(attempt.engine_id, "silent", now_));
 }
 
 bool ServingCore::EngineUnresponsiveSince(const Attempt& attempt) {
--- a/tests/core/serving/engine_path_test.cc
+++ b/tests/core/serving/engine_path_test.cc
@@ -109,5 +109,19 @@
   }
 }
 
+// Guards against: a request that was lost while the path was broken counts against the engine after the path has
+// healed.
+TEST_F(EnginePathTest, SilenceFromBeforeThePathHealedIsNoFailureOfTheEngine) {
+  for (int i = 0; i < 4; ++i) Arrive("once");
+  Pass(600ms);
+  for (const char* id : {"u1", "u2"}) Send(EngineProbed{id, EngineProbeOutcome::kUnknown});
+  Pass(300ms);
+  for (const char* id : {"u1", "u2"}) Send(EngineProbed{id, EngineProbeOutcome::kAccepted});
+  Pass(1s);
+  EXPECT_EQ(ReportedFailures(), 0);
+  EXPECT_FALSE(IsEjected("u1"));
+  EXPECT_FALSE(IsEjected("u2"));
+}
+
 }  // namespace
 }  // namespace saltquay::serving
