Soak clients: a connection on which a stream was aborted is not used again

Change: only complete responses return their connection. node_partition_test.py prints what was not served, and when it was sent.

--- a/tests/platform/node_partition_test.py
+++ b/tests/platform/node_partition_test.py
@@ -95,7 +95,7 @@
 class PartitionTest(Soak):
     async def build(self):
         self.paths = [{} for _ in range(GATEWAYS)]  # By gateway: engine -> its proxy.
-        self.results, self.judged = {}, {}
+        self.results, self.unserved = {}, []
         stages = [(f"u{i}", "plain", None) for i in range(ENGINES_PER_STAGE)]
         stages += [(f"p{i}", "model", "prefill") for i in range(ENGINES_PER_STAGE)]
         stages += [(f"d{i}", "model", "decode") for i in range(ENGINES_PER_STAGE)]
@@ -146,6 +146,9 @@
                 served, took = self.results.setdefault(key, ([], []))
                 served.append(outcome == "served")
                 took.append(time.monotonic() - sent)
+                if outcome != "served":
+                    self.unserved.append(f"{self.case}: {request} at {self.gateways[index].name}, sent "
+                                         f"{sent - self.judged_since + DETECTION_S:.2f} s after the partition began: {outcome}")
             await asyncio.sleep(rng.uniform(0.1, 0.3))
 
     async def partition(self, case):
@@ -208,6 +211,8 @@
             if shares[True] < MIN_SHARE * shares[False] or not shares[False]:
                 violations.append(f"{case}: {shares[True]:.2f} served at the partitioned gateways, "
                                   f"{shares[False]:.2f} at the others")
+        for line in self.unserved:
+            print("  " + line)
         crashed = sum(line["name"] in ("engine_ended", "request_quarantined") for line in self.lines())
         if crashed:
             violations.append(f"{crashed} crashes of engines or quarantined requests were recorded")
--- a/tests/platform/soak_clients.py
+++ b/tests/platform/soak_clients.py
@@ -124,7 +124,9 @@
         try:
             writer.write(text.encode())
             data = await asyncio.wait_for(reader.read(-1) if pool is None else read_response(reader), 8)
-            reusable = pool is not None and b"connection: close" not in data.partition(b"\r\n\r\n")[0].lower()
+            head = data.partition(b"\r\n\r\n")[0].lower()
+            ended = b"transfer-encoding: chunked" not in head or data.endswith(b"\r\n0\r\n\r\n")
+            reusable = pool is not None and ended and b"connection: close" not in head
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return "cut"
         finally:
