One peer's word confirms a crash if no other peer responds

Cause: in fleets of a few nodes of which most had just been killed, no two peers could confirm a crash; the record of the engine was then awaited. Change: peers that do not respond are told apart from those that respond and cannot say; one suffices if it is the only one that responds.

--- a/src/core/serving/engine_crash_detector.cc
+++ b/src/core/serving/engine_crash_detector.cc
@@ -38,16 +38,18 @@
 
 void EngineCrashDetector::RecordPeersAsked(const std::string& engine_id, std::size_t count) {
   const auto suspect = suspects_.find(engine_id);
-  if (suspect != suspects_.end()) suspect->second.peers_asked = count;
+  if (suspect != suspects_.end()) suspect->second.peers_awaited = count;
 }
 
 void EngineCrashDetector::RecordPeerProbe(const std::string& engine_id, EngineKey incarnation,
-                                          EngineProbeOutcome outcome) {
-  const auto suspect = suspects_.find(engine_id);
-  if (suspect == suspects_.end() || suspect->second.incarnation != incarnation) return;
-  ++suspect->second.peers_heard;
-  if (outcome == EngineProbeOutcome::kRefused) ++suspect->second.peers_refused;
-  if (outcome == EngineProbeOutcome::kAccepted) suspects_.erase(suspect);
+                                          std::optional<EngineProbeOutcome> outcome) {
+  const auto entry = suspects_.find(engine_id);
+  if (entry == suspects_.end() || entry->second.incarnation != incarnation) return;
+  Suspect& suspect = entry->second;
+  if (suspect.peers_awaited > 0) --suspect.peers_awaited;
+  if (outcome) ++suspect.peers_responded;
+  if (outcome == EngineProbeOutcome::kRefused) ++suspect.peers_refused;
+  if (outcome == EngineProbeOutcome::kAccepted) suspects_.erase(entry);
 }
 
 void EngineCrashDetector::RecordRemoval(const std::string& engine_id) {
@@ -67,8 +69,8 @@
 
 bool EngineCrashDetector::IsConfirmed(const Suspect& suspect) {
   if (!suspect.refused) return false;
-  const bool all_heard = suspect.peers_asked > 0 && suspect.peers_heard >= suspect.peers_asked;
-  const bool peers_agree = all_heard && suspect.peers_refused >= std::min(kRequiredPeers, suspect.peers_asked);
+  const bool peers_agree = suspect.peers_awaited == 0 && suspect.peers_responded > 0 &&
+                           suspect.peers_refused >= std::min(kRequiredPeers, suspect.peers_responded);
   return peers_agree || suspect.removed;
 }
 
--- a/src/core/serving/engine_crash_detector.h
+++ b/src/core/serving/engine_crash_detector.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,8 +50,8 @@
   // Returns whether to ask peers now.
   bool RecordProbeOutcome(const std::string& engine_id, EngineProbeOutcome outcome);
   void RecordPeersAsked(const std::string& engine_id, std::size_t count);
-  // A peer's probe of that incarnation, or kUnknown if the peer did not respond. Call it once for each peer asked.
-  void RecordPeerProbe(const std::string& engine_id, EngineKey incarnation, EngineProbeOutcome outcome);
+  // A peer's probe of that incarnation; nullopt: the peer did not respond. Call it once for each peer asked.
+  void RecordPeerProbe(const std::string& engine_id, EngineKey incarnation, std::optional<EngineProbeOutcome> outcome);
   // The platform removed the engine's record, or it has restarted.
   void RecordRemoval(const std::string& engine_id);
   // Records may disappear although their engines run.
@@ -78,8 +79,8 @@
     bool refused = false;  // This node's connection.
     bool removed = false;  // By the platform.
     bool records_reliable = true;
-    std::size_t peers_asked = 0;
-    std::size_t peers_heard = 0;    // Of those asked; all are awaited, since one that was accepted decides.
+    std::size_t peers_awaited = 0;  // Of those asked; all are awaited, since one that was accepted decides.
+    std::size_t peers_responded = 0;
     std::size_t peers_refused = 0;  // Their connections were refused.
     std::set<std::uint64_t> requests;
   };
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -172,12 +172,12 @@
   std::string engine_id;
   EngineProbeOutcome outcome = EngineProbeOutcome::kUnknown;
 };
-// A peer's result of a CheckEngineAtPeers action; kUnknown if it did not respond, or cannot connect to other engines
-// either.
+// A peer's result of a CheckEngineAtPeers action: kUnknown if it cannot connect to other engines either, nullopt if it
+// did not respond.
 struct PeerProbedEngine {
   std::string engine_id;
   EngineKey engine;
-  EngineProbeOutcome outcome = EngineProbeOutcome::kUnknown;
+  std::optional<EngineProbeOutcome> outcome;
 };
 // A peer's records of requests whose engines crashed.
 struct PeerCrashesReported {
--- a/src/gateway/engine_checks.cc
+++ b/src/gateway/engine_checks.cc
@@ -71,9 +71,8 @@
     fetcher_.fetch(peer.address, head, "", options,
                    [this, id = action.engine_id, key = action.engine](absl::StatusOr<fetch::Reply> const& reply) {
                      const bool answered = reply.ok() && reply->status == kOk;
-                     const EngineProbeOutcome outcome =
-                         answered ? ParseOutcome(reply->body) : EngineProbeOutcome::kUnknown;
-                     gateway_.Dispatch(serving::PeerProbedEngine{id, key, outcome});
+                     gateway_.Dispatch(serving::PeerProbedEngine{
+                         id, key, answered ? std::optional(ParseOutcome(reply->body)) : std::nullopt});
                    });
   }
 }
