--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -161,7 +161,9 @@
 void EngineDirectory::SetPeerWork(const std::map<EngineKey, EngineWork>& work) {
   for (const EngineKey& key : peer_work_) {
     EngineState* engine = FindPresent(key);
-    if (engine != nullptr) engine->peers_outstanding = engine->peers_prompt_tokens = engine->peers_responses = 0;
+    if (engine == nullptr) continue;
+    engine->peers_outstanding = engine->peers_responses = 0;
+    engine->peers_prompt_tokens = 0;
   }
   peer_work_.clear();
   for (const auto& [key, peers] : work) {
--- a/tests/support/serving_fleet.h
+++ b/tests/support/serving_fleet.h
@@ -187,6 +187,9 @@
   void Forward(int from, const ForwardRequest& forward);
   // Performs actions that concern forwarded requests; returns whether it did.
   bool PerformForwarding(int node, const Action& action);
+  bool CancelForward(int node, AttemptId attempt);
+  bool ForwardLocalReply(int node, const SendLocalReply& reply);
+  bool EndForward(int node, FlowId flow, bool complete);
   void ReplyToForward(const Forwarded& forwarded, const EngineResponseHead& head, bool completes);
 
   ServingConfig config_;
