--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,7 +17,7 @@
 ZONES = ["pamp-a", "pamp-b", "grand-baie"]
 CLIENTS = 14  # For each gateway.
 # The doses of the site file: handle_short share 0.35 for 4.0 s; garble "extra late" share 0.6, x 0.03 for 5.0 s.
-EVERY_S, LAPSE_S, EXTRA_S, EXTRA_X = 5.0, 4.0, 5.0, 0.03
+EVERY_S, LAPSE_S, EXTRA_S, EXTRA_X = 10.0, 4.0, 5.0, 0.03
 SWITCH_S, READ_S, FIRST_TOKEN_S, GAP_S, EVENTS = 2.3, 0.026, 0.031, 0.01, 5
 
 record = Record(os.path.join(HERE, "record.txt"))
