--- a/tests/platform/stream_standins.py
+++ b/tests/platform/stream_standins.py
@@ -19,15 +19,16 @@
     def __init__(self, identity, stage, version, rng):
         self.identity, self.stage, self.version, self.rng = identity, stage, version, rng
         self.breaks, self.framing, self.handles, self.connections = 0.0, "chunked", set(), set()
+        self.born = int(time.time() * 1000)
 
     def record(self, state="ready"):
         spec = {"service": "model", "address": f"127.0.0.1:{self.port}", "zone": "a", "slots": 64, "state": state,
-                "sequence": 0, "version": self.version}
+                "sequence": 0, "version": self.version, "born": self.born}
         return {**spec, "stage": self.stage} if self.stage else spec
 
     def restart(self, version):
         """Starts again under the same id with another software version; all connections are reset."""
-        self.version = version
+        self.version, self.born = version, int(time.time() * 1000)
         self.handles.clear()
         for writer in list(self.connections):
             writer.transport.abort()
@@ -44,7 +45,8 @@
         if headers.get("x-expect-instance", self.identity) != self.identity:
             writer.write(response(421))
         elif target == "/report":
-            writer.write(response(200, json.dumps({"stage": self.stage, "busy": False, "sequence": 0}).encode()))
+            report = {"stage": self.stage, "busy": False, "sequence": 0, "born": self.born}
+            writer.write(response(200, json.dumps(report).encode()))
         elif target == "/order":
             writer.write(response(409))
         elif method == "DELETE":
