A stream's origin is told when its response begins, not when its request is sent

What callers saw: a stream that was taken up elsewhere went on at another software version.

Cause: a node told three peers the engine's version when it sent the request. If that attempt failed before its first event and the next one went to an engine of another version, the peers held a wrong origin until the correction came. A client that returned within a few dozen milliseconds could get the old one from a peer whose datagram was late or lost.

Change: the origin is recorded and announced with the response's head, which still comes before any event is relayed. An attempt without a response leaves no origin behind. StreamsAreAnnouncedWhenTheirRequestIsSent becomes StreamsAreAnnouncedBeforeTheirFirstEvent: that the peers know before the client can have an event is what it guards; tests of streams in flight begin the response as well.

Evidence: AttemptWithoutAResponseIsNotAnnounced fails before (a notice at the request).

--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -119,7 +119,6 @@
   LogRouted(flow, engine, start, attempt.prompt_tokens);
   attempt.times_out_at = now_ + AttemptTimeout(attempt, engine);
   MeterDispatch(flow, attempt);
-  RecordStreamOrigin(flow, attempt);
   flow.attempts[attempt.id] = attempt;
   actions_->push_back(std::move(start));
   ScheduleWakeUp(flow);
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -263,6 +263,7 @@
   flow->relaying = true;
   flow->relayed_attempt = attempt.id;
   CancelAttempts(*flow, attempt.id);
+  RecordStreamOrigin(*flow, attempt);
   actions_->push_back(BeginRelay{flow->id, attempt.id});
   ScheduleWakeUp(*flow);
 }
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -288,7 +288,8 @@
   // Whether the flow's stream may only go on at a version that no engine has.
   bool LacksSoftwareVersion(const Flow& flow);
   void OnSoftwareVersionGone(Flow& flow);
-  // Records, and announces if necessary, that the stream may begin with this attempt.
+  // The attempt's response has begun: records, and announces if necessary, where the stream begins. Not before, since an
+  // attempt that fails would leave an origin behind that a later one has to correct.
   void RecordStreamOrigin(const Flow& flow, const Attempt& attempt);
   // The attempt has brought an event.
   void BindSoftwareVersion(Flow& flow, const Attempt& attempt);
--- a/src/core/serving/software_version_steps.cc
+++ b/src/core/serving/software_version_steps.cc
@@ -83,8 +83,8 @@
 }
 
 void ServingCore::RecordStreamOrigin(const Flow& flow, const Attempt& attempt) {
-  const bool may_begin = flow.route.kind == RouteKind::kStreaming && attempt.mode != AttemptMode::kPrefill;
-  if (!may_begin || !flow.route.resumable) return;
+  const bool may_begin = attempt.mode != AttemptMode::kPrefill && attempt.mode != AttemptMode::kForward;
+  if (!may_begin || flow.route.kind != RouteKind::kStreaming || !flow.route.resumable) return;
   const bool announces = UpdateStreamAnnouncing(flow.service);
   const StreamKey stream = StreamKeyOf(flow);
   // The attempts of a peer come after those of the node that handed the request to it.
--- a/tests/core/serving/software_version_test.cc
+++ b/tests/core/serving/software_version_test.cc
@@ -40,11 +40,16 @@
     Send(EngineRemoved{"b2"});
     Send(EngineChangesApplied{});
   }
-  // Begins a stream and brings three events; returns the attempt.
-  StartAttempt Begin() {
+  // Begins a stream's response; returns the attempt.
+  StartAttempt BeginResponse() {
     Arrive("chat");
     auto start = One<StartAttempt>();
     Head(start, 200);
+    return start;
+  }
+  // The same, and brings three events.
+  StartAttempt Begin() {
+    auto start = BeginResponse();
     Send(AttemptEventsReceived{start.flow, start.attempt, "3"});
     return start;
   }
@@ -150,7 +155,7 @@
   RemoveVersionB();
   Pass(20s);
   SetPeers();
-  Arrive("chat");
+  BeginResponse();
   EXPECT_TRUE(All<SendStreamMessages>().empty());
   Send(StoreConnectivityChanged{false});
   ASSERT_EQ(One<SendStreamMessages>().messages.size(), 2U);
@@ -189,14 +194,24 @@
                           [](const Action& action) { return std::holds_alternative<StartAttempt>(action); }));
 }
 
-TEST_F(SoftwareVersionTest, StreamsAreAnnouncedWhenTheirRequestIsSent) {
+// Guards against: a client leaves after the first event, and the peers are not told of the stream yet.
+TEST_F(SoftwareVersionTest, StreamsAreAnnouncedBeforeTheirFirstEvent) {
   SetPeers();
-  Arrive("chat");
+  const StartAttempt start = BeginResponse();
   const auto sent = One<SendStreamMessages>();
   ASSERT_EQ(sent.messages.size(), 2U);
   const auto notice = std::get<StreamNotice>(sent.messages[0].message);
   EXPECT_EQ(notice.stream, HashText("r" + std::to_string(last_flow_)));
-  EXPECT_EQ(notice.origin.software_version, std::string(1, One<StartAttempt>().engine_id[0] - 'a' + 'A'));
+  EXPECT_EQ(notice.origin.software_version, std::string(1, start.engine_id[0] - 'a' + 'A'));
+}
+
+// Guards against: a peer goes by the origin of an attempt that failed, since the later one's correction comes late.
+TEST_F(SoftwareVersionTest, AttemptWithoutAResponseIsNotAnnounced) {
+  SetPeers();
+  Arrive("chat");
+  EXPECT_TRUE(All<SendStreamMessages>().empty());
+  Fail(One<StartAttempt>(), AttemptFailure::kBroken);
+  EXPECT_TRUE(All<SendStreamMessages>().empty());
 }
 
 // Guards against: streams that began before a second version came are unknown to the peers.
@@ -204,7 +219,7 @@
   RemoveVersionB();
   Pass(20s);
   SetPeers();
-  Arrive("chat");
+  BeginResponse();
   EXPECT_TRUE(All<SendStreamMessages>().empty());
   Send(EngineChanged{Engine("c1", "C")});
   Send(EngineChangesApplied{});
