--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -69,6 +69,7 @@
   kLimitChanged = 621,
   kAttemptConnection = 622,
   kResponseSkipped = 623,
+  kEngineIdentified = 624,
   kRequestForwarded = 630,
   kStreamResumed = 631,
   kStoreUnavailable = 700,
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -106,14 +106,18 @@
   Time last_response_time{};  // Time of the last response of any kind.
   bool unreachable = false;   // This node cannot connect to it; see engine_path_monitor.h.
   Time unreachable_since{};
-  Time reachable_since{};               // Since it was unreachable.
-  Time listening_since{};               // The first connection that it accepted after its last response.
-  Time path_checked_until{};            // A probe is under way, since this node cannot connect to a similar engine.
-  Time changing_until{};                // While a stage change is in progress.
-  Time held_until{};                    // While a stage change is announced.
-  std::optional<Time> disconnected_at;  // When it unexpectedly ended the last open connection.
-  Time record_changed_at{};             // When this node last received a change of its record.
-  Time rests_until{};                   // This node shall send nothing until then.
+  Time reachable_since{};     // Since it was unreachable.
+  Time listening_since{};     // The first connection that it accepted after its last response.
+  Time path_checked_until{};  // A probe is under way, since this node cannot connect to a similar engine.
+  Time changing_until{};      // While a stage change is in progress.
+  Time held_until{};          // While a stage change is announced.
+  Time record_changed_at{};   // When this node last received a change of its record.
+  Time rests_until{};         // This node shall send nothing until then.
+  // When its process started, as it told on a connection that was not served by the process that its record describes.
+  // 0: it did not tell.
+  std::optional<std::int64_t> process_started_ms;
+  Time unidentified_at{};      // When it last accepted a connection and did not answer which process it is.
+  Time identified_again_at{};  // If it did not tell: it is not asked until then.
   std::optional<limits::EngineLimit> rate_limit;  // As the engine last stated to any node; nullopt: none.
   Time limit_stated_at{};                         // Of that statement.
 
@@ -121,11 +125,11 @@
   bool HasStatements() const { return stated_leaving || rate_limit.has_value() || rests_until != Time{}; }
   // Whether a request may be lost on the way to it.
   bool HasDoubtfulPath(Time now) const { return unreachable || now < path_checked_until; }
-  // Whether the engine may have started again with another software version: that shows only in the end of all
-  // connections to it, and its record tells it late.
-  bool HasDoubtfulVersion(Time now) const {
-    constexpr Duration kRecordDelay = 2s;
-    return disconnected_at && now - *disconnected_at < kRecordDelay && record_changed_at < *disconnected_at;
+  // Whether its process is not the one that its record describes: a record tells a restart late, and with it the
+  // software version.
+  bool HasUnknownVersion(Time now) const {
+    if (!process_started_ms || *process_started_ms == record.started_ms) return false;
+    return *process_started_ms != 0 || now < identified_again_at;
   }
   // Whether the engine should receive no new requests now, for any reason.
   bool IsOutOfService(Time now) const {
--- a/src/core/serving/engine_record_steps.cc
+++ b/src/core/serving/engine_record_steps.cc
@@ -10,7 +10,10 @@
 
 void ServingCore::On(const EnginesReplaced& event) {
   engines_.Replace(event.records);
-  for (const EngineRecord& record : event.records) ApplyRecord(record.id);
+  for (const EngineRecord& record : event.records) {
+    ApplyRecord(record.id);
+    ResolveOrigins(record);
+  }
   engines_listed_ = true;
   version_history_.Begin(now_);
   Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engines":{},"cause":"listed")", event.records.size()));
@@ -20,11 +23,10 @@
   const EngineState* known = engines_.Find(event.record.id);
   const bool is_new = known == nullptr;
   const EngineKey key = is_new ? EngineKey{} : known->key;
-  const std::optional<Time> disconnected_at = is_new ? std::nullopt : known->disconnected_at;
   if (!engines_.Update(event.record)) return;
   if (!is_new && known->key != key) crash_detector_.RecordRemoval(event.record.id);
   ApplyRecord(event.record.id);
-  if (!is_new && known->key != key && disconnected_at) CorrectSoftwareVersion(event.record.id, key, *disconnected_at);
+  if (is_new || known->key != key) ResolveOrigins(event.record);
   if (is_new && !event.record.leaving) {
     ++added_engines_;
     return;
--- a/src/core/serving/engine_selector.cc
+++ b/src/core/serving/engine_selector.cc
@@ -48,7 +48,7 @@
   Best open;
   Best without_permit;  // Of the engines that only need a permit.
   for (const IndexedEngine& candidate : candidates) {
-    if (!filter.Admits(*candidate.engine)) continue;
+    if (!filter.Admits(*candidate.engine, now)) continue;
     const bool is_open = IsOpen(*candidate.engine, now);
     if (!is_open && !gate_->MayRequestPermit(*candidate.engine, now)) continue;
     const std::tuple rank{candidate.engine->HasDoubtfulPath(now), filter.Avoids(*candidate.engine, now),
@@ -68,7 +68,7 @@
   if (parameters_.policy == SelectionPolicy::kRoundRobin) {
     Candidates left;
     std::copy_if(group.all().begin(), group.all().end(), std::back_inserter(left), [&](const IndexedEngine& member) {
-      return filter.Admits(*member.engine) && IsOpen(*member.engine, now);
+      return filter.Admits(*member.engine, now) && IsOpen(*member.engine, now);
     });
     return left.empty() ? nullptr : left[next_round_robin_++ % left.size()].engine;
   }
@@ -167,7 +167,7 @@
                                             const EngineFilter& filter, Time now) {
   std::optional<Time> earliest;
   for (const IndexedEngine& member : GroupOf(engines, service, stage).all()) {
-    if (!filter.Admits(*member.engine)) continue;
+    if (!filter.Admits(*member.engine, now)) continue;
     const Time at = gate_ == nullptr ? now : gate_->OpensAt(*member.engine, now);
     if (at <= now) return now;
     earliest = std::min(earliest.value_or(at), at);
--- a/src/core/serving/engine_selector.h
+++ b/src/core/serving/engine_selector.h
@@ -39,23 +39,27 @@
   // NOLINTNEXTLINE(google-explicit-constructor): most attempts only exclude the engines that were tried.
   EngineFilter(const EngineIds& tried) : tried_(&tried) {}
   // `software_version`: the only one that may serve the attempt; nullopt: any.
-  // `avoids_doubt`: engines whose software version is certain come first.
-  EngineFilter(const EngineIds& tried, const std::optional<std::string>& software_version, bool avoids_doubt = false)
+  // `avoids_unknown`: engines whose software version is known come first.
+  EngineFilter(const EngineIds& tried, const std::optional<std::string>& software_version, bool avoids_unknown = false)
       : tried_(&tried),
         software_version_(software_version ? &*software_version : nullptr),
-        avoids_doubt_(avoids_doubt || software_version) {}
+        avoids_unknown_(avoids_unknown) {}
 
-  bool Admits(const EngineState& engine) const {
-    const bool version_fits = software_version_ == nullptr || engine.record.software_version == *software_version_;
-    return version_fits && (tried_ == nullptr || !tried_->contains(engine.record.id));
+  bool Admits(const EngineState& engine, Time now) const {
+    return HasVersion(engine, now) && (tried_ == nullptr || !tried_->contains(engine.record.id));
   }
   // Whether the engine is chosen only if no other can be.
-  bool Avoids(const EngineState& engine, Time now) const { return avoids_doubt_ && engine.HasDoubtfulVersion(now); }
+  bool Avoids(const EngineState& engine, Time now) const { return avoids_unknown_ && engine.HasUnknownVersion(now); }
 
  private:
+  bool HasVersion(const EngineState& engine, Time now) const {
+    if (software_version_ == nullptr) return true;
+    return !engine.HasUnknownVersion(now) && engine.record.software_version == *software_version_;
+  }
+
   const EngineIds* tried_ = nullptr;
   const std::string* software_version_ = nullptr;
-  bool avoids_doubt_ = false;
+  bool avoids_unknown_ = false;
 };
 
 // Number of engines, and the peers' requests in flight on them.
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -106,8 +106,12 @@
   bool limit_unreadable = false;         // The limit is not a valid number: the one known before still applies.
 };
 
+// kUnidentified: the engine accepted the connection but did not say which process it is, so the request was not sent.
 // kInsideEvent, kNoEvents: the response ended properly, but its event stream was not complete.
-enum class AttemptFailure { kNotSent, kBroken, kMalformed, kInsideEvent, kNoEvents };
+enum class AttemptFailure { kNotSent, kUnidentified, kBroken, kMalformed, kInsideEvent, kNoEvents };
+constexpr bool WasSent(AttemptFailure failure) {
+  return failure != AttemptFailure::kNotSent && failure != AttemptFailure::kUnidentified;
+}
 // Whether the engine ended the response before it was complete.
 constexpr bool IsInterrupted(AttemptFailure failure) {
   return failure == AttemptFailure::kBroken || failure == AttemptFailure::kInsideEvent ||
@@ -171,10 +175,6 @@
   // When the request was sent; nullopt for a call of another kind, whose response need not state everything.
   std::optional<Time> sent_at;
 };
-// The engine has ended the last open connection of this node to it without being expected to.
-struct EngineDisconnected {
-  std::string engine_id;
-};
 struct AttemptHeadReceived {
   FlowId flow = 0;
   AttemptId attempt = 0;
@@ -199,6 +199,12 @@
   AttemptFailure failure = AttemptFailure::kBroken;
   std::optional<ResponseProgress> progress = std::nullopt;  // Unset if no response head had arrived.
 };
+// The attempt was not sent: the process that serves its connection is not the one that StartAttempt names.
+struct AttemptAtOtherProcess {
+  FlowId flow = 0;
+  AttemptId attempt = 0;
+  std::int64_t started_ms = 0;  // Of that process; 0: it does not tell.
+};
 // The result of a ProbeEngine action.
 struct EngineProbed {
   std::string engine_id;
@@ -250,8 +256,8 @@
 
 using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
                            StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected,
-                           EngineNoticeReceived, EngineDisconnected, AttemptHeadReceived, AttemptEventsReceived,
-                           AttemptCompleted, AttemptFailed, EngineProbed, PeerProbedEngine, PeerCrashesReported,
+                           EngineNoticeReceived, AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted,
+                           AttemptFailed, AttemptAtOtherProcess, EngineProbed, PeerProbedEngine, PeerCrashesReported,
                            PeerEngineLimitsReported, PeerLeavingEnginesReported, NodesChanged, PeersListed,
                            LimitMessageArrived, PermitMessageArrived, StreamMessageArrived, NodeStopping, TimerFired>;
 
@@ -276,6 +282,8 @@
   bool streams = false;
   std::string tenant;  // Empty for an anonymous client.
   bool on_new_connection = false;
+  // Send it only to the engine's process that started then; nullopt: to any. See EngineRecord::started_ms.
+  std::optional<std::int64_t> process_started_ms;
 };
 // Send the request to a peer, which serves it like one of its own clients.
 struct ForwardRequest {
--- a/src/core/serving/flow.h
+++ b/src/core/serving/flow.h
@@ -16,8 +16,8 @@
 struct Attempt {
   AttemptId id = 0;
   std::string engine_id;
-  EngineKey engine_key;          // Identifies the engine's incarnation that the attempt was sent to.
-  std::string software_version;  // The engine's.
+  EngineKey engine_key;  // Identifies the engine's incarnation that the attempt was sent to.
+  StreamOrigin origin;   // What a stream's origin is if it begins with this attempt.
   AttemptMode mode = AttemptMode::kWhole;
   std::string peer;           // For kForward: the peer that the request was handed to.
   int executions_before = 0;  // For kForward: the flow's executions without it.
@@ -82,6 +82,7 @@
   bool usage_counted = false;                   // The request has been counted as usage of its tenant.
   std::int64_t limit_cost = 0;                  // Units of the tenant's limit that the request consumes; 0: no limit.
   std::optional<std::string> software_version;  // At which the stream began; it may go on only there.
+  std::optional<EngineProcess> origin_process;  // Set instead while it is known only which process began the stream.
   bool origin_pending = false;                  // Peers are asked for it.
   bool limit_pending = false;                   // The limiter has not decided yet.
   std::string limit_owner;                      // Name of the node that decided on the limit.
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -73,9 +73,7 @@
 
 EngineState* ServingCore::ChooseExecutionEngine(Flow& flow, AttemptMode mode) {
   EstimateUnreportedWork(flow.service);
-  const bool may_be_resumed = flow.route.kind == RouteKind::kStreaming && flow.route.resumable;
-  const EngineFilter filter(flow.tried_engines, flow.software_version,
-                            may_be_resumed && version_history_.SeveralPresent(flow.service));
+  const EngineFilter filter(flow.tried_engines, flow.software_version, MayBeResumed(flow, mode));
   if (flow.language) {
     const std::string& zone = mode == AttemptMode::kContinue ? flow.kv_cache_zone : std::string();
     EngineState* decode = selector_.ChooseDecodeEngine(engines_, flow.service, zone, filter, now_);
@@ -96,7 +94,6 @@
   attempt.id = ++last_attempt_;
   attempt.engine_id = engine.record.id;
   attempt.engine_key = engine.key;
-  attempt.software_version = engine.record.software_version;
   attempt.mode = mode;
   attempt.sent_at = now_;
   attempt.engine_was_idle = engine.outstanding + engine.peers_outstanding == 0;
@@ -116,6 +113,8 @@
   start.tenant = flow.tenant;
   start.streams = flow.route.kind == RouteKind::kStreaming;
   start.on_new_connection = flow.response_missing;
+  if (MayBeResumed(flow, mode)) start.process_started_ms = ExpectedProcess(engine);
+  attempt.origin = OriginAt(engine);
   LogRouted(flow, engine, start, attempt.prompt_tokens);
   attempt.times_out_at = now_ + AttemptTimeout(attempt, engine);
   MeterDispatch(flow, attempt);
@@ -170,7 +169,7 @@
           R"("mode":"{}","try":{},"load":{:.1f},)"
           R"("load_age_ms":{},"backlog_tokens":{},"peers_tokens":{},"tokens_to_read":{},"read_rate":{:.0f},)"
           R"("window":{:.1f},"under_way":{},"waiting":{},)"
-          R"("copy_from":"{}","engine_limit":{},"rest_ms":{},"left_ms":{})",
+          R"("copy_from":"{}","engine_limit":{},"rest_ms":{},"left_ms":{},"started_ms":{},"record_age_ms":{})",
           flow.route.name, flow.service, flow.tenant, flow.limit_owner, flow.limit_cost, version(), engine.record.id,
           EscapeJson(engine.record.software_version), EscapeJson(flow.metadata.resumes), ModeName(start.mode),
           flow.attempt_count, selector_.EstimatedLoad(engine, now_),
@@ -181,7 +180,8 @@
           prefill_states_.contains(flow.service) ? prefill_states_.at(flow.service).prefill_window.in_flight() : 0,
           prefill_states_.contains(flow.service) ? prefill_states_.at(flow.service).queue->size() : 0, start.copy_from,
           engine.rate_limit ? engine.rate_limit->requests_per_s : -1,
-          std::max(Duration(0), engine.rests_until - now_).count() / 1000, start.time_left.count() / 1000));
+          std::max(Duration(0), engine.rests_until - now_).count() / 1000, start.time_left.count() / 1000,
+          start.process_started_ms.value_or(0), (now_ - engine.record_changed_at).count() / 1000));
 }
 
 void ServingCore::FinishPrefill(Flow& flow, const Attempt& attempt, const std::string& handle) {
@@ -305,19 +305,23 @@
   }
 }
 
+void ServingCore::UncountAttempt(Flow& flow, const Attempt& attempt) {
+  if (attempt.charged) retry_budget_share_.RefundExtraArrival(flow.service, now_);
+  if (attempt.kv_cache) flow.kv_cache = attempt.kv_cache;
+  if (attempt.mode == AttemptMode::kPrefill) {
+    --flow.prefills;
+  } else {
+    --flow.executions;
+    --flow.arrivals;
+  }
+}
+
 void ServingCore::OnAttemptLost(Flow& flow, const Attempt& attempt, AttemptFailure failure) {
   flow.tried_engines.insert(attempt.engine_id);
   flow.response_missing = true;
-  const bool arrived = failure != AttemptFailure::kNotSent;
-  if (!arrived) {
-    ++flow.connect_failures;
-    if (attempt.charged) retry_budget_share_.RefundExtraArrival(flow.service, now_);
-    if (attempt.kv_cache) flow.kv_cache = attempt.kv_cache;
-    if (attempt.mode == AttemptMode::kPrefill) --flow.prefills;
-    if (attempt.mode != AttemptMode::kPrefill) {
-      --flow.executions;
-      --flow.arrivals;
-    }
+  if (!WasSent(failure)) {
+    if (failure == AttemptFailure::kNotSent) ++flow.connect_failures;
+    UncountAttempt(flow, attempt);
     return Retry(flow, "connection failed");
   }
   if (attempt.mode == AttemptMode::kPrefill) {
--- a/src/core/serving/path_steps.cc
+++ b/src/core/serving/path_steps.cc
@@ -21,6 +21,8 @@
   switch (failure) {
     case AttemptFailure::kNotSent:
       return "not sent";
+    case AttemptFailure::kUnidentified:
+      return "unidentified";
     case AttemptFailure::kBroken:
       return "broken";
     case AttemptFailure::kInsideEvent:
@@ -51,7 +53,7 @@
   flow->attempts[event.attempt].progress = event.progress;
   const Attempt attempt = flow->attempts[event.attempt];
   // A plain request whose response is lost has usually been executed; a prompt has usually not reached its first token.
-  if (event.failure != AttemptFailure::kNotSent && !flow->language) CountTenantUsage(*flow, attempt);
+  if (WasSent(event.failure) && !flow->language) CountTenantUsage(*flow, attempt);
   EndAttempt(*flow, event.attempt);
   if (attempt.mode == AttemptMode::kForward) return OnForwardLost(*flow, attempt, event.failure);
   LogAttemptFailure(*flow, attempt, event.failure);
@@ -63,6 +65,7 @@
   EngineState* engine = engines_.Find(attempt.engine_id);
   if (engine == nullptr) return;
   if (IsInterrupted(failure)) RecordBrokenResponse(attempt.engine_id, DescribeInterruptedRun(flow, attempt));
+  if (failure == AttemptFailure::kUnidentified) RecordUnidentified(*engine);
   if (failure != AttemptFailure::kNotSent) return SuspectEngine(*engine, failure);
   // An engine that has responded to other requests since then is alive and only rejects connections.
   if (engine->last_response_time > attempt.sent_at) return engines_.RecordRejection(attempt.engine_id, now_);
--- a/src/core/serving/prefill_steps.cc
+++ b/src/core/serving/prefill_steps.cc
@@ -193,7 +193,7 @@
 // Prefills the prompt at a decode engine, which takes twice as long.
 bool ServingCore::StartOverflowPrefill(Flow& flow) {
   if (flow.arrivals > 0 && retry_budget_share_.Remaining(flow.service, now_) < 1) return false;
-  const EngineFilter filter(flow.tried_engines, flow.software_version);
+  const EngineFilter filter(flow.tried_engines, flow.software_version, MayBeResumed(flow, AttemptMode::kWhole));
   EngineState* engine =
       selector_.ChoosePrefillEngine(engines_, flow.service, EngineStage::kDecode, *flow.metadata.prompt, filter, now_);
   if (engine == nullptr || engine->IsOutOfService(now_)) return false;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -92,11 +92,11 @@
   void On(const RequestArrived& event);
   void On(const ClientDisconnected& event);
   void On(const EngineNoticeReceived& event);
-  void On(const EngineDisconnected& event);
   void On(const AttemptHeadReceived& event);
   void On(const AttemptEventsReceived& event);
   void On(const AttemptCompleted& event);
   void On(const AttemptFailed& event);
+  void On(const AttemptAtOtherProcess& event);
   void On(const EngineProbed& event);
   void On(const PeerProbedEngine& event);
   void On(const PeerCrashesReported& event);
@@ -154,6 +154,8 @@
   void OnKvHandoffRefused(Flow& flow, const Attempt& attempt, bool still_held);
   void RecordRefusal(const Attempt& attempt, bool full);
   void OnAttemptLost(Flow& flow, const Attempt& attempt, AttemptFailure failure);
+  // The attempt was not sent.
+  void UncountAttempt(Flow& flow, const Attempt& attempt);
   void Retry(Flow& flow, std::string_view cause);
   // Charges a call to an engine to the retry budget.
   void ChargeRetryBudget(const Flow& flow, ExtraArrival cause);
@@ -284,12 +286,12 @@
   void OnStreamAnswer(Flow& flow, const StreamAnswer& answer);
   // The version if it must be that one, since no other has served; nullopt if it cannot be told.
   std::optional<std::string> InferSoftwareVersion(const std::string& service, const StreamAnswer& answer);
-  void ResumeAt(Flow& flow, const std::string& software_version, std::string_view source);
+  void ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source);
   // Whether the flow's stream may only go on at a version that no engine has.
-  bool LacksSoftwareVersion(const Flow& flow);
+  bool LacksSoftwareVersion(Flow& flow);
   void OnSoftwareVersionGone(Flow& flow);
-  // The attempt's response has begun: records, and announces if necessary, where the stream begins. Not before, since an
-  // attempt that fails would leave an origin behind that a later one has to correct.
+  // The attempt's response has begun: records, and announces if necessary, where the stream begins. Not before, since
+  // an attempt that fails would leave an origin behind that a later one has to correct.
   void RecordStreamOrigin(const Flow& flow, const Attempt& attempt);
   // The attempt has brought an event.
   void BindSoftwareVersion(Flow& flow, const Attempt& attempt);
@@ -297,10 +299,24 @@
   bool UpdateStreamAnnouncing(const std::string& service);
   void UpdateAllStreamAnnouncing();
   void SetStreamLifetime();
-  // The engine's record now names the version of the process that has run since `since`.
-  void CorrectSoftwareVersion(const std::string& engine_id, const EngineKey& old_key, Time since);
   void StepStreamOrigins();
 
+  // Which process of an engine serves, of those that run one after the other under its id (engine_process_steps.cc).
+  // Whether another node or engine may go on with a stream that the attempt begins.
+  static bool MayBeResumed(const Flow& flow, AttemptMode mode);
+  // Where a stream begins that is sent to the engine now.
+  StreamOrigin OriginAt(const EngineState& engine) const;
+  // The process that the engine has to be found running; nullopt: it cannot be told from others, or does not tell.
+  std::optional<std::int64_t> ExpectedProcess(EngineState& engine) const;
+  // The engine accepted a connection and did not say which process it is.
+  void RecordUnidentified(EngineState& engine);
+  void RecordOtherProcess(EngineState& engine, std::int64_t started_ms);
+  // The version of the stream's engine; nullopt while no record tells it.
+  std::optional<std::string> SoftwareVersionOf(const StreamOrigin& origin) const;
+  void BindOrigin(Flow& flow, const StreamOrigin& origin);
+  // A record of the engine's process has arrived.
+  void ResolveOrigins(const EngineRecord& record);
+
   // Terminating a flow.
   void Refuse(Flow& flow, std::string_view cause);
   void Refuse(Flow& flow, std::string_view cause, Duration retry_after);
--- a/src/core/serving/software_version_history.h
+++ b/src/core/serving/software_version_history.h
@@ -25,11 +25,6 @@
   // The only version within that time; nullopt if there were several or none, or if this node has not known the records
   // for so long.
   std::optional<std::string> OnlyVersionWithin(const std::string& service, Duration time, Time now) const;
-  // Whether the service's engines had several versions at the last refresh.
-  bool SeveralPresent(const std::string& service) const {
-    const auto versions = present_.find(service);
-    return versions != present_.end() && versions->second.size() > 1;
-  }
 
  private:
   using LastSeen = std::map<std::string, Time>;  // By version.
--- a/src/core/serving/software_version_steps.cc
+++ b/src/core/serving/software_version_steps.cc
@@ -22,7 +22,7 @@
 void ServingCore::FindStreamOrigin(Flow& flow) {
   const StreamKey stream = StreamKeyOf(flow);
   if (const std::optional<StreamOrigin> origin = stream_origins_.Find(stream, now_))
-    return ResumeAt(flow, origin->software_version, "this node");
+    return ResumeAt(flow, *origin, "this node");
   flow.origin_pending = true;
   awaiting_origin_.emplace(stream, flow.id);
   ScheduleWakeUp(flow);
@@ -33,10 +33,10 @@
   flow.origin_pending = false;
   if (answer.origin) {
     stream_origins_.Record(answer.stream, *answer.origin, stream_lifetime_, now_);
-    return ResumeAt(flow, answer.origin->software_version, "peer");
+    return ResumeAt(flow, *answer.origin, "peer");
   }
   if (const std::optional<std::string> only = InferSoftwareVersion(flow.service, answer))
-    return ResumeAt(flow, *only, "only version");
+    return ResumeAt(flow, {*only}, "only version");
   actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
   Refuse(flow, "software version of the stream is not known");
 }
@@ -54,19 +54,24 @@
   return known_here || answer.only_version ? std::optional(*versions.begin()) : std::nullopt;
 }
 
-void ServingCore::ResumeAt(Flow& flow, const std::string& software_version, std::string_view source) {
-  flow.software_version = software_version;
+void ServingCore::ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source) {
+  BindOrigin(flow, origin);
+  if (!flow.software_version) {
+    actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
+    return Refuse(flow, "software version of the stream's engine is not known yet");
+  }
   Log(EventId::kStreamResumed, &flow,
       fmt::format(R"("resumes":"{}","last_event":"{}","software":"{}","source":"{}")",
-                  EscapeJson(flow.metadata.resumes), EscapeJson(flow.last_event_id), EscapeJson(software_version),
+                  EscapeJson(flow.metadata.resumes), EscapeJson(flow.last_event_id), EscapeJson(*flow.software_version),
                   source));
   const bool lacks_engine = LacksSoftwareVersion(flow);
   actions_->push_back(ResumptionDecided{lacks_engine ? ResumptionOutcome::kNoEngine : ResumptionOutcome::kSent});
   Advance(flow);
 }
 
-bool ServingCore::LacksSoftwareVersion(const Flow& flow) {
-  if (!flow.software_version) return false;
+bool ServingCore::LacksSoftwareVersion(Flow& flow) {
+  if (flow.origin_process) BindOrigin(flow, {"", 0, flow.origin_process});
+  if (!flow.software_version) return flow.origin_process.has_value();
   const EngineIds none_tried;
   const EngineFilter filter(none_tried, flow.software_version);
   const auto exists = [&](EngineStage stage) {
@@ -83,20 +88,20 @@
 }
 
 void ServingCore::RecordStreamOrigin(const Flow& flow, const Attempt& attempt) {
-  const bool may_begin = attempt.mode != AttemptMode::kPrefill && attempt.mode != AttemptMode::kForward;
-  if (!may_begin || flow.route.kind != RouteKind::kStreaming || !flow.route.resumable) return;
-  const bool announces = UpdateStreamAnnouncing(flow.service);
+  if (!MayBeResumed(flow, attempt.mode) || attempt.mode == AttemptMode::kForward) return;
+  const bool announces = UpdateStreamAnnouncing(flow.service) || attempt.origin.process;
   const StreamKey stream = StreamKeyOf(flow);
   // The attempts of a peer come after those of the node that handed the request to it.
   const int earlier_attempts = flow.metadata.forwarded ? parameters_.max_attempts_per_flow : 0;
-  stream_origins_.RecordSent(stream, {attempt.software_version, earlier_attempts + flow.attempt_count},
-                             attempt.engine_key.hash, stream_lifetime_, now_);
+  StreamOrigin origin = attempt.origin;
+  origin.attempt = earlier_attempts + flow.attempt_count;
+  stream_origins_.Record(stream, origin, stream_lifetime_, now_);
   if (announces) stream_origins_.Announce(stream, now_);
 }
 
 void ServingCore::BindSoftwareVersion(Flow& flow, const Attempt& attempt) {
-  if (flow.software_version || attempt.mode == AttemptMode::kForward) return;
-  flow.software_version = attempt.software_version;
+  if (flow.software_version || flow.origin_process || attempt.mode == AttemptMode::kForward) return;
+  BindOrigin(flow, attempt.origin);
   // An earlier attempt may have been announced with another version: the correction must not be lost.
   const bool corrects = flow.attempt_count > 1 && flow.route.resumable;
   if (corrects && announced_services_.contains(flow.service)) stream_origins_.Announce(StreamKeyOf(flow), now_);
@@ -125,24 +130,6 @@
   }
 }
 
-void ServingCore::On(const EngineDisconnected& event) {
-  EngineState* engine = engines_.Find(event.engine_id);
-  if (engine != nullptr) engine->disconnected_at = now_;
-}
-
-void ServingCore::CorrectSoftwareVersion(const std::string& engine_id, const EngineKey& old_key, Time since) {
-  const std::string& version = engines_.Find(engine_id)->record.software_version;
-  for (auto& [id, flow] : flows_) {
-    for (auto& [attempt_id, attempt] : flow->attempts) {
-      if (attempt.engine_id != engine_id || attempt.sent_at < since) continue;
-      const bool began_here = flow->relayed_attempt == attempt_id && flow->metadata.last_event_id.empty();
-      if (began_here && flow->software_version == attempt.software_version) flow->software_version = version;
-      attempt.software_version = version;
-    }
-  }
-  stream_origins_.Correct(old_key.hash, since, version, now_);
-}
-
 void ServingCore::On(const StreamMessageArrived& event) {
   if (const auto* notice = std::get_if<StreamNotice>(&event.message)) return stream_origins_.OnNotice(*notice, now_);
   if (const auto* reply = std::get_if<StreamReply>(&event.message)) return stream_origins_.OnReply(*reply);
--- a/src/core/serving/stream_messages.h
+++ b/src/core/serving/stream_messages.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,10 +16,20 @@
 // Hash of the id of the client's request that brought, or may bring, the stream's first event.
 using StreamKey = std::uint64_t;
 
-// The engine's software version at which a stream begins.
+// One process of an engine, among all that run one after the other under its id.
+struct EngineProcess {
+  std::string engine_id;
+  std::int64_t started_ms = 0;  // See EngineRecord::started_ms.
+
+  bool operator==(const EngineProcess&) const = default;
+};
+
+// Where a stream begins.
 struct StreamOrigin {
-  std::string software_version;
-  int attempt = 0;  // Of the request; a later attempt replaces an earlier one.
+  std::string software_version;  // The engine's.
+  int attempt = 0;               // Of the request; a later attempt replaces an earlier one.
+  // Set instead of the version while no record of the engine's process has arrived.
+  std::optional<EngineProcess> process = std::nullopt;
 
   bool operator==(const StreamOrigin&) const = default;
 };
--- a/src/core/serving/stream_origins.cc
+++ b/src/core/serving/stream_origins.cc
@@ -12,7 +12,9 @@
   const auto [entry, is_new] = streams_.try_emplace(stream);
   Stream& known = entry->second;
   if (is_new || origin.attempt >= known.origin.attempt) {
-    known.announced = known.announced && known.origin.software_version == origin.software_version;
+    const bool same =
+        known.origin.software_version == origin.software_version && known.origin.process == origin.process;
+    known.announced = known.announced && same;
     known.origin = origin;
   }
   known.expires_at = std::max(known.expires_at, now + lifetime);
@@ -20,21 +22,11 @@
   if (streams_.size() > parameters_.max_streams) streams_.erase(expiries_.extract(expiries_.begin()).mapped());
 }
 
-void StreamOrigins::RecordSent(StreamKey stream, const StreamOrigin& origin, std::uint64_t engine, Duration lifetime,
-                               Time now) {
-  Record(stream, origin, lifetime, now);
-  const auto entry = streams_.find(stream);
-  if (entry == streams_.end()) return;
-  entry->second.engine = engine;
-  entry->second.sent_at = now;
-}
-
-void StreamOrigins::Correct(std::uint64_t engine, Time since, const std::string& software_version, Time now) {
+void StreamOrigins::Resolve(const EngineProcess& process, const std::string& software_version) {
   for (auto& [stream, known] : streams_) {
-    if (known.engine != engine || known.sent_at < since) continue;
+    if (known.origin.process != process) continue;
     known.origin.software_version = software_version;
-    ++known.origin.attempt;
-    Announce(stream, now);
+    known.origin.process.reset();
   }
 }
 
@@ -65,8 +57,8 @@
   if (entry == streams_.end() || entry->second.expires_at <= now) return;
   entry->second.announced = true;
   const StreamNotice notice{stream, entry->second.origin, entry->second.expires_at - now};
-  for (const std::string& address : ResponsiblePeers(stream, parameters_.peers_told))
-    messages_.push_back({address, notice});
+  const std::size_t count = notice.origin.process ? parameters_.peers_asked : parameters_.peers_told;
+  for (const std::string& address : ResponsiblePeers(stream, count)) messages_.push_back({address, notice});
 }
 
 void StreamOrigins::AnnounceAll(Time now) {
--- a/src/core/serving/stream_origins.h
+++ b/src/core/serving/stream_origins.h
@@ -55,13 +55,12 @@
   void OnNotice(const StreamNotice& notice, Time now);
   // Records the origin for at least that long, unless a later attempt's is known.
   void Record(StreamKey stream, const StreamOrigin& origin, Duration lifetime, Time now);
-  // The same for a request that this node sends to an engine. `engine`: hash of its incarnation.
-  void RecordSent(StreamKey stream, const StreamOrigin& origin, std::uint64_t engine, Duration lifetime, Time now);
-  // The requests that this node has sent to the engine since then were processed at another version than recorded.
-  void Correct(std::uint64_t engine, Time since, const std::string& software_version, Time now);
+  // A record has told the software version of the process.
+  void Resolve(const EngineProcess& process, const std::string& software_version);
   void Forget(StreamKey stream) { streams_.erase(stream); }
   std::optional<StreamOrigin> Find(StreamKey stream, Time now) const;
-  // Tells the peers that are responsible for the stream what is recorded about it.
+  // Tells the peers that are responsible for the stream what is recorded about it; all that may be asked if only its
+  // process is, since the others might take the only known version for the stream's.
   void Announce(StreamKey stream, Time now);
   // The same for each stream that was recorded here and not announced.
   void AnnounceAll(Time now);
@@ -88,8 +87,6 @@
     StreamOrigin origin;
     Time expires_at{};
     bool announced = false;
-    std::uint64_t engine = 0;  // That this node sent the request to; 0: none.
-    Time sent_at{};
   };
   struct Question {
     StreamQuery query;
--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -12,6 +12,7 @@
 namespace saltquay::gateway {
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxPromptParts = 256;
@@ -202,6 +203,15 @@
   return report;
 }
 
+std::int64_t EngineProtocol::DecodeStartTime(const http::ResponseHead& head, const std::string& body) const {
+  if (head.status != kOk) return 0;
+  const nlohmann::json response = nlohmann::json::parse(body, nullptr, false);
+  if (!response.is_object()) return 0;
+  const auto started_ms = response.find(names_.started_ms_member);
+  const bool told = started_ms != response.end() && started_ms->is_number_integer();
+  return told ? std::max<std::int64_t>(0, started_ms->get<std::int64_t>()) : 0;
+}
+
 http::RequestHead EngineProtocol::MakeOrderHead(const serving::SendStageOrder& action,
                                                 const std::string& call_id) const {
   http::RequestHead head;
--- a/src/gateway/engine_protocol.h
+++ b/src/gateway/engine_protocol.h
@@ -51,6 +51,7 @@
   std::string expected_sequence_member = "expected_sequence";
   std::string sequence_member = "sequence";
   std::string busy_member = "busy";
+  std::string started_ms_member = "started_ms";
   // Fields that only the gateway may set or that are meant only for it: never forwarded from a client.
   std::vector<std::string> system_fields = {"Saltquay-Expect-Engine", "Saltquay-Priority",    "Saltquay-Stage",
                                             "Saltquay-Memory-Source", "Saltquay-Copy-Source", "Saltquay-Api-Key",
@@ -82,6 +83,9 @@
   http::RequestHead MakeStateRead(const serving::ReadEngineState& action, const std::string& call_id) const;
   // Returns nullopt if the body does not decode.
   std::optional<serving::EngineStateReport> DecodeEngineState(const std::string& body) const;
+  // Returns when the engine's process started, as the response to a state read tells; see EngineRecord::started_ms. 0
+  // if it does not tell.
+  std::int64_t DecodeStartTime(const http::ResponseHead& head, const std::string& body) const;
   http::RequestHead MakeOrderHead(const serving::SendStageOrder& action, const std::string& call_id) const;
   std::string MakeOrderBody(const serving::SendStageOrder& action, const std::string& holder) const;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,7 +20,6 @@
 
 // Connection pool key "address#engine": a kept-alive connection is never reused for another engine at the same address.
 std::string PoolOf(const std::string& address, const std::string& engine) { return address + "#" + engine; }
-std::string EngineOf(const std::string& pool) { return pool.substr(pool.find('#') + 1); }
 
 }  // namespace
 
@@ -52,10 +51,6 @@
     core_.BeginAfterRestart(Now());
   }
   core_.set_peer_address(settings.peer_listen);
-  // Posted, since connections also close while the core processes an event.
-  client_.on_disconnected = [this](const std::string& pool) {
-    boost::asio::post(loop_, [this, pool] { Dispatch(serving::EngineDisconnected{EngineOf(pool)}); });
-  };
   core_.set_engine_permits(std::make_unique<limits::EnginePermits>(self, incarnation, alone, Now()));
   core_.set_limiter(limits::make_distributed_limiter(self, incarnation, alone, settings.limit_tolerance, Now()));
 }
@@ -156,6 +151,8 @@
   options.head_request = exchange.head.method == "HEAD";
   options.on_new_connection = action.on_new_connection;
   options.call_id = attempt.request_id;
+  attempt.expected_started_ms = action.process_started_ms.value_or(0);
+  if (action.process_started_ms) options.identity_check = MakeIdentityCheck(action);
   std::string bytes = http::SerializeRequest(protocol_.MakeRequest(exchange.head, action), exchange.body);
   if (const serving::EngineState* engine = core_.engines().Find(action.engine_id)) {
     attempt.locality = traffic_.LocalityOf(engine->record.zone);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -83,7 +83,8 @@
     Time sent_at{};
     std::string request_id;
     std::unique_ptr<http::Call> call;
-    std::uint64_t connection = 0;  // Its number.
+    std::uint64_t connection = 0;          // Its number.
+    std::int64_t expected_started_ms = 0;  // Of the engine's process; 0: any will do.
     http::ResponseHead head;
     bool head_seen = false;
     serving::ResponseFraming framing = serving::ResponseFraming::kLength;
@@ -126,6 +127,12 @@
   http::CallHandlers MakeHandlers(serving::AttemptId id);
   // Tells which call the response on the attempt's connection belongs to, and logs those of other calls.
   http::ResponseOwner OwnerOf(serving::AttemptId id, const http::ResponseHead& head);
+  // Engines that have started again under their ids (gateway_identity.cc).
+  http::IdentityCheck MakeIdentityCheck(const serving::StartAttempt& action);
+  // The engine has said on the attempt's connection when its process started.
+  void RecordIdentity(serving::AttemptId id, std::int64_t started_ms);
+  // The attempt was not sent, since another process than expected serves the connection.
+  void OnOtherProcess(serving::AttemptId id, std::int64_t started_ms);
   // Logs the connection of an attempt at an engine that the request was sent to before.
   void LogRepeatedCall(ActiveFlow& flow, const ActiveAttempt& attempt);
   // Passes on what the engine states about itself in a response; see EngineNoticeReceived.
@@ -160,6 +167,7 @@
   std::map<serving::AttemptId, ActiveAttempt> attempts_;
   std::map<std::uint64_t, std::unique_ptr<http::Call>> releases_;
   std::uint64_t last_release_ = 0;
+  std::uint64_t last_identity_check_ = 0;
   serving::FlowId last_flow_ = 0;
   std::size_t requests_of_peers_ = 0;
 };
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -24,6 +24,8 @@
   };
   requests_ = counter("saltquay_requests_total", "Client requests by final status");
   attempts_ = counter("saltquay_attempts_total", "Calls to engines by mode and outcome");
+  identifications_ = counter("saltquay_engine_identifications_total",
+                             "Engines asked on a connection which process they are, by outcome");
   forwards_ = counter("saltquay_forwards_total", "Requests handed to peers by peer and outcome");
   requests_of_peers_ = counter("saltquay_requests_of_peers_total", "Requests that peers handed to this node, by peer");
   extra_arrivals_ =
@@ -80,6 +82,10 @@
 
 void GatewayMetrics::CountRequest(int status) { requests_->Add({{"status", std::to_string(status)}}).Increment(); }
 
+void GatewayMetrics::CountIdentification(const std::string& outcome) {
+  identifications_->Add({{"outcome", outcome}}).Increment();
+}
+
 void GatewayMetrics::CountAttempt(const std::string& mode, const std::string& outcome) {
   attempts_->Add({{"mode", mode}, {"outcome", outcome}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -37,6 +37,8 @@
   void CountSkippedResponse() { skipped_responses_->Increment(); }
   // Counts kept connections that were not used for a call since they had carried its request before.
   void CountPassedOverConnections(int connections) { passed_over_connections_->Increment(connections); }
+  // Counts an engine that was asked which process it is. `outcome`: expected, other, untold or failed.
+  void CountIdentification(const std::string& outcome);
   // Number of connections to engines and peers that were opened for requests.
   void SetConnectionsOpened(double connections) { connections_opened_->Set(connections); }
   void CountAbortedStream() { aborted_streams_->Increment(); }
@@ -77,6 +79,7 @@
   prometheus::Family<prometheus::Counter>* requests_of_peers_;
   prometheus::Family<prometheus::Counter>* extra_arrivals_;
   prometheus::Family<prometheus::Counter>* resumptions_;
+  prometheus::Family<prometheus::Counter>* identifications_;
   prometheus::Family<prometheus::Counter>* store_calls_;
   prometheus::Family<prometheus::Counter>* traffic_;
   prometheus::Family<prometheus::Gauge>* limit_units_;
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -18,6 +18,8 @@
   switch (failure) {
     case serving::AttemptFailure::kNotSent:
       return "not_sent";
+    case serving::AttemptFailure::kUnidentified:
+      return "unidentified";
     case serving::AttemptFailure::kInsideEvent:
       return "inside_event";
     case serving::AttemptFailure::kNoEvents:
@@ -36,6 +38,7 @@
   handlers.on_body = [this, id](std::string_view bytes) { OnBody(id, bytes); };
   handlers.on_complete = [this, id] { OnComplete(id); };
   handlers.on_failure = [this, id](http::CallFailure failure) { OnFailure(id, failure); };
+  handlers.on_other_server = [this, id](http::ServerIdentity started_ms) { OnOtherProcess(id, started_ms); };
   return handlers;
 }
 
@@ -122,6 +125,7 @@
   const auto entry = attempts_.find(id);
   if (entry == attempts_.end()) return;
   const serving::FlowId flow = entry->second.flow;
+  if (failure == serving::AttemptFailure::kUnidentified) metrics_.CountIdentification("failed");
   metrics_.CountAttempt(ModeName(entry->second.mode), LabelOf(failure));
   if (!entry->second.peer.empty()) metrics_.CountForward(entry->second.peer, LabelOf(failure));
   std::optional<serving::ResponseProgress> progress;
--- a/src/gateway/peer_report_generated.h
+++ b/src/gateway/peer_report_generated.h
@@ -1086,7 +1086,9 @@
     VT_TIME_MS = 12,
     VT_KNOWLEDGE = 14,
     VT_SERVICE = 16,
-    VT_SENDER = 18
+    VT_SENDER = 18,
+    VT_ENGINE = 20,
+    VT_STARTED_MS = 22
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -1112,6 +1114,12 @@
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
   }
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  int64_t started_ms() const {
+    return GetField<int64_t>(VT_STARTED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1125,6 +1133,9 @@
            verifier.VerifyString(service()) &&
            VerifyOffset(verifier, VT_SENDER) &&
            verifier.VerifyString(sender()) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1157,6 +1168,12 @@
   void add_sender(flatbuffers::Offset<flatbuffers::String> sender) {
     fbb_.AddOffset(StreamMessage::VT_SENDER, sender);
   }
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(StreamMessage::VT_ENGINE, engine);
+  }
+  void add_started_ms(int64_t started_ms) {
+    fbb_.AddElement<int64_t>(StreamMessage::VT_STARTED_MS, started_ms, 0);
+  }
   explicit StreamMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1177,9 +1194,13 @@
     int32_t time_ms = 0,
     uint8_t knowledge = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
-    flatbuffers::Offset<flatbuffers::String> sender = 0) {
+    flatbuffers::Offset<flatbuffers::String> sender = 0,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    int64_t started_ms = 0) {
   StreamMessageBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
   builder_.add_stream(stream);
+  builder_.add_engine(engine);
   builder_.add_sender(sender);
   builder_.add_service(service);
   builder_.add_time_ms(time_ms);
@@ -1199,10 +1220,13 @@
     int32_t time_ms = 0,
     uint8_t knowledge = 0,
     const char *service = nullptr,
-    const char *sender = nullptr) {
+    const char *sender = nullptr,
+    const char *engine = nullptr,
+    int64_t started_ms = 0) {
   auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   return saltquay::gateway::wire::CreateStreamMessage(
       _fbb,
       kind,
@@ -1212,7 +1236,9 @@
       time_ms,
       knowledge,
       service__,
-      sender__);
+      sender__,
+      engine__,
+      started_ms);
 }
 
 struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/response_end.cc
+++ b/src/gateway/response_end.cc
@@ -29,6 +29,7 @@
 
 serving::AttemptFailure ToAttemptFailure(http::CallFailure failure) {
   if (failure == http::CallFailure::kNotSent) return serving::AttemptFailure::kNotSent;
+  if (failure == http::CallFailure::kUnidentified) return serving::AttemptFailure::kUnidentified;
   if (failure == http::CallFailure::kMalformed) return serving::AttemptFailure::kMalformed;
   return serving::AttemptFailure::kBroken;
 }
--- a/src/gateway/stream_codec.cc
+++ b/src/gateway/stream_codec.cc
@@ -46,6 +46,13 @@
   return text.empty() ? 0 : builder.CreateSharedString(text);
 }
 
+serving::StreamOrigin OriginFromWire(const wire::StreamMessage& message) {
+  serving::StreamOrigin origin{Text(message.software_version()), message.attempt()};
+  const std::string engine = Text(message.engine());
+  if (!engine.empty()) origin.process = serving::EngineProcess{engine, message.started_ms()};
+  return origin;
+}
+
 }  // namespace
 
 flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::StreamMessage>>> StreamMessagesToWire(
@@ -58,15 +65,18 @@
     const auto version = StringToWire(builder, fields.origin.software_version);
     const auto service = StringToWire(builder, fields.service);
     const auto sender = StringToWire(builder, fields.sender);
+    const serving::EngineProcess process = fields.origin.process.value_or(serving::EngineProcess{});
+    const auto engine = StringToWire(builder, process.engine_id);
     offsets.push_back(wire::CreateStreamMessage(builder, static_cast<std::uint8_t>(fields.kind), fields.stream, version,
                                                 fields.origin.attempt, ToMilliseconds(fields.time),
-                                                static_cast<std::uint8_t>(fields.knowledge), service, sender));
+                                                static_cast<std::uint8_t>(fields.knowledge), service, sender, engine,
+                                                process.started_ms));
   }
   return builder.CreateVector(offsets);
 }
 
 std::optional<serving::StreamMessage> StreamMessageFromWire(const wire::StreamMessage& message) {
-  const serving::StreamOrigin origin{Text(message.software_version()), message.attempt()};
+  const serving::StreamOrigin origin = OriginFromWire(message);
   const std::string sender = Text(message.sender());
   switch (static_cast<Kind>(message.kind())) {
     case Kind::kNotice:
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -28,7 +28,7 @@
                                     const CallOptions& options, CallHandlers handlers) {
   auto call = std::make_unique<Call>();
   std::shared_ptr<ClientConnection> connection;
-  if (!options.on_new_connection) connection = TakeResting(pool, options.call_id, call->description_.passed_over);
+  if (!options.on_new_connection) connection = TakeResting(pool, options, call->description_.passed_over);
   call->description_.kept = connection != nullptr;
   if (connection == nullptr) connection = Open(endpoint, pool, options);
   call->connection_ = connection;
@@ -46,7 +46,7 @@
   return connection;
 }
 
-std::shared_ptr<ClientConnection> Client::TakeResting(const std::string& pool, const std::string& call_id,
+std::shared_ptr<ClientConnection> Client::TakeResting(const std::string& pool, const CallOptions& options,
                                                       int& passed_over) {
   const auto entry = pools_.find(pool);
   if (entry == pools_.end()) return nullptr;
@@ -54,8 +54,8 @@
   // The most recently used first: the others may run out their time.
   for (std::size_t i = resting.size(); i > 0; --i) {
     std::shared_ptr<ClientConnection> connection = resting[i - 1];
-    const bool fit = connection->FitForUse();
-    if (fit && connection->MayHaveCarried(call_id)) {
+    const bool fit = connection->FitForUse() && !connection->LeadsToOtherServer(options);
+    if (fit && connection->MayHaveCarried(options.call_id)) {
       ++passed_over;
       continue;
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -7,12 +7,18 @@
 // response again, late, and only its id tells it from the response to a later
 // call. Each connection is probed by the kernel, for one may go silent without
 // an end.
+//
+// A process that starts again cannot keep its connections. So what a server
+// says of itself on a connection holds for as long as that connection, and a
+// call that is meant for one process is sent only where that process has said
+// who it is (IdentityCheck).
 #pragma once
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +37,8 @@
   kNotSent,    // No byte left this machine, or nobody accepted the connection.
   kBroken,     // It may have arrived; the answer did not come whole.
   kMalformed,  // The peer sent bytes that are no answer.
+  // The server accepted the connection but did not say who it is; see IdentityCheck. The call itself was not sent.
+  kUnidentified,
 };
 
 // Which call a response belongs to, by the id that it names.
@@ -40,6 +48,21 @@
   kUnnamed,      // Taken for this call's. Its connection is not kept, since a copy of it could not be recognized.
 };
 
+// Identifies one process of a server among all that have run at its address. What the number means is the caller's
+// matter.
+using ServerIdentity = std::int64_t;
+
+// Asks the server who it is and sends the call only if it is the expected process.
+struct IdentityCheck {
+  ServerIdentity expected = 0;
+  std::string request;  // Serialized; sent first on a connection whose server has not been identified.
+  std::string call_id;  // Of that request; see CallOptions::call_id.
+  std::chrono::milliseconds timeout{500};
+  // Which call a response to that request belongs to. Unset: every response is its own.
+  std::function<ResponseOwner(const ResponseHead&)> owner_of;
+  std::function<ServerIdentity(const ResponseHead&, const std::string& body)> decode;
+};
+
 struct CallHandlers {
   // Unset: every response is this call's.
   std::function<ResponseOwner(const ResponseHead&)> owner_of;
@@ -47,6 +70,8 @@
   std::function<void(std::string_view)> on_body;
   std::function<void()> on_complete;
   std::function<void(CallFailure)> on_failure;
+  // Instead of the others: the server is not the expected one, and the call was not sent.
+  std::function<void(ServerIdentity)> on_other_server;
 };
 
 struct CallOptions {
@@ -54,6 +79,7 @@
   bool head_request = false;
   bool on_new_connection = false;  // Not on one that rests.
   std::string call_id;             // Names the call in its request and in the response to it; empty: nothing does.
+  std::optional<IdentityCheck> identity_check = std::nullopt;  // nullopt: any server will do.
 };
 
 // The connection of a call, as it was when the call began.
@@ -92,9 +118,6 @@
   std::unique_ptr<Call> Start(const Endpoint& endpoint, const std::string& pool, std::string request,
                               const CallOptions& options, CallHandlers handlers);
 
-  // Called when the peer has ended the last open connection of a pool without being expected to; must not call back.
-  std::function<void(const std::string& pool)> on_disconnected;
-
   // Ends the resting connections of a pool.
   void ForgetPool(const std::string& pool);
   // Connections of the pool that exist, in use or resting.
@@ -105,12 +128,11 @@
   friend class ClientConnection;
   struct Pool {
     std::vector<std::shared_ptr<ClientConnection>> resting;
-    int open = 0;         // Connections that are up or being opened.
-    int established = 0;  // Those that are up.
+    int open = 0;  // Connections that are up or being opened.
   };
 
-  // Returns a resting connection that has not carried a call of that id, or nullptr. `passed_over`: see CallConnection.
-  std::shared_ptr<ClientConnection> TakeResting(const std::string& pool, const std::string& call_id, int& passed_over);
+  // Returns a resting connection that can serve the call, or nullptr. `passed_over`: see CallConnection.
+  std::shared_ptr<ClientConnection> TakeResting(const std::string& pool, const CallOptions& options, int& passed_over);
   std::shared_ptr<ClientConnection> Open(const Endpoint& endpoint, const std::string& pool, const CallOptions& options);
 
   boost::asio::io_context& loop_;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -14,6 +14,7 @@
 constexpr int kFirstFinalStatus = 200;
 // A peer that announces N seconds may close a little earlier than we see it.
 constexpr std::chrono::milliseconds kKeepAliveMargin{400};
+constexpr ParserLimits kIdentityLimits{16 * 1024, 64 * 1024};
 
 std::optional<int> KeepAliveSeconds(const Fields& fields) {
   const auto value = fields.Find("Keep-Alive");
@@ -59,8 +60,6 @@
   timer_.cancel();
   if (error) return Fail(CallFailure::kNotSent);
   state_ = State::kBusy;
-  established_ = !client_alive_.expired();
-  if (established_) ++client_->pools_[pool_].established;
   Write();
   Read();
 }
@@ -75,6 +74,9 @@
   head_seen_ = false;
   skipping_ = false;
   response_unnamed_ = false;
+  call_due_ = false;
+  identifying_ = options_.identity_check && !server_identity_;
+  if (identifying_) carried_.Add(options_.identity_check->call_id);
   NewParser();
   if (state_ != State::kResting) return;
   state_ = State::kBusy;
@@ -83,21 +85,32 @@
 }
 
 void ClientConnection::NewParser() {
-  parser_ = std::make_unique<ResponseParser>(ParserLimits{}, options_.head_request);
+  parser_ = identifying_ ? std::make_unique<ResponseParser>(kIdentityLimits, false)
+                         : std::make_unique<ResponseParser>(ParserLimits{}, options_.head_request);
 }
 
 void ClientConnection::Write() {
   writing_ = true;
-  boost::asio::async_write(socket_, boost::asio::buffer(request_),
+  if (identifying_) StartIdentityTimer();
+  const std::string& bytes = identifying_ ? options_.identity_check->request : request_;
+  boost::asio::async_write(socket_, boost::asio::buffer(bytes),
                            [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
                              self->writing_ = false;
                              if (self->state_ != State::kBusy) return;
                              if (error && bytes == 0) return self->Fail(CallFailure::kNotSent);
                              // A peer that refuses a long body may have answered first: its answer is read to its end.
-                             if (self->ended_while_writing_) self->Fail(CallFailure::kBroken);
+                             if (self->ended_while_writing_) return self->Fail(CallFailure::kBroken);
+                             if (std::exchange(self->call_due_, false)) self->Write();
                            });
 }
 
+void ClientConnection::StartIdentityTimer() {
+  timer_.expires_after(options_.identity_check->timeout);
+  timer_.async_wait([self = shared_from_this(), use = use_](boost::system::error_code error) {
+    if (!error && self->use_ == use && self->identifying_) self->Fail(CallFailure::kUnidentified);
+  });
+}
+
 void ClientConnection::Read() {
   if (reading_ || state_ == State::kClosed) return;
   reading_ = true;
@@ -110,7 +123,6 @@
 
 void ClientConnection::OnRead(const boost::system::error_code& error, std::size_t bytes) {
   if (state_ == State::kClosed) return;
-  ended_by_peer_ = error && BootClock::now() < usable_until_;
   if (state_ == State::kResting) return Close();  // An end, or bytes that belong to no request.
   if (error == boost::asio::error::eof) return OnEnd();
   if (error) return FailAfterWrite();
@@ -128,6 +140,10 @@
     if (!parser_->head_done()) return;
     if (SkipForeignAnswer()) continue;
     if (skipping_) return;
+    if (identifying_) {
+      if (parser_->done()) OnIdentified();
+      return;
+    }
     DeliverBody();
     if (state_ == State::kBusy && parser_->done()) return Complete();
     if (result.consumed == 0) return;
@@ -151,7 +167,32 @@
 }
 
 ResponseOwner ClientConnection::OwnerOf(const ResponseHead& head) const {
-  return handlers_->owner_of ? handlers_->owner_of(head) : ResponseOwner::kThisCall;
+  const auto& owner_of = identifying_ ? options_.identity_check->owner_of : handlers_->owner_of;
+  const ResponseOwner owner = owner_of ? owner_of(head) : ResponseOwner::kThisCall;
+  return needs_names_ && owner == ResponseOwner::kUnnamed ? ResponseOwner::kAnotherCall : owner;
+}
+
+void ClientConnection::OnIdentified() {
+  const bool goes_on = parser_->head().keep_alive && !parser_->head().until_close && input_.empty();
+  if (!goes_on) return Fail(CallFailure::kUnidentified);
+  timer_.cancel();
+  server_identity_ = options_.identity_check->decode(parser_->head(), parser_->TakeBody());
+  identifying_ = false;
+  needs_names_ = needs_names_ || std::exchange(response_unnamed_, false);
+  if (LeadsToOtherServer(options_)) return EndAtOtherServer();
+  NewParser();
+  if (writing_) {
+    call_due_ = true;
+  } else {
+    Write();
+  }
+}
+
+void ClientConnection::EndAtOtherServer() {
+  const CallHandlers handlers = std::move(*handlers_);
+  handlers_.reset();
+  Rest(parser_->head());
+  if (handlers.on_other_server) handlers.on_other_server(*server_identity_);
 }
 
 void ClientConnection::DeliverBody() {
@@ -173,7 +214,6 @@
 void ClientConnection::OnEnd() {
   const bool whole = head_seen_ && parser_->FeedEnd();
   if (!whole) return FailAfterWrite();
-  ended_by_peer_ = false;
   const auto self = shared_from_this();
   const CallHandlers handlers = std::move(*handlers_);
   Close();
@@ -189,8 +229,10 @@
 void ClientConnection::Fail(CallFailure failure) {
   const auto self = shared_from_this();
   const std::optional<CallHandlers> handlers = std::move(handlers_);
+  const bool call_sent = !identifying_;
   Close();
-  if (handlers && handlers->on_failure) handlers->on_failure(failure);
+  if (!handlers || !handlers->on_failure) return;
+  handlers->on_failure(call_sent || failure == CallFailure::kNotSent ? failure : CallFailure::kUnidentified);
 }
 
 void ClientConnection::Rest(const ResponseHead& head) {
@@ -231,8 +273,6 @@
   Client::Pool& pool = client_->pools_[pool_];
   --pool.open;
   if (rested) std::erase(pool.resting, self);
-  if (established_ && --pool.established == 0 && ended_by_peer_ && client_->on_disconnected)
-    client_->on_disconnected(pool_);
 }
 
 }  // namespace saltquay::http
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -28,6 +28,10 @@
   bool FitForUse();
   // Returns whether a call with that id may have been sent here; false for an empty id.
   bool MayHaveCarried(std::string_view call_id) const { return !call_id.empty() && carried_.MayContain(call_id); }
+  // Returns whether the server is known not to be the one that the call is meant for.
+  bool LeadsToOtherServer(const CallOptions& options) const {
+    return options.identity_check && server_identity_ && *server_identity_ != options.identity_check->expected;
+  }
   // Changes with each call begun and each call ended.
   std::uint64_t use() const { return use_; }
   std::uint64_t number() const { return number_; }
@@ -41,6 +45,10 @@
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void Consume();
   bool SkipForeignAnswer();
+  void StartIdentityTimer();
+  // The server has said who it is: sends the call, or ends it.
+  void OnIdentified();
+  void EndAtOtherServer();
   ResponseOwner OwnerOf(const ResponseHead& head) const;
   void DeliverBody();
   void Complete();
@@ -65,14 +73,16 @@
   std::unique_ptr<ResponseParser> parser_;
   std::string input_;
   std::array<char, 16384> read_buffer_;
-  bool established_ = false;
-  bool ended_by_peer_ = false;  // Neither the response nor an announced time ended it.
   bool reading_ = false;
   bool writing_ = false;
   bool ended_while_writing_ = false;
   bool head_seen_ = false;
   bool skipping_ = false;
   bool response_unnamed_ = false;  // The response of the current call names no call.
+  bool identifying_ = false;       // The server is being asked who it is; the call has not been sent.
+  bool call_due_ = false;          // It has answered while the question was still being written.
+  bool needs_names_ = false;       // It named no call in its answer: only responses that name theirs are told apart.
+  std::optional<ServerIdentity> server_identity_;
   BootClock::time_point usable_until_ = BootClock::time_point::max();
 };
 
--- a/tests/gateway/stream_codec_test.cc
+++ b/tests/gateway/stream_codec_test.cc
@@ -18,9 +18,12 @@
 TEST(StreamCodecTest, MessagesRoundTrip) {
   const auto decoded = DecodeReport(EncodeReport(
       ReportOf({serving::StreamNotice{7, {"v1.1", 3}, 14500ms}, serving::StreamQuery{8, "model", "10.0.0.1:7"},
-                serving::StreamReply{9, serving::StreamKnowledge::kSeveralVersions, {"", 0}, "10.0.0.2:7"}})));
+                serving::StreamReply{9, serving::StreamKnowledge::kSeveralVersions, {"", 0}, "10.0.0.2:7"},
+                serving::StreamNotice{10, {"", 1, serving::EngineProcess{"e1", 1700000000000}}, 1s}})));
   ASSERT_TRUE(decoded.ok());
-  ASSERT_EQ(decoded->streams.size(), 3U);
+  ASSERT_EQ(decoded->streams.size(), 4U);
+  EXPECT_EQ(std::get<serving::StreamNotice>(decoded->streams[3]).origin.process,
+            (serving::EngineProcess{"e1", 1700000000000}));
   const auto& notice = std::get<serving::StreamNotice>(decoded->streams[0]);
   EXPECT_EQ(notice.stream, 7U);
   EXPECT_EQ(notice.origin, (serving::StreamOrigin{"v1.1", 3}));
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -225,30 +225,5 @@
   EXPECT_EQ(server.accepted(), 2);
 }
 
-TEST_F(ClientTest, TellsWhenThePeerEndsItsLastConnection) {
-  int disconnected = 0;
-  client_.on_disconnected = [&](const std::string& pool) { disconnected += pool == "pool"; };
-  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-  ScriptedServer ending({[&](ScriptedConnection& connection) {
-    connection.ReadUntil("body");
-    connection.Write(response);
-  }});
-  EXPECT_TRUE(Post(ending.address(), "1").complete);
-  Settle();
-  EXPECT_EQ(disconnected, 1);
-}
-
-TEST_F(ClientTest, AnnouncedEndIsNoDisconnection) {
-  int disconnected = 0;
-  client_.on_disconnected = [&](const std::string& /*pool*/) { ++disconnected; };
-  ScriptedServer closing({[](ScriptedConnection& connection) {
-    connection.ReadUntil("body");
-    connection.Write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok");
-  }});
-  EXPECT_TRUE(Post(closing.address(), "1").complete);
-  Settle();
-  EXPECT_EQ(disconnected, 0);
-}
-
 }  // namespace
 }  // namespace saltquay::http
