The parser refuses framing that is out of proportion to its body

A chunk's extension or a trailer without end grew a gateway to 2,057 MB; it has 260.

Cause: an unfinished chunk header or trailer is consumed by nobody, so the caller's input grows and each read scans it again. Beast limits the head alone.

Change: bytes behind the head that are not body count against a limit of their own, 16 KB for the message and 32 B for each chunk, in the one collector that reads requests and responses. Trailers are dropped: they were added to the head's fields.

--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -14,6 +14,9 @@
 using ErrorCode = beast::error_code;
 
 constexpr int kFirstVersionWithChunks = 11;  // As Beast writes HTTP/1.1.
+// What may frame a body: this much for the message, and this much more for each chunk.
+constexpr std::uint64_t kMaxFramingBytes = 16 * 1024;
+constexpr std::uint64_t kFramingBytesPerChunk = 32;
 
 std::string ToString(string_view text) { return std::string(text.data(), text.size()); }
 
@@ -31,19 +34,24 @@
   explicit Collector(const ParserLimits& limits) {
     this->header_limit(limits.head_bytes);
     this->body_limit(limits.body_bytes);
-    this->eager(true);
   }
 
   FeedResult FeedBytes(std::string_view input) {
     FeedResult result;
     while (result.consumed < input.size() && !this->is_done()) {
+      // The head apart, so that the bytes behind it can be counted.
+      const bool head_done = this->is_header_done();
+      this->eager(head_done);
       ErrorCode error;
       const auto rest = input.substr(result.consumed);
       const std::size_t used = this->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
       result.consumed += used;
+      if (head_done) bytes_behind_head_ += used;
       result.error = Classify(error);
       if (error || used == 0) break;
     }
+    const bool too_large = result.error == ParseError::kNone && ExceedsFraming(input.size() - result.consumed);
+    if (too_large) result.error = ParseError::kFramingTooLarge;
     return result;
   }
 
@@ -51,6 +59,13 @@
   std::string body;
 
  private:
+  // `unread`: bytes of an unfinished line or trailer, which are offered again.
+  bool ExceedsFraming(std::size_t unread) const {
+    if (!this->is_header_done() || this->is_done()) return false;
+    const std::uint64_t framing_bytes = bytes_behind_head_ - body_bytes_ + unread;
+    return framing_bytes > kMaxFramingBytes + kFramingBytesPerChunk * chunks_;
+  }
+
   void on_request_impl(beast::http::verb /*verb*/, string_view method, string_view target, int version,
                        ErrorCode& /*error*/) override {
     if constexpr (kIsRequest) {
@@ -66,20 +81,29 @@
     }
   }
   void on_field_impl(beast::http::field /*known*/, string_view name, string_view value, ErrorCode& /*error*/) override {
-    head.fields.Add(ToString(name), ToString(value));
+    // Trailers are dropped: a field of theirs must not count as one of the head (RFC 9110, 6.5.1).
+    if (!this->is_header_done()) head.fields.Add(ToString(name), ToString(value));
   }
   void on_header_impl(ErrorCode& /*error*/) override { head.keep_alive = this->keep_alive(); }
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, ErrorCode& /*error*/) override {}
-  std::size_t on_body_impl(string_view bytes, ErrorCode& /*error*/) override {
-    body.append(bytes.data(), bytes.size());
-    return bytes.size();
+  std::size_t on_body_impl(string_view bytes, ErrorCode& /*error*/) override { return Append(bytes); }
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/, ErrorCode& /*error*/) override {
+    ++chunks_;
   }
-  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/, ErrorCode& /*error*/) override {}
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view bytes, ErrorCode& /*error*/) override {
+    return Append(bytes);
+  }
+  void on_finish_impl(ErrorCode& /*error*/) override {}
+
+  std::size_t Append(string_view bytes) {
     body.append(bytes.data(), bytes.size());
+    body_bytes_ += bytes.size();
     return bytes.size();
   }
-  void on_finish_impl(ErrorCode& /*error*/) override {}
+
+  std::uint64_t bytes_behind_head_ = 0;
+  std::uint64_t body_bytes_ = 0;
+  std::uint64_t chunks_ = 0;
 };
 
 }  // namespace
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -20,7 +20,8 @@
   std::uint64_t body_bytes = 64ULL * 1024 * 1024;
 };
 
-enum class ParseError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
+// kFramingTooLarge: what frames the body (chunk sizes, extensions, trailers) is out of proportion to it.
+enum class ParseError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge, kFramingTooLarge };
 
 struct FeedResult {
   std::size_t consumed = 0;
