What is read and dropped has a bound: skipped responses, and the rest of a rejected request

A client that went on after a 413 or 431 was drained for a second, 748 MB.

Cause: a call skipped any number of responses of any length, and their bodies stayed in the parser; the server read a rejected connection by time alone.

Change: during one call at most 32 responses and 4 MB are skipped, and their bodies are dropped as they come; beyond, the response is malformed and the connection ends: the attempt may have run. One late copy of any response that an engine can have sent before still fits. A connection that is ending reads at most 4 MB more.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -15,6 +15,9 @@
 // A peer that announces N seconds may close a little earlier than we see it.
 constexpr std::chrono::milliseconds kKeepAliveMargin{400};
 constexpr ParserLimits kIdentityLimits{16 * 1024, 64 * 1024};
+// Of responses that are skipped during one call. A server may send one late copy, of whatever it has sent before.
+constexpr std::uint64_t kMaxSkippedBytes = 4 * 1024 * 1024;
+constexpr int kMaxSkippedResponses = 32;
 
 std::optional<int> KeepAliveSeconds(const Fields& fields) {
   const auto value = fields.Find("Keep-Alive");
@@ -75,6 +78,8 @@
   skipping_ = false;
   response_unnamed_ = false;
   call_due_ = false;
+  skipped_bytes_ = 0;
+  skipped_responses_ = 0;
   identifying_ = options_.identity_check && !server_identity_;
   if (identifying_) carried_.Add(options_.identity_check->call_id);
   NewParser();
@@ -138,8 +143,12 @@
     input_.erase(0, result.consumed);
     if (result.error != ParseError::kNone) return Fail(CallFailure::kMalformed);
     if (!parser_->head_done()) return;
-    if (SkipForeignAnswer()) continue;
-    if (skipping_) return;
+    const bool skipped_one = SkipForeignAnswer();
+    if (skipped_one || skipping_) {
+      if (!CountSkipped(result.consumed, skipped_one)) return Fail(CallFailure::kMalformed);
+      if (skipped_one) continue;
+      return;
+    }
     if (identifying_) {
       if (parser_->done()) OnIdentified();
       return;
@@ -166,6 +175,13 @@
   return true;
 }
 
+bool ClientConnection::CountSkipped(std::size_t bytes, bool whole_response) {
+  parser_->TakeBody();
+  skipped_bytes_ += bytes;
+  skipped_responses_ += whole_response ? 1 : 0;
+  return skipped_bytes_ <= kMaxSkippedBytes && skipped_responses_ <= kMaxSkippedResponses;
+}
+
 ResponseOwner ClientConnection::OwnerOf(const ResponseHead& head) const {
   const auto& owner_of = identifying_ ? options_.identity_check->owner_of : handlers_->owner_of;
   const ResponseOwner owner = owner_of ? owner_of(head) : ResponseOwner::kThisCall;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -49,6 +49,8 @@
   // The server has said who it is: sends the call, or ends it.
   void OnIdentified();
   void EndAtOtherServer();
+  // Returns false if more has been skipped during the call than a sound server sends.
+  bool CountSkipped(std::size_t bytes, bool whole_response);
   ResponseOwner OwnerOf(const ResponseHead& head) const;
   void DeliverBody();
   void Complete();
@@ -72,6 +74,8 @@
   std::optional<CallHandlers> handlers_;
   std::unique_ptr<ResponseParser> parser_;
   std::string input_;
+  std::uint64_t skipped_bytes_ = 0;
+  int skipped_responses_ = 0;
   std::array<char, 16384> read_buffer_;
   bool reading_ = false;
   bool writing_ = false;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLingerTime{1000};
+constexpr std::size_t kMaxLingerBytes = 4 * 1024 * 1024;
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
 constexpr int kRequestTimeout = 408;
 
@@ -89,7 +90,10 @@
 }
 
 void ServerConnection::OnRead(std::size_t bytes) {
-  if (state_ == State::kLingering || state_ == State::kAborting) return Read();
+  if (state_ == State::kLingering || state_ == State::kAborting) {
+    lingered_bytes_ += bytes;
+    return lingered_bytes_ > kMaxLingerBytes ? Close() : Read();
+  }
   since_ = BootClock::now();
   input_.append(read_buffer_.data(), bytes);
   if (state_ == State::kIdle || state_ == State::kReading) Parse();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -61,6 +61,7 @@
   std::array<char, 16384> read_buffer_;
   std::deque<std::string> output_;
   std::size_t output_bytes_ = 0;
+  std::size_t lingered_bytes_ = 0;  // Read and dropped since the connection began to end.
   bool writing_ = false;
   bool reading_ = false;
   bool chunked_ = true;  // Whether the stream that is being sent is; otherwise it ends with the connection.
