Each response has a limit by its kind instead of 64 MB

Cause: responses of every kind were read up to 64 MB, the parser's default, and so were request bodies at the listeners for readiness, metrics and peers.

Change: the limit is given with the call. CallOptions and fetch::Options: 64 KB unless the caller says more (store and lists of peers 16 MB). For responses to attempts the gateway decides by what it keeps: 1 MB for one event of a stream that is relayed, whose length as a whole has no limit, 4 MB for a response that is relayed when it is complete, 256 KB for an error, 64 KB for a prefill. Beyond: malformed, the connection ends and the attempt may have run. Request bodies: 4 MB where the configuration says nothing.

--- a/include/saltquay/fetch/fetcher.h
+++ b/include/saltquay/fetch/fetcher.h
@@ -26,6 +26,7 @@
     std::chrono::milliseconds timeout { 1500 }; // For the complete response.
     // Until the first bytes, and between any two parts of the response; zero: only the complete response is timed.
     std::chrono::milliseconds stall_timeout { 0 };
+    std::uint64_t max_body_bytes = 64 * 1024; // Of the response; a longer one counts as aborted.
     // See http::CallOptions and http::CallHandlers.
     std::string call_id;
     std::function<http::ResponseOwner(http::ResponseHead const&)> owner_of;
--- a/src/fetch/fetcher.cc
+++ b/src/fetch/fetcher.cc
@@ -38,6 +38,7 @@
     http::CallOptions call_options;
     call_options.connect_timeout = options.connect_timeout;
     call_options.call_id = options.call_id;
+    call_options.max_body_bytes = options.max_body_bytes;
     http::CallHandlers handlers = make_handlers(id, pending);
     handlers.owner_of = options.owner_of;
     pending->call =
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -151,6 +151,7 @@
   options.head_request = exchange.head.method == "HEAD";
   options.on_new_connection = action.on_new_connection;
   options.call_id = attempt.request_id;
+  options.max_body_bytes = kUnboundedBody;  // See OnBody().
   attempt.expected_started_ms = action.process_started_ms.value_or(0);
   if (action.process_started_ms) options.identity_check = MakeIdentityCheck(action);
   std::string bytes = http::SerializeRequest(protocol_.MakeRequest(exchange.head, action), exchange.body);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -65,6 +66,9 @@
   void Log(EventId event, std::string_view request_id, std::string_view members);
 
  private:
+  // A stream may go on for as long as its request does; its events are limited one by one.
+  static constexpr std::uint64_t kUnboundedBody = std::numeric_limits<std::uint64_t>::max();
+
   struct ActiveFlow {
     std::shared_ptr<http::Exchange> exchange;
     std::string request_id;
@@ -143,6 +147,8 @@
   void OnComplete(serving::AttemptId id);
   void OnFailure(serving::AttemptId id, http::CallFailure failure);
   void FailAttempt(serving::AttemptId id, serving::AttemptFailure failure);
+  // Whether the part of the response that has to be kept is longer than any sound one.
+  static bool ExceedsLimit(const ActiveAttempt& attempt);
   void RelayEvents(serving::AttemptId id, ActiveAttempt& attempt, std::string_view bytes);
   static serving::ResponseProgress ProgressOf(const ActiveAttempt& attempt);
   void EndFlow(serving::FlowId id, int status);
--- a/src/gateway/gateway_forwarding.cc
+++ b/src/gateway/gateway_forwarding.cc
@@ -37,6 +37,7 @@
   options.connect_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(action.connect_timeout);
   options.head_request = exchange.head.method == "HEAD";
   options.on_new_connection = true;
+  options.max_body_bytes = kUnboundedBody;  // See OnBody().
   std::string bytes = http::SerializeRequest(head, exchange.body);
   traffic_.Count(TrafficKind::kRequest, attempt.locality, bytes.size());
   attempt.call =
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -13,6 +13,13 @@
   return mode == serving::AttemptMode::kContinue ? "continue" : "whole";
 }
 
+// What is kept of a response, by its kind.
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;         // One event of a stream that is relayed.
+constexpr std::size_t kMaxResponseBytes = 4 * 1024 * 1024;  // A response that is relayed when it is complete.
+constexpr std::size_t kMaxErrorBytes = 256 * 1024;
+constexpr std::size_t kMaxPrefillBytes = 64 * 1024;
+constexpr int kFirstError = 400;
+
 // The outcome as a label of the metrics.
 std::string LabelOf(serving::AttemptFailure failure) {
   switch (failure) {
@@ -80,8 +87,20 @@
   const auto entry = attempts_.find(id);
   if (entry == attempts_.end()) return;
   traffic_.Count(TrafficKind::kResponse, entry->second.locality, bytes.size());
-  if (entry->second.relays_events) return RelayEvents(id, entry->second, bytes);
-  entry->second.body += bytes;
+  if (entry->second.relays_events) {
+    RelayEvents(id, entry->second, bytes);
+  } else {
+    entry->second.body += bytes;
+  }
+  // Relaying an event may have ended the attempt.
+  const auto current = attempts_.find(id);
+  if (current != attempts_.end() && ExceedsLimit(current->second)) FailAttempt(id, serving::AttemptFailure::kMalformed);
+}
+
+bool Gateway::ExceedsLimit(const ActiveAttempt& attempt) {
+  if (attempt.relays_events) return attempt.events.rest_bytes() > kMaxEventBytes;
+  if (attempt.mode == serving::AttemptMode::kPrefill) return attempt.body.size() > kMaxPrefillBytes;
+  return attempt.body.size() > (attempt.head.status >= kFirstError ? kMaxErrorBytes : kMaxResponseBytes);
 }
 
 void Gateway::RelayEvents(serving::AttemptId id, ActiveAttempt& attempt, std::string_view bytes) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -80,6 +80,7 @@
   bool on_new_connection = false;  // Not on one that rests.
   std::string call_id;             // Names the call in its request and in the response to it; empty: nothing does.
   std::optional<IdentityCheck> identity_check = std::nullopt;  // nullopt: any server will do.
+  std::uint64_t max_body_bytes = 64 * 1024;                    // Of the response; a longer one is malformed.
 };
 
 // The connection of a call, as it was when the call began.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -14,7 +15,8 @@
 constexpr int kFirstFinalStatus = 200;
 // A peer that announces N seconds may close a little earlier than we see it.
 constexpr std::chrono::milliseconds kKeepAliveMargin{400};
-constexpr ParserLimits kIdentityLimits{16 * 1024, 64 * 1024};
+constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+constexpr std::uint64_t kMaxIdentityBytes = 64 * 1024;
 // Of responses that are skipped during one call. A server may send one late copy, of whatever it has sent before.
 constexpr std::uint64_t kMaxSkippedBytes = 4 * 1024 * 1024;
 constexpr int kMaxSkippedResponses = 32;
@@ -80,6 +82,7 @@
   call_due_ = false;
   skipped_bytes_ = 0;
   skipped_responses_ = 0;
+  body_.clear();
   identifying_ = options_.identity_check && !server_identity_;
   if (identifying_) carried_.Add(options_.identity_check->call_id);
   NewParser();
@@ -90,8 +93,9 @@
 }
 
 void ClientConnection::NewParser() {
-  parser_ = identifying_ ? std::make_unique<ResponseParser>(kIdentityLimits, false)
-                         : std::make_unique<ResponseParser>(ParserLimits{}, options_.head_request);
+  const ParserLimits limits{kMaxHeadBytes, std::numeric_limits<std::uint64_t>::max()};
+  body_bytes_ = 0;
+  parser_ = std::make_unique<ResponseParser>(limits, options_.head_request && !identifying_);
 }
 
 void ClientConnection::Write() {
@@ -149,6 +153,7 @@
       if (skipped_one) continue;
       return;
     }
+    if (!TakeBody()) return Fail(CallFailure::kMalformed);
     if (identifying_) {
       if (parser_->done()) OnIdentified();
       return;
@@ -182,6 +187,13 @@
   return skipped_bytes_ <= kMaxSkippedBytes && skipped_responses_ <= kMaxSkippedResponses;
 }
 
+bool ClientConnection::TakeBody() {
+  const std::string bytes = parser_->TakeBody();
+  body_bytes_ += bytes.size();
+  body_ += bytes;
+  return body_bytes_ <= (identifying_ ? kMaxIdentityBytes : options_.max_body_bytes);
+}
+
 ResponseOwner ClientConnection::OwnerOf(const ResponseHead& head) const {
   const auto& owner_of = identifying_ ? options_.identity_check->owner_of : handlers_->owner_of;
   const ResponseOwner owner = owner_of ? owner_of(head) : ResponseOwner::kThisCall;
@@ -192,7 +204,7 @@
   const bool goes_on = parser_->head().keep_alive && !parser_->head().until_close && input_.empty();
   if (!goes_on) return Fail(CallFailure::kUnidentified);
   timer_.cancel();
-  server_identity_ = options_.identity_check->decode(parser_->head(), parser_->TakeBody());
+  server_identity_ = options_.identity_check->decode(parser_->head(), std::exchange(body_, {}));
   identifying_ = false;
   needs_names_ = needs_names_ || std::exchange(response_unnamed_, false);
   if (LeadsToOtherServer(options_)) return EndAtOtherServer();
@@ -216,7 +228,7 @@
     head_seen_ = true;
     if (handlers_->on_head) handlers_->on_head(parser_->head());
   }
-  const std::string body = parser_->TakeBody();
+  const std::string body = std::exchange(body_, {});
   if (state_ == State::kBusy && !body.empty() && handlers_->on_body) handlers_->on_body(body);
 }
 
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -51,6 +51,8 @@
   void EndAtOtherServer();
   // Returns false if more has been skipped during the call than a sound server sends.
   bool CountSkipped(std::size_t bytes, bool whole_response);
+  // Takes the bytes of the body that were parsed; returns false if the body is too long.
+  bool TakeBody();
   ResponseOwner OwnerOf(const ResponseHead& head) const;
   void DeliverBody();
   void Complete();
@@ -74,6 +76,8 @@
   std::optional<CallHandlers> handlers_;
   std::unique_ptr<ResponseParser> parser_;
   std::string input_;
+  std::string body_;  // Not delivered yet.
+  std::uint64_t body_bytes_ = 0;
   std::uint64_t skipped_bytes_ = 0;
   int skipped_responses_ = 0;
   std::array<char, 16384> read_buffer_;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -17,7 +17,7 @@
 
 struct ParserLimits {
   std::uint32_t head_bytes = 64 * 1024;
-  std::uint64_t body_bytes = 64ULL * 1024 * 1024;
+  std::uint64_t body_bytes = 4ULL * 1024 * 1024;
 };
 
 // kFramingTooLarge: what frames the body (chunk sizes, extensions, trailers) is out of proportion to it.
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -19,6 +19,7 @@
 constexpr int gone = 410;
 constexpr int too_early = 425;
 constexpr int unavailable = 503;
+constexpr std::uint64_t max_peer_reply_bytes = 16 * 1024 * 1024; // All records of a kind.
 constexpr std::chrono::milliseconds peer_connect_timeout { 250 };
 // A list may take as long as data keeps arriving. Giving up wastes the bytes that were received, and the next peer
 // would send them again over links that are just as busy. The records of a thousand engines take 300 KB, which a relay
@@ -360,6 +361,7 @@
         has_unready_seed ? options_.follower_watch_timeout + options_.follower_watch_margin : peer_list_timeout;
     if (!has_unready_seed)
         options.stall_timeout = peer_list_stall_timeout;
+    options.max_body_bytes = max_peer_reply_bytes;
     return fetcher_.fetch(peer.address, head, "", options,
         [this, peer, done = std::move(done)](absl::StatusOr<fetch::Reply> const& reply) {
             if (reply.ok() && on_peer_response)
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -8,6 +8,8 @@
 namespace saltquay {
 namespace {
 
+constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+
 constexpr int kHttpOk = 200;
 constexpr int kHttpMultipleChoices = 300;
 constexpr std::string_view kScheme = "http://";
@@ -110,6 +112,7 @@
   options.connect_timeout = transfer->call.connect_timeout;
   options.head_request = transfer->call.method == "HEAD";
   options.call_id = call_id;
+  options.max_body_bytes = kMaxBodyBytes;
   const http::RequestHead head = MakeHead(transfer->call, url, call_id);
   transfer->sent = client_.Start(*endpoint, url.address, http::SerializeRequest(head, transfer->call.body), options,
                                  std::move(handlers));
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -23,6 +23,17 @@
   explicit ScriptedConnection(int socket) : socket_(socket) {
     const timeval limit{2, 0};
     setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+  }
+  // A new connection to a server on loopback.
+  static ScriptedConnection To(std::uint16_t port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const int client = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) std::abort();
+    return ScriptedConnection(client);
   }
   ~ScriptedConnection() { Close(); }
   ScriptedConnection(const ScriptedConnection&) = delete;
@@ -47,7 +58,10 @@
   }
   // Whether ReadToEnd() found the connection reset.
   bool reset_by_peer() const { return reset_by_peer_; }
-  void Write(const std::string& text) { static_cast<void>(send(socket_, text.data(), text.size(), MSG_NOSIGNAL)); }
+  // Returns whether all of it could be written.
+  bool Write(const std::string& text) {
+    return send(socket_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+  }
   void Close() {
     if (socket_ >= 0) close(socket_);
     socket_ = -1;
