A budget for what all client connections of a node hold together

Cause: every limit was that of one connection.

Change: ByteBudget counts what the connections of all listeners hold (input that is not parsed, bodies, requests under way, answers that are not read): an eighth of memory_mb, a new setting (default 256). When it is spent, the request body that has not moved for the longest is refused with 503 and Retry-After, which is true, since it was never handed over; where there is none, the answer with the most unread bytes is ended, as before at 4 MB. A connection with 32 KB or less never yields. Bodies grow by a quarter instead of doubling, and buffers of long messages go back to the system (a fixed M_MMAP_THRESHOLD). Each time a line (held_bytes_given_up), and two gauges.

--- a/include/saltquay/replica/relay_server.h
+++ b/include/saltquay/replica/relay_server.h
@@ -23,6 +23,8 @@
     void on_record_update(std::string const& kind);
     // Applies to requests that begin later.
     void set_limits(http::ServerLimits const& limits) { server_->set_limits(limits); }
+    // See http::Server. Requires listen().
+    void set_budget(std::shared_ptr<http::ByteBudget> budget) { server_->set_budget(std::move(budget)); }
 
     // Called first with every request; returns whether it has taken the request. May be empty.
     std::function<bool(std::shared_ptr<http::Exchange> const&)> request_filter;
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -123,6 +123,10 @@
     {kEngineIdentified, kInfo, "engine_identified",
      "An engine said on a connection when its process started; the start that its record tells, and the record's age.",
      "If the two differ for long: look at the engine's record in the store and at this node's link to it."},
+    {kHeldBytesGivenUp, kWarning, "held_bytes_given_up",
+     "All connections together hold too many bytes: a request whose body had not come was refused, or an answer that "
+     "its client does not read was ended.",
+     "Look for clients that stop in the middle of a body or of an answer; raise memory_mb if there are none."},
     {kRequestForwarded, kInfo, "request_forwarded",
      "A request was handed to a peer, since this node cannot reach the engines that it needs.",
      "If it lasts: look at the links between this node and the engines that engine_path names."},
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -70,6 +70,7 @@
   kAttemptConnection = 622,
   kResponseSkipped = 623,
   kEngineIdentified = 624,
+  kHeldBytesGivenUp = 625,
   kRequestForwarded = 630,
   kStreamResumed = 631,
   kStoreUnavailable = 700,
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -67,6 +67,9 @@
   open_requests_ = gauge("saltquay_open_requests", "Requests under way");
   connections_opened_ =
       gauge("saltquay_connections_opened", "Connections opened so far for requests to engines and peers");
+  held_bytes_ = gauge("saltquay_held_bytes", "Bytes read and not served, or answered and not read, on all connections");
+  held_refusals_ = gauge("saltquay_held_bytes_refusals",
+                         "Requests refused and answers ended so far, since too many bytes were held");
   members_known_ = gauge("saltquay_members_known", "Nodes that this node knows, with itself");
   digest_nodes_ = gauge("saltquay_digest_nodes", "Nodes whose work the newest digest covers; 1: no digest");
   log_dropped_ = gauge("saltquay_log_lines_dropped", "Log lines dropped so far");
@@ -82,6 +85,11 @@
 
 void GatewayMetrics::CountRequest(int status) { requests_->Add({{"status", std::to_string(status)}}).Increment(); }
 
+void GatewayMetrics::SetHeldBytes(double bytes, double refusals) {
+  held_bytes_->Set(bytes);
+  held_refusals_->Set(refusals);
+}
+
 void GatewayMetrics::CountIdentification(const std::string& outcome) {
   identifications_->Add({{"outcome", outcome}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -39,6 +39,8 @@
   void CountPassedOverConnections(int connections) { passed_over_connections_->Increment(connections); }
   // Counts an engine that was asked which process it is. `outcome`: expected, other, untold or failed.
   void CountIdentification(const std::string& outcome);
+  // Bytes that connections to this node hold, and how many of them had to yield.
+  void SetHeldBytes(double bytes, double refusals);
   // Number of connections to engines and peers that were opened for requests.
   void SetConnectionsOpened(double connections) { connections_opened_->Set(connections); }
   void CountAbortedStream() { aborted_streams_->Increment(); }
@@ -99,6 +101,8 @@
   prometheus::Gauge* unreachable_engines_;
   prometheus::Gauge* open_requests_;
   prometheus::Gauge* connections_opened_;
+  prometheus::Gauge* held_bytes_;
+  prometheus::Gauge* held_refusals_;
   prometheus::Gauge* members_known_;
   prometheus::Gauge* digest_nodes_;
   prometheus::Gauge* log_dropped_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -1,6 +1,8 @@
 #include "src/gateway/gateway_process.h"
 
+#include <malloc.h>
 #include <algorithm>
+
 #include <csignal>
 #include <random>
 
@@ -66,6 +68,12 @@
   return server;
 }
 
+std::shared_ptr<http::ByteBudget> MakeBudget(int memory_mb) {
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  constexpr std::size_t kShare = 8;  // A body that grows takes up to three times its size for a moment.
+  return std::make_shared<http::ByteBudget>(static_cast<std::size_t>(memory_mb) * kMegabyte / kShare);
+}
+
 }  // namespace
 
 GatewayProcess::GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings,
@@ -84,8 +92,13 @@
       engine_checks_(loop, gateway_),
       peer_requests_(gateway_, engine_checks_,
                      [this](const std::string& address) { return coordinator_.IsPeerAddress(address); }),
+      budget_(MakeBudget(settings.memory_mb)),
       signals_(loop, SIGTERM, SIGINT, SIGHUP),
       stop_timer_(loop) {
+  budget_->on_refusal = [this](std::string_view kind, std::size_t bytes) {
+    gateway_.Log(EventId::kHeldBytesGivenUp, "",
+                 fmt::format(R"("held":"{}","bytes":{},"total":{})", kind, bytes, budget_->held()));
+  };
   gateway_.on_check_engine_at_peers = [this](const serving::CheckEngineAtPeers& action) { engine_checks_.Ask(action); };
 }
 
@@ -93,6 +106,10 @@
 
 absl::Status GatewayProcess::Start() {
   std::signal(SIGPIPE, SIG_IGN);
+  // A fixed threshold: buffers of long messages go back to the system when they are freed, instead of staying in a heap
+  // of many pieces.
+  constexpr int kMappedBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
   absl::Status listening = Listen();
   if (!listening.ok()) {
     gateway_.Log(EventId::kListenFailed, "", fmt::format(R"("cause":"{}")", EscapeJson(MessageOf(listening))));
@@ -113,6 +130,7 @@
     auto listening = http::Server::Listen(loop_, address, http::ServerLimits{}, std::move(handler));
     if (!listening.ok()) return listening.status();
     server = std::move(*listening);
+    server->set_budget(budget_);
     return absl::OkStatus();
   };
   absl::Status status = listen(
@@ -125,7 +143,10 @@
   relay_.request_filter = [this](const std::shared_ptr<http::Exchange>& exchange) {
     return peer_requests_.Handle(exchange);
   };
-  if (status.ok() && !settings_.peer_listen.empty()) status = relay_.listen(settings_.peer_listen);
+  if (status.ok() && !settings_.peer_listen.empty()) {
+    status = relay_.listen(settings_.peer_listen);
+    if (status.ok()) relay_.set_budget(budget_);
+  }
   if (!status.ok() || settings_.metrics_listen.empty()) return status;
   return listen(
       settings_.metrics_listen,
@@ -253,6 +274,7 @@
   gateway_.metrics().SetUnreachableEngines(static_cast<double>(gateway_.core().unreachable_engines()));
   gateway_.metrics().SetLimitedEngines(static_cast<double>(limited));
   gateway_.metrics().SetTraffic(gateway_.traffic());
+  gateway_.metrics().SetHeldBytes(static_cast<double>(budget_->held()), static_cast<double>(budget_->refusals()));
   gateway_.metrics().SetConnectionsOpened(static_cast<double>(gateway_.connections_opened()));
   http::ResponseHead head;
   head.status = kOk;
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -83,6 +83,7 @@
   FleetCoordinator coordinator_;
   EngineChecks engine_checks_;
   PeerRequestHandler peer_requests_;
+  std::shared_ptr<http::ByteBudget> budget_;  // Of all listeners.
   std::unique_ptr<http::Server> client_server_;
   std::unique_ptr<http::Server> ready_server_;
   std::unique_ptr<http::Server> metrics_server_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -132,6 +132,9 @@
   settings.peer_seeds = root.Strings("peer_seeds");
   settings.store_address = ReadAddress(root, "store_address", std::nullopt);
   settings.link_mbps = static_cast<int>(root.Number("link_mbps", 0, kMaxLinkMbps, 0));
+  constexpr int kMinMemoryMb = 64;
+  constexpr int kMaxMemoryMb = 1024 * 1024;
+  settings.memory_mb = static_cast<int>(root.Number("memory_mb", kMinMemoryMb, kMaxMemoryMb, settings.memory_mb));
   settings.fingerprint_key = root.String("fingerprint_key", "");
   settings.first_start = root.Boolean("first_start", false);
   settings.log_lines_per_second = static_cast<int>(root.Integer("log_lines_per_second", 1, 1000000, 2000));
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -28,6 +28,7 @@
   std::string metrics_listen;  // ip:port for GET /metrics; empty disables it.
   std::string peer_listen;     // ip:port (UDP) for other nodes; empty if this node runs alone.
   std::vector<std::string> peer_seeds;
+  int memory_mb = 256;        // That this process may use.
   int link_mbps = 0;          // Bandwidth of this machine; nodes with more relay the store's objects. 0 if unknown.
   std::string store_address;  // ip:port.
   std::chrono::milliseconds grace{8000};  // Maximum time from the stop signal to the exit.
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -95,7 +95,10 @@
   }
   void on_finish_impl(ErrorCode& /*error*/) override {}
 
+  // Grows the body by a quarter at a time: many unfinished bodies would waste much memory otherwise.
   std::size_t Append(string_view bytes) {
+    const std::size_t needed = body.size() + bytes.size();
+    if (needed > body.capacity()) body.reserve(needed + needed / 4);
     body.append(bytes.data(), bytes.size());
     body_bytes_ += bytes.size();
     return bytes.size();
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -69,6 +69,26 @@
   });
 }
 
+void Server::RelieveBudget() {
+  while (budget_ != nullptr && budget_->exceeded()) {
+    std::shared_ptr<ServerConnection> body;
+    std::shared_ptr<ServerConnection> answer;
+    for (const auto& connection : connections_) {
+      if (connection->MayRefuseBody() && (body == nullptr || connection->since() < body->since())) body = connection;
+      if (connection->MayEndAnswer() && (answer == nullptr || connection->unread_bytes() > answer->unread_bytes()))
+        answer = connection;
+    }
+    if (body == nullptr && answer == nullptr) return;
+    if (body != nullptr) {
+      budget_->RecordRefusal("request body", body->held_bytes());
+      body->RefuseBody();
+    } else {
+      budget_->RecordRefusal("unread answer", answer->held_bytes());
+      answer->EndAnswer();
+    }
+  }
+}
+
 void Server::StopAccepting() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -20,6 +20,7 @@
 
 #include "src/base/status.h"
 #include "src/http/boot_timer.h"
+#include "src/http/byte_budget.h"
 #include "src/http/message.h"
 #include "src/http/parser.h"
 
@@ -79,6 +80,10 @@
 
   // Applies to requests that begin later.
   void set_limits(const ServerLimits& limits) { limits_ = limits; }
+  // What all connections together may hold; may be shared with other servers. Without one, only each connection has
+  // limits. When it is spent, the request body that has not moved for the longest is refused with 503, and the answer
+  // with the most unread bytes is ended.
+  void set_budget(std::shared_ptr<ByteBudget> budget) { budget_ = std::move(budget); }
   // From now on each answer ends its connection.
   void StartClosing() { closing_ = true; }
   // Takes no more connections and ends the idle ones.
@@ -93,10 +98,13 @@
 
   void Accept();
   void Sweep();
+  // Makes connections yield until the budget holds, or none can.
+  void RelieveBudget();
 
   boost::asio::io_context& loop_;
   ServerLimits limits_;
   Handler handler_;
+  std::shared_ptr<ByteBudget> budget_;
   boost::asio::ip::tcp::acceptor acceptor_;
   BootTimer sweep_timer_;
   std::set<std::shared_ptr<ServerConnection>> connections_;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kMaxLingerBytes = 4 * 1024 * 1024;
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
 constexpr int kRequestTimeout = 408;
+constexpr int kUnavailable = 503;
+// Bodies that do not move are ended by then, and bodies that do have come.
+constexpr std::string_view kRetryAfterSeconds = "1";
 
 std::string ChunkOf(std::string_view bytes) {
   std::array<char, 20> size;
@@ -97,10 +100,45 @@
   since_ = BootClock::now();
   input_.append(read_buffer_.data(), bytes);
   if (state_ == State::kIdle || state_ == State::kReading) Parse();
+  UpdateHeldBytes();
+  if (state_ == State::kClosed) return;
   if (state_ == State::kHandling && input_.size() > kMaxPipelinedBytes) return;  // Read again after the answer.
   Read();
 }
 
+std::size_t ServerConnection::HeldBytes() const {
+  if (state_ == State::kClosed) return 0;
+  const std::size_t body = state_ == State::kReading ? parser_->body().size() : 0;
+  return input_.size() + body + (exchange_ != nullptr ? exchange_->body.size() : 0) + output_bytes_;
+}
+
+void ServerConnection::UpdateHeldBytes() {
+  if (server_ == nullptr || server_->budget_ == nullptr) return;
+  const std::size_t before = std::exchange(held_bytes_, HeldBytes());
+  server_->budget_->Update(before, held_bytes_);
+  if (held_bytes_ > before) server_->RelieveBudget();
+}
+
+void ServerConnection::RefuseBody() {
+  Fields fields;
+  fields.Add("Retry-After", std::string(kRetryAfterSeconds));
+  parser_.reset();
+  input_ = {};
+  RejectWith(kUnavailable, fields);
+  UpdateHeldBytes();
+}
+
+bool ServerConnection::MayEndAnswer() const {
+  return output_bytes_ > kAlwaysHeldBytes && !answer_finished_ && !ending_soon_ && state_ != State::kClosed;
+}
+
+void ServerConnection::EndAnswer() {
+  output_.resize(1);  // The first part is being written.
+  output_bytes_ = output_.front().size();
+  EndSoon();
+  UpdateHeldBytes();
+}
+
 void ServerConnection::Parse() {
   if (input_.empty()) return;
   if (state_ == State::kIdle) {
@@ -134,9 +172,10 @@
 
 void ServerConnection::Reject(ParseError error) { RejectWith(StatusOf(error)); }
 
-void ServerConnection::RejectWith(int status) {
+void ServerConnection::RejectWith(int status, const Fields& fields) {
   ResponseHead head;
   head.status = status;
+  head.fields = fields;
   request_keeps_alive_ = false;
   state_ = State::kHandling;
   SendWhole(head, limits_.rejection_body ? limits_.rejection_body(status) : "");
@@ -204,6 +243,7 @@
 void ServerConnection::DropExchange() {
   if (exchange_ != nullptr) exchange_->on_client_left = nullptr;
   exchange_.reset();
+  UpdateHeldBytes();
 }
 
 void ServerConnection::EndSoon() {
@@ -217,6 +257,7 @@
   output_.push_back(std::move(bytes));
   if (output_bytes_ > limits_.unread_answer_bytes && !answer_finished_) return EndSoon();
   if (!writing_) WriteNext();
+  UpdateHeldBytes();
 }
 
 void ServerConnection::WriteNext() {
@@ -228,6 +269,7 @@
                              if (error) return self->OnPeerEnd();
                              self->output_bytes_ -= bytes;
                              self->output_.pop_front();
+                             self->UpdateHeldBytes();
                              if (!self->output_.empty()) return self->WriteNext();
                              if (self->state_ == State::kAborting) return self->Close();
                              if (self->answer_finished_) self->OnAnswerWritten();
@@ -257,6 +299,7 @@
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
   DropExchange();
+  UpdateHeldBytes();
   boost::system::error_code ignored;
   socket_.close(ignored);
   if (server_ != nullptr) server_->connections_.erase(shared_from_this());
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -23,6 +23,16 @@
   // Enforces the time limits; called twice a second.
   void CheckTimes(BootClock::time_point now);
 
+  // Called by the server when its budget is spent. A request that is still being read can be refused, since it has not
+  // been handed over.
+  bool MayRefuseBody() const { return state_ == State::kReading && held_bytes_ > kAlwaysHeldBytes; }
+  void RefuseBody();
+  bool MayEndAnswer() const;
+  void EndAnswer();
+  std::size_t unread_bytes() const { return output_bytes_; }
+  std::size_t held_bytes() const { return held_bytes_; }
+  BootClock::time_point since() const { return since_; }
+
   // Called by Exchange.
   std::string RemoteAddress() const;
   void SendWhole(const ResponseHead& head, std::string_view body);
@@ -33,6 +43,8 @@
 
  private:
   // kAborting: writes what is queued and then closes.
+  // A connection with no more than this never yields.
+  static constexpr std::size_t kAlwaysHeldBytes = 32 * 1024;
   enum class State { kIdle, kReading, kHandling, kAborting, kLingering, kClosed };
 
   void Read();
@@ -40,7 +52,7 @@
   void Parse();
   void Dispatch();
   void Reject(ParseError error);
-  void RejectWith(int status);
+  void RejectWith(int status, const Fields& fields = {});
   void OnPeerEnd();
   // Sends nothing more, and ends the connection from the event loop.
   void EndSoon();
@@ -51,6 +63,9 @@
   void DropExchange();
   void SetResetAtClose(bool resets);
   bool ClosesAfterAnswer() const;
+  // Counts what the connection holds against the server's budget.
+  void UpdateHeldBytes();
+  std::size_t HeldBytes() const;
 
   Server* server_;
   boost::asio::ip::tcp::socket socket_;
@@ -61,6 +76,7 @@
   std::array<char, 16384> read_buffer_;
   std::deque<std::string> output_;
   std::size_t output_bytes_ = 0;
+  std::size_t held_bytes_ = 0;      // As counted against the budget.
   std::size_t lingered_bytes_ = 0;  // Read and dropped since the connection began to end.
   bool writing_ = false;
   bool reading_ = false;
--- a/tests/http/bounded_response_test.cc
+++ b/tests/http/bounded_response_test.cc
@@ -112,10 +112,10 @@
   const auto server = std::move(*Server::Listen(loop, "127.0.0.1:0", limits, [](const std::shared_ptr<Exchange>&) {}));
   std::size_t sent = 0;
   std::thread client([&, port = server->port()] {
-    ScriptedConnection connection = ScriptedConnection::To(port);
-    connection.Write("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const auto connection = ScriptedConnection::To(port);
+    connection->Write("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
     const std::string piece = "2000\r\n" + std::string(8192, 'y') + "\r\n";
-    while (sent < kMaxSentBytes && connection.Write(piece)) sent += piece.size();
+    while (sent < kMaxSentBytes && connection->Write(piece)) sent += piece.size();
     loop.stop();
   });
   loop.run_for(std::chrono::seconds(10));
--- a/tests/platform/endless_bytes_test.py
+++ b/tests/platform/endless_bytes_test.py
@@ -5,7 +5,7 @@
 
 usage: endless_bytes_test.py PATH/saltquay-gateway [--seed N] [--cases NAME,...]
 
-Invariants, while two of nine engines, or two clients, send without end:
+Invariants, while two of nine engines, or two clients, send without end, and while many clients stop in a body:
 - No gateway ends by itself, and none takes over MAX_GROWTH_MB more memory than before.
 - At least MIN_SHARE of the ordinary requests are answered whole, and no client gets any of the endless bytes.
 """
@@ -69,7 +69,8 @@
 }
 LISTENERS = ["client", "ready", "peer"]
 CASES = [f"engine: {kind}" for kind in ENGINE_KINDS] + ["engine: prefill"]
-CASES += [f"{listener}: {kind}" for listener in LISTENERS for kind in CLIENT_MESSAGES]
+CASES += [f"{listener}: {kind}" for listener in LISTENERS for kind in CLIENT_MESSAGES] + ["many: half bodies"]
+HALF_BODIES, HALF_BODY = 300, b"y" * (2 << 20)  # Of clients that stop in the middle of a body of 4 MB.
 
 
 async def write_without_end(writer, beginning, piece):
@@ -143,6 +144,8 @@
         if sender == "engine":
             for engine in self.engines[:TROUBLED] if kind == "prefill" else self.engines[-TROUBLED:]:
                 engine.kind = kind
+        elif sender == "many":
+            endless = [asyncio.ensure_future(self.send_half_body()) for _ in range(HALF_BODIES)]
         else:
             endless = [asyncio.ensure_future(self.send_endless(sender, kind)) for _ in range(TROUBLED)]
         self.peak, started = calm, time.monotonic()
@@ -193,6 +196,14 @@
                     writer.transport.abort()
             await asyncio.sleep(0.05)
 
+    async def send_half_body(self):
+        _, writer = await asyncio.open_connection("127.0.0.1", self.rng.choice(self.gateways).client)
+        try:
+            writer.write(f"{POST}Content-Length: {2 * len(HALF_BODY)}\r\n\r\n".encode() + HALF_BODY)
+            await asyncio.sleep(TROUBLE_S)
+        finally:
+            writer.transport.abort()
+
     @staticmethod
     def memory_mb(gateway):
         with open(f"/proc/{gateway.process.pid}/status", encoding="utf-8") as status:
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <cstdlib>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -26,14 +27,14 @@
     setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
   }
   // A new connection to a server on loopback.
-  static ScriptedConnection To(std::uint16_t port) {
+  static std::unique_ptr<ScriptedConnection> To(std::uint16_t port) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(port);
     const int client = socket(AF_INET, SOCK_STREAM, 0);
     if (connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) std::abort();
-    return ScriptedConnection(client);
+    return std::make_unique<ScriptedConnection>(client);
   }
   ~ScriptedConnection() { Close(); }
   ScriptedConnection(const ScriptedConnection&) = delete;
