--- a/src/core/serving/engine_directory.cc
+++ b/src/core/serving/engine_directory.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kOutcomeBucket = 1s;
+// An engine that did not say which process it is may say so later.
+constexpr Duration kIdentifyAgainAfter = 2s;
 // Statistics of services are updated incrementally; recomputing them bounds the accumulated rounding errors.
 constexpr Duration kStatsLifetime = 5s;
 
@@ -24,6 +26,26 @@
 
 }  // namespace
 
+std::optional<std::int64_t> EngineState::ExpectedProcess(Time now) {
+  if (record.started_ms == 0) return std::nullopt;  // The id alone identifies the process.
+  const bool tells = process_started_ms != 0;
+  if (!tells && now < identified_again_at) return std::nullopt;
+  if (!tells) process_started_ms.reset();
+  return process_started_ms.value_or(record.started_ms);
+}
+
+void EngineState::RecordOtherProcess(std::int64_t started_ms, Time now) {
+  process_started_ms = started_ms;
+  identified_again_at = now + kIdentifyAgainAfter;
+}
+
+// One call may fail for many reasons. An engine that does not answer twice in a row serves without being asked.
+void EngineState::RecordUnidentified(Time now) {
+  const bool repeated = unidentified_at != Time{} && now - unidentified_at < kIdentifyAgainAfter;
+  unidentified_at = now;
+  if (repeated) RecordOtherProcess(0, now);
+}
+
 void RecentOutcomes::Rotate(Time now) {
   if (now - bucket_started_ < kOutcomeBucket) return;
   previous_ = now - bucket_started_ < 2 * kOutcomeBucket ? current_ : Bucket{};
--- a/src/core/serving/engine_directory.h
+++ b/src/core/serving/engine_directory.h
@@ -131,6 +131,12 @@
     if (!process_started_ms || *process_started_ms == record.started_ms) return false;
     return *process_started_ms != 0 || now < identified_again_at;
   }
+  // The process that has to be found running; nullopt: it cannot be told from others, or does not tell.
+  std::optional<std::int64_t> ExpectedProcess(Time now);
+  // It runs a process that started then, not the one of its record.
+  void RecordOtherProcess(std::int64_t started_ms, Time now);
+  // It accepted a connection and did not say which process it is.
+  void RecordUnidentified(Time now);
   // Whether the engine should receive no new requests now, for any reason.
   bool IsOutOfService(Time now) const {
     const bool probation_full = probation_limit > 0 && outstanding >= probation_limit;
--- a/src/core/serving/engine_process_steps.cc
+++ b/src/core/serving/engine_process_steps.cc
@@ -5,54 +5,26 @@
 // stream is sent there that may be taken up elsewhere, and sends the stream only to the process that this node expects.
 // One whose record has not arrived yet is the last choice for such streams. If a stream begins there all the same, its
 // origin names the process instead of the version, and goes on once a record tells it.
-#include <fmt/format.h>
-
-#include "src/base/log_stream.h"
 #include "src/core/serving/serving_core.h"
 
 namespace saltquay::serving {
-namespace {
-
-constexpr Duration kIdentifyAgainAfter = 2s;
-
-}  // namespace
 
 bool ServingCore::MayBeResumed(const Flow& flow, AttemptMode mode) {
   return flow.route.kind == RouteKind::kStreaming && flow.route.resumable && mode != AttemptMode::kPrefill;
 }
 
-StreamOrigin ServingCore::OriginAt(const EngineState& engine) const {
-  if (!engine.HasUnknownVersion(now_)) return {engine.record.software_version};
+StreamOrigin OriginAt(const EngineState& engine, Time now) {
+  if (!engine.HasUnknownVersion(now)) return {engine.record.software_version};
   return {"", 0, EngineProcess{engine.record.id, *engine.process_started_ms}};
 }
 
-std::optional<std::int64_t> ServingCore::ExpectedProcess(EngineState& engine) const {
-  if (engine.record.started_ms == 0) return std::nullopt;  // The id alone identifies the process.
-  const bool tells = engine.process_started_ms != 0;
-  if (!tells && now_ < engine.identified_again_at) return std::nullopt;
-  if (!tells) engine.process_started_ms.reset();
-  return engine.process_started_ms.value_or(engine.record.started_ms);
-}
-
-// One call may fail for many reasons. An engine that does not answer twice in a row serves without being asked.
-void ServingCore::RecordUnidentified(EngineState& engine) {
-  const bool repeated = engine.unidentified_at != Time{} && now_ - engine.unidentified_at < kIdentifyAgainAfter;
-  engine.unidentified_at = now_;
-  if (repeated) RecordOtherProcess(engine, 0);
-}
-
-void ServingCore::RecordOtherProcess(EngineState& engine, std::int64_t started_ms) {
-  engine.process_started_ms = started_ms;
-  engine.identified_again_at = now_ + kIdentifyAgainAfter;
-}
-
 void ServingCore::On(const AttemptAtOtherProcess& event) {
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr || !flow->attempts.contains(event.attempt)) return;
   const Attempt attempt = flow->attempts[event.attempt];
   EndAttempt(*flow, event.attempt);
   EngineState* engine = engines_.Find(attempt.engine_id);
-  if (engine != nullptr) RecordOtherProcess(*engine, event.started_ms);
+  if (engine != nullptr) engine->RecordOtherProcess(event.started_ms, now_);
   UncountAttempt(*flow, attempt);
   Retry(*flow, "engine runs another process than its record describes");
 }
--- a/src/core/serving/flow.h
+++ b/src/core/serving/flow.h
@@ -13,6 +13,9 @@
 
 namespace saltquay::serving {
 
+// Where a stream begins that is sent to the engine now.
+StreamOrigin OriginAt(const EngineState& engine, Time now);
+
 struct Attempt {
   AttemptId id = 0;
   std::string engine_id;
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -113,8 +113,8 @@
   start.tenant = flow.tenant;
   start.streams = flow.route.kind == RouteKind::kStreaming;
   start.on_new_connection = flow.response_missing;
-  if (MayBeResumed(flow, mode)) start.process_started_ms = ExpectedProcess(engine);
-  attempt.origin = OriginAt(engine);
+  if (MayBeResumed(flow, mode)) start.process_started_ms = engine.ExpectedProcess(now_);
+  attempt.origin = OriginAt(engine, now_);
   LogRouted(flow, engine, start, attempt.prompt_tokens);
   attempt.times_out_at = now_ + AttemptTimeout(attempt, engine);
   MeterDispatch(flow, attempt);
--- a/src/core/serving/path_steps.cc
+++ b/src/core/serving/path_steps.cc
@@ -65,7 +65,7 @@
   EngineState* engine = engines_.Find(attempt.engine_id);
   if (engine == nullptr) return;
   if (IsInterrupted(failure)) RecordBrokenResponse(attempt.engine_id, DescribeInterruptedRun(flow, attempt));
-  if (failure == AttemptFailure::kUnidentified) RecordUnidentified(*engine);
+  if (failure == AttemptFailure::kUnidentified) engine->RecordUnidentified(now_);
   if (failure != AttemptFailure::kNotSent) return SuspectEngine(*engine, failure);
   // An engine that has responded to other requests since then is alive and only rejects connections.
   if (engine->last_response_time > attempt.sent_at) return engines_.RecordRejection(attempt.engine_id, now_);
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -304,13 +304,6 @@
   // Which process of an engine serves, of those that run one after the other under its id (engine_process_steps.cc).
   // Whether another node or engine may go on with a stream that the attempt begins.
   static bool MayBeResumed(const Flow& flow, AttemptMode mode);
-  // Where a stream begins that is sent to the engine now.
-  StreamOrigin OriginAt(const EngineState& engine) const;
-  // The process that the engine has to be found running; nullopt: it cannot be told from others, or does not tell.
-  std::optional<std::int64_t> ExpectedProcess(EngineState& engine) const;
-  // The engine accepted a connection and did not say which process it is.
-  void RecordUnidentified(EngineState& engine);
-  void RecordOtherProcess(EngineState& engine, std::int64_t started_ms);
   // The version of the stream's engine; nullopt while no record tells it.
   std::optional<std::string> SoftwareVersionOf(const StreamOrigin& origin) const;
   void BindOrigin(Flow& flow, const StreamOrigin& origin);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -18,10 +18,6 @@
   const auto counter = [&](const char* name, const char* help) {
     return &prometheus::BuildCounter().Name(name).Help(help).Labels(labels).Register(*registry_);
   };
-  const auto histogram = [&](const char* name, const char* help) {
-    auto& family = prometheus::BuildHistogram().Name(name).Help(help).Labels(labels).Register(*registry_);
-    return &family.Add({}, LatencyBounds());
-  };
   requests_ = counter("saltquay_requests_total", "Client requests by final status");
   attempts_ = counter("saltquay_attempts_total", "Calls to engines by mode and outcome");
   identifications_ = counter("saltquay_engine_identifications_total",
@@ -48,12 +44,20 @@
                                   ->Add({});
   engine_crash_times_ =
       &counter("saltquay_engine_ends_total", "Engines whose process ended with requests of this node")->Add({});
+  RegisterHistograms(labels);
+  RegisterGauges(labels);
+}
+
+void GatewayMetrics::RegisterHistograms(const prometheus::Labels& labels) {
+  const auto histogram = [&](const char* name, const char* help) {
+    auto& family = prometheus::BuildHistogram().Name(name).Help(help).Labels(labels).Register(*registry_);
+    return &family.Add({}, LatencyBounds());
+  };
   response_seconds_ = histogram("saltquay_answer_seconds", "From a request's arrival to its whole answer");
   first_event_seconds_ = histogram("saltquay_first_event_seconds", "From a request's arrival to its first event");
   store_seconds_ = histogram("saltquay_store_call_seconds", "Calls to the store, watches aside");
   digest_age_seconds_ =
       histogram("saltquay_knowledge_age_seconds", "Mean age of the parts of the fleet's digest when it was taken over");
-  RegisterGauges(labels);
 }
 
 void GatewayMetrics::RegisterGauges(const prometheus::Labels& labels) {
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -70,6 +70,7 @@
   std::string Text() const;
 
  private:
+  void RegisterHistograms(const prometheus::Labels& labels);
   void RegisterGauges(const prometheus::Labels& labels);
   // Returns the label for the peer; peers beyond a maximum share one.
   std::string PeerLabel(const std::string& peer);
