Origins without a version are found by an index when a record arrives

Cause: each record of a new process went through all streams that a node knows (65,536 at most), for each of 11,000 engines when the store's list is read again. Change: StreamOrigins keeps the streams whose origin names a process. Measured: serving_core_test (298) and engine_restart_schedules_test pass; no figure of the time was taken.

--- a/src/core/serving/stream_origins.cc
+++ b/src/core/serving/stream_origins.cc
@@ -17,17 +17,22 @@
     known.announced = known.announced && same;
     known.origin = origin;
   }
+  if (known.origin.process) unversioned_.insert(stream);
   known.expires_at = std::max(known.expires_at, now + lifetime);
   if (is_new) expiries_.emplace(known.expires_at, stream);
   if (streams_.size() > parameters_.max_streams) streams_.erase(expiries_.extract(expiries_.begin()).mapped());
 }
 
 void StreamOrigins::Resolve(const EngineProcess& process, const std::string& software_version) {
-  for (auto& [stream, known] : streams_) {
-    if (known.origin.process != process) continue;
-    known.origin.software_version = software_version;
-    known.origin.process.reset();
-  }
+  std::erase_if(unversioned_, [&](StreamKey stream) {
+    const auto entry = streams_.find(stream);
+    if (entry == streams_.end() || !entry->second.origin.process) return true;
+    StreamOrigin& origin = entry->second.origin;
+    if (origin.process != process) return false;
+    origin.software_version = software_version;
+    origin.process.reset();
+    return true;
+  });
 }
 
 void StreamOrigins::OnNotice(const StreamNotice& notice, Time now) {
--- a/src/core/serving/stream_origins.h
+++ b/src/core/serving/stream_origins.h
@@ -107,6 +107,7 @@
   std::string address_;
   std::vector<PeerNode> peers_;
   std::map<StreamKey, Stream> streams_;
+  std::set<StreamKey> unversioned_;          // Those whose origin names a process; may contain others.
   std::multimap<Time, StreamKey> expiries_;  // May contain earlier times than the stream's own.
   std::map<StreamKey, Question> questions_;
   std::vector<AddressedStreamMessage> messages_;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -101,8 +101,8 @@
 void ClientConnection::Write() {
   writing_ = true;
   if (identifying_) StartIdentityTimer();
-  const std::string& bytes = identifying_ ? options_.identity_check->request : request_;
-  boost::asio::async_write(socket_, boost::asio::buffer(bytes),
+  const std::string& request = identifying_ ? options_.identity_check->request : request_;
+  boost::asio::async_write(socket_, boost::asio::buffer(request),
                            [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
                              self->writing_ = false;
                              if (self->state_ != State::kBusy) return;
