A client that is rejected in a body of 5 MB gets its answer again

Cause: closes a connection that has sent 4 MB more after its rejection. A client that writes its whole body before it reads has 5 MB on the way. Change: 8 MB. The bound on what is drained stays in bytes and time. A body that is longer by more than 8 MB is still cut off.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLingerTime{1000};
-constexpr std::size_t kMaxLingerBytes = 4 * 1024 * 1024;
+// A client that is rejected in the middle of a body reads its answer after it has sent the rest.
+constexpr std::size_t kMaxLingerBytes = 8 * 1024 * 1024;
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
 constexpr int kRequestTimeout = 408;
 constexpr int kUnavailable = 503;
