Log how each configuration arrived, and when a node lacks a change that peers report

config_received tells version, revision, upstream, hops, the claimed age of the copy, how long the call took, and the newest change of this node and of its peers; records_stale and records_fresh tell the same, and records_behind says when peers have a change that the node lacks. saltquay_store_watch_delay_seconds and saltquay_record_age_seconds are the counters. One line a change of version; no logic is changed.

--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -55,6 +55,11 @@
     Duration age {};           // Since the store confirmed the replica.
     std::int64_t revision = 0; // The store revision up to which the replica is complete.
     std::string upstream;      // The node that this one follows; empty if it reads the store.
+    int hops = 0;              // From the store to this node.
+    Duration response_time {}; // From the request of the last accepted response to its arrival.
+    // The newest change in the replica, and the newest one that any peer reports.
+    std::int64_t changed_at = 0;
+    std::int64_t peer_changed_at = 0;
 };
 
 class RelayedStore final : public gateway::ObjectStore {
@@ -85,11 +90,16 @@
     absl::StatusOr<std::string> encoded_list_for_peer(std::string const& kind, bool allow_stale);
     // The time as of which the replica of that kind is confirmed to be complete.
     Time confirmed(std::string const& kind) const;
+    ReplicaStatus status(std::string const& kind) const;
 
     // Called after changes of a kind were applied or its replica was confirmed.
     std::function<void(std::string const& kind)> on_record_update;
     // Called when the replica of a kind becomes stale, and when it becomes fresh again.
     std::function<void(std::string const& kind, ReplicaStatus const&)> on_freshness_change;
+    // Called when peers have reported a change for some time that this node's replica lacks.
+    std::function<void(std::string const& kind, ReplicaStatus const&)> on_lag;
+    // Called with each response of the store to a watch: the time from its request, less the wait that was asked for.
+    std::function<void(std::string const& kind, Duration delay)> on_watch_response;
     // Called when lists and watches of a kind switch to another upstream; an empty node means the store.
     std::function<void(std::string const& kind, std::string const& node, std::string const& cause)> on_upstream_change;
     // Called with each response of a peer: the peer, and the size of the body.
@@ -111,7 +121,9 @@
         int hops = 0; // From the store to this node.
         Time next_store_watch {};
         Time behind_since {};
-        std::string upstream; // Last reported to on_upstream_change.
+        std::int64_t peer_changed_at = 0; // The newest change that any peer reports.
+        Duration response_time {};        // Of the last accepted response.
+        std::string upstream;             // Last reported to on_upstream_change.
 
         // The watch in flight.
         bool watching = false;
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -38,6 +38,11 @@
     {kConfigRefused, kError, "config_refused",
      "A published configuration cannot be read; the one before stays in force.",
      "Mend the key that the message names and publish again."},
+    {kConfigReceived, kInfo, "config_received",
+     "A newer serving configuration arrived: from where, over how many hops, how long the call took, and the age of "
+     "the "
+     "node's copy.",
+     "If the call took long: look at the node or store that the line names."},
     {kEngineDraining, kInfo, "engine_draining", "An engine gets no new work before a change.", "None."},
     {kOrderSent, kInfo, "order_sent", "A fenced order went to an engine.", "None."},
     {kOrderAnswered, kInfo, "order_answered", "An engine answered an order.", "None."},
@@ -148,6 +153,9 @@
      "If it lasts: look at the store, and at the node that it followed."},
     {kRecordsFresh, kInfo, "records_fresh", "What the node knows of a kind of the store's objects is confirmed again.",
      "None."},
+    {kRecordsBehind, kWarning, "records_behind",
+     "Peers report a change of the store's objects that this node lacks; it asks elsewhere.",
+     "If it lasts: look at the node that it follows, or at its path to the store."},
     {kPeerDataRefused, kWarning, "peer_data_refused", "Bytes from a peer did not verify and were dropped.",
      "Check that only nodes reach the peer port and that versions agree."},
     {kSettingsRefused, kError, "settings_refused", "The settings are wrong; the process exits 2.",
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -30,6 +30,11 @@
   store_calls_ = counter("saltquay_store_calls_total", "Calls to the store by kind of object, call and cause");
   traffic_ = counter("saltquay_traffic_bytes_total",
                      "Contents of messages to and from engines and other nodes, by kind and how far they went");
+  record_age_ = &prometheus::BuildGauge()
+                     .Name("saltquay_record_age_seconds")
+                     .Help("Time since the store confirmed this node's copy of its objects, by kind")
+                     .Labels(labels)
+                     .Register(*registry_);
   limit_units_ = &prometheus::BuildGauge()
                       .Name("saltquay_limit_units")
                       .Help("Of tenants' limits: units admitted and refused through this node, and the levels it keeps")
@@ -58,6 +63,8 @@
   store_seconds_ = histogram("saltquay_store_call_seconds", "Calls to the store, watches aside");
   digest_age_seconds_ =
       histogram("saltquay_knowledge_age_seconds", "Mean age of the parts of the fleet's digest when it was taken over");
+  watch_delay_seconds_ = histogram("saltquay_store_watch_delay_seconds",
+                                   "Watches of the store: time to the response, less the wait asked");
 }
 
 void GatewayMetrics::RegisterGauges(const prometheus::Labels& labels) {
@@ -126,6 +133,10 @@
   resumptions_->Add({{"outcome", sent ? "sent" : unknown ? "version_unknown" : "no_engine"}}).Increment();
 }
 
+void GatewayMetrics::SetRecordAge(const std::string& kind, double seconds) {
+  record_age_->Add({{"kind", kind}}).Set(seconds);
+}
+
 void GatewayMetrics::CountStoreCall(const std::string& kind, const std::string& call, const std::string& cause) {
   store_calls_->Add({{"kind", kind}, {"call", call}, {"cause", cause}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -50,6 +50,10 @@
   void ObserveFirstEvent(double seconds) { first_event_seconds_->Observe(seconds); }
   // Mean age of the parts of a digest when this node applied it.
   void ObserveDigestAge(double seconds) { digest_age_seconds_->Observe(seconds); }
+  // Time from a watch's request to the store's response, less the wait that was asked for; negative after a change.
+  void ObserveWatchDelay(double seconds) { watch_delay_seconds_->Observe(seconds); }
+  // Age of this node's copy of the store's objects of a kind.
+  void SetRecordAge(const std::string& kind, double seconds);
   void ObserveStoreCall(double seconds) { store_seconds_->Observe(seconds); }
   void SetState(double config_version, double engines, double open_requests, double log_dropped);
   // Requests, and prompt parts, currently not sent to engines; `remembered`: entries in the crash ledger.
@@ -85,6 +89,7 @@
   prometheus::Family<prometheus::Counter>* identifications_;
   prometheus::Family<prometheus::Counter>* store_calls_;
   prometheus::Family<prometheus::Counter>* traffic_;
+  prometheus::Family<prometheus::Gauge>* record_age_;
   prometheus::Family<prometheus::Gauge>* limit_units_;
   std::set<std::string> labelled_peers_;
   std::vector<prometheus::Gauge*> limit_series_;  // Registered by the last call of SetLimits.
@@ -96,6 +101,7 @@
   prometheus::Histogram* first_event_seconds_;
   prometheus::Histogram* digest_age_seconds_;
   prometheus::Histogram* store_seconds_;
+  prometheus::Histogram* watch_delay_seconds_;
   prometheus::Gauge* config_version_;
   prometheus::Gauge* engines_;
   prometheus::Gauge* limited_engines_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -74,6 +74,16 @@
   return std::make_shared<http::ByteBudget>(static_cast<std::size_t>(memory_mb) * kMegabyte / kShare);
 }
 
+// The members of a log line that say how old a node's copy of the store's objects is, and where it came from.
+std::string Describe(const replica::ReplicaStatus& state) {
+  const auto milliseconds = [](Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  };
+  return fmt::format(R"("upstream":"{}","hops":{},"age_ms":{},"response_ms":{},"changed_at":{},"peers_changed_at":{})",
+                     EscapeJson(state.upstream.empty() ? "store" : state.upstream), state.hops, milliseconds(state.age),
+                     milliseconds(state.response_time), state.changed_at, state.peer_changed_at);
+}
+
 }  // namespace
 
 GatewayProcess::GatewayProcess(boost::asio::io_context& loop, const GatewaySettings& settings,
@@ -162,6 +172,13 @@
   store_.on_freshness_change = [this](const std::string& kind, const replica::ReplicaStatus& state) {
     OnFreshnessChanged(kind, state);
   };
+  store_.on_lag = [this](const std::string& kind, const replica::ReplicaStatus& state) {
+    gateway_.Log(EventId::kRecordsBehind, "",
+                 fmt::format(R"("kind":"{}","revision":{},{})", kind, state.revision, Describe(state)));
+  };
+  store_.on_watch_response = [this](const std::string&, Duration delay) {
+    gateway_.metrics().ObserveWatchDelay(ToSeconds(delay));
+  };
   store_.on_store_call = [this](const std::string& kind, std::string_view call, std::string_view cause) {
     gateway_.metrics().CountStoreCall(kind, std::string(call), std::string(cause));
   };
@@ -201,11 +218,18 @@
                  fmt::format(R"("revision":{},"cause":"{}")", object.revision, EscapeJson(MessageOf(config.status()))));
     return;
   }
+  if (!gateway_.core().config() || config->version > gateway_.core().version()) LogConfigReceived(*config, object);
   if (client_server_ != nullptr) client_server_->set_limits(ServerLimitsFor(config->limits));
   if (!settings_.peer_listen.empty()) relay_.set_limits(PeerServerLimitsFor(config->limits));
   gateway_.Dispatch(serving::ConfigurationChanged{std::move(*config)});
 }
 
+void GatewayProcess::LogConfigReceived(const serving::ServingConfig& config, const StoredObject& object) {
+  const replica::ReplicaStatus state = store_.status(parsers_.config_kind);
+  gateway_.Log(EventId::kConfigReceived, "",
+               fmt::format(R"("version":{},"revision":{},{})", config.version, object.revision, Describe(state)));
+}
+
 void GatewayProcess::OnEngineList(const ObjectList& list) {
   serving::EnginesReplaced replaced;
   for (const StoredObject& object : list.items) {
@@ -239,8 +263,7 @@
 // Store connectivity is derived from the freshness of the records, not from single responses: a peer's may be stale.
 void GatewayProcess::OnFreshnessChanged(const std::string& kind, const replica::ReplicaStatus& state) {
   gateway_.Log(state.fresh ? EventId::kRecordsFresh : EventId::kRecordsStale, "",
-               fmt::format(R"("kind":"{}","age_ms":{},"revision":{},"upstream":"{}")", kind, state.age.count() / 1000,
-                           state.revision, EscapeJson(state.upstream.empty() ? "store" : state.upstream)));
+               fmt::format(R"("kind":"{}","revision":{},{})", kind, state.revision, Describe(state)));
   if (kind != parsers_.config_kind) return;
   gateway_.Dispatch(serving::StoreConnectivityChanged{state.fresh});
   coordinator_.set_store_connected(state.fresh);
@@ -274,6 +297,9 @@
   gateway_.metrics().SetUnreachableEngines(static_cast<double>(gateway_.core().unreachable_engines()));
   gateway_.metrics().SetLimitedEngines(static_cast<double>(limited));
   gateway_.metrics().SetTraffic(gateway_.traffic());
+  for (const std::string& kind : {parsers_.config_kind, parsers_.engine_kind}) {
+    gateway_.metrics().SetRecordAge(kind, ToSeconds(store_.status(kind).age));
+  }
   gateway_.metrics().SetHeldBytes(static_cast<double>(budget_->held()), static_cast<double>(budget_->refusals()));
   gateway_.metrics().SetConnectionsOpened(static_cast<double>(gateway_.connections_opened()));
   http::ResponseHead head;
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -55,6 +55,7 @@
   absl::Status Listen();
   void WatchStore();
   void OnConfigObject(const StoredObject& object);
+  void LogConfigReceived(const serving::ServingConfig& config, const StoredObject& object);
   void OnEngineList(const ObjectList& list);
   void OnEngineEvent(const ObjectEvent& event);
   // Logs a record that does not parse and returns nullopt.
--- a/src/gateway/log_explainer.cc
+++ b/src/gateway/log_explainer.cc
@@ -15,9 +15,9 @@
 bool IsEngineOrNodeState(const LogLine& line) { return line.request.empty(); }
 
 bool IsNodeState(const LogLine& line) {
-  return line.name == "store_contact" || line.name == "config_in_force" || line.name == "node_ready" ||
-         line.name == "node_stopping" || line.name == "record_upstream" || line.name == "records_stale" ||
-         line.name == "records_fresh";
+  return line.name == "store_contact" || line.name == "config_in_force" || line.name == "config_received" ||
+         line.name == "records_behind" || line.name == "node_ready" || line.name == "node_stopping" ||
+         line.name == "record_upstream" || line.name == "records_stale" || line.name == "records_fresh";
 }
 
 std::string EngineOf(const LogLine& line) {
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -1,5 +1,6 @@
 #include "saltquay/replica/relayed_store.h"
 
+#include <algorithm>
 #include <memory>
 
 #include <boost/asio/post.hpp>
@@ -98,6 +99,7 @@
         state.reads_store = true;
         state.hops = 0;
         state.replica.replace(*list);
+        state.response_time = now() - requested_at;
         // The pages of the list may have been read one after the other, so the list is complete only as of the request.
         confirm(kind, requested_at);
         deliver_list(kind, *list, done);
@@ -143,6 +145,7 @@
         state.follows = node;
         state.replica.replace(relayed->list);
         state.hops = relayed->from.hops + 1;
+        state.response_time = now() - request.requested_at;
         confirm(kind, valid_as_of(request, relayed->from));
         deliver_list(kind, relayed->list, done);
     });
@@ -193,13 +196,17 @@
     auto const& state = kind_state(kind);
     report_store_call(kind, "watch", cause);
     origin_.Watch(kind, state.revision, wait,
-        [this, kind, requested_at = now(), watch_id = state.watch_id](absl::StatusOr<ObjectEvents> const& events) {
+        [this, kind, wait, requested_at = now(), watch_id = state.watch_id](
+            absl::StatusOr<ObjectEvents> const& events) {
             auto& current = kind_state(kind);
+            if (events.ok() && on_watch_response)
+                on_watch_response(kind, now() - requested_at - wait);
             if (current.watch_id != watch_id || !current.watching)
                 return;
             if (events.ok()) {
                 selector_.record_store_success(now());
                 current.hops = 0;
+                current.response_time = now() - requested_at;
                 if (!events->events.empty())
                     current.next_store_watch = requested_at + options_.min_store_watch_interval;
             } else if (!absl::IsOutOfRange(events.status())) {
@@ -250,6 +257,7 @@
     if (relayed.ok() && relayed->events.at >= state.revision && relayed->from.hops <= options_.max_hops) {
         report_upstream_change(kind, node, "follows");
         state.hops = relayed->from.hops + 1;
+        state.response_time = now() - request.requested_at;
         return finish_watch(kind, watch_id, relayed->events, valid_as_of(request, relayed->from));
     }
     if (reply.ok() && reply->status == unavailable) {
@@ -303,7 +311,10 @@
 {
     for (auto const& mark : last_changes) {
         auto const entry = kinds_.find(mark.kind);
-        if (entry != kinds_.end() && entry->second.watching)
+        if (entry == kinds_.end())
+            continue;
+        entry->second.peer_changed_at = std::max(entry->second.peer_changed_at, mark.changed_at);
+        if (entry->second.watching)
             check_lag(mark.kind, entry->second, mark.changed_at);
     }
 }
@@ -320,6 +331,8 @@
     if (now() - state.behind_since < options_.upstream.lag_grace)
         return;
     state.behind_since = now() + lag_retry_interval;
+    if (on_lag)
+        on_lag(kind, status(kind));
     if (!state.reads_store) {
         selector_.avoid(state.follows, now());
         return watch_upstream(kind, "the upstream lags behind the peers");
--- a/src/replica/relayed_store_freshness.cc
+++ b/src/replica/relayed_store_freshness.cc
@@ -36,11 +36,26 @@
     if (fresh == state.reported_fresh)
         return;
     state.reported_fresh = fresh;
-    if (on_freshness_change) {
-        on_freshness_change(kind,
-            { fresh, state.freshness->age(now()), state.replica.at(),
-                state.reads_store ? std::string() : state.follows });
-    }
+    if (on_freshness_change)
+        on_freshness_change(kind, status(kind));
+}
+
+ReplicaStatus RelayedStore::status(std::string const& kind) const
+{
+    auto const entry = kinds_.find(kind);
+    if (entry == kinds_.end())
+        return {};
+    auto const& state = entry->second;
+    ReplicaStatus status;
+    status.fresh = state.freshness->is_fresh(now());
+    status.age = state.freshness->age(now());
+    status.revision = state.replica.at();
+    status.upstream = state.reads_store ? std::string() : state.follows;
+    status.hops = state.hops;
+    status.response_time = state.response_time;
+    status.changed_at = state.replica.changed_at();
+    status.peer_changed_at = state.peer_changed_at;
+    return status;
 }
 
 void RelayedStore::on_stale(std::string const& kind)
