--- a/tests/replica/freshness_test.cc
+++ b/tests/replica/freshness_test.cc
@@ -95,6 +95,27 @@
     EXPECT_LE(fleet->worst_delay(), measuring_margin) << fleet->worst_node();
 }
 
+// Guards against a follower that the store tells to list again and that is not allowed the list.
+TEST_F(FreshnessTest, FollowersAreFreshWithinTheLimitAfterTheStoreLosesItsHistory)
+{
+    std::vector<std::unique_ptr<ReplicaFleet>> owned;
+    Fleets fleets;
+    std::vector<Once> faults;
+    for (auto silence_start = 4000ms; silence_start < 4800ms; silence_start += 100ms) {
+        owned.push_back(owned.size() % 2 == 0 ? make_small_fleet() : make_relayed_fleet());
+        auto* fleet = owned.back().get();
+        fleets.push_back(fleet);
+        faults.push_back({ silence_start, [=] { fleet->begin_silence(); } });
+        faults.push_back({ silence_start + 1s, [=] { fleet->end_silence(); } });
+    }
+    run(fleets, 10s, [&](Duration now) {
+        for (auto& fault : faults)
+            fault(now);
+    });
+    for (auto* fleet : fleets)
+        EXPECT_LE(fleet->worst_delay(), measuring_margin) << fleet->size() << " nodes, " << fleet->worst_node();
+}
+
 // The paths of `nodes` to the store have a fault from `from` to `to`.
 struct RandomFault {
     Duration from;
--- a/tests/replica/replica_fleet.cc
+++ b/tests/replica/replica_fleet.cc
@@ -47,7 +47,7 @@
     idle_connection_is_dead_ = in_flight_ == 0;
 }
 
-gateway::StoredObject NodeStore::object() const { return { "main", table_.revision, "content" }; }
+gateway::StoredObject NodeStore::object() const { return { "main", table_.object_revision, table_.content }; }
 
 std::shared_ptr<NodeStore::Call> NodeStore::begin_call(std::int64_t since, Duration wait)
 {
@@ -59,6 +59,7 @@
     call->timeout_at = call->until + call_timeout;
     // Reuses the idle connection, whether blackholed or not.
     call->epoch = idle_connection_is_dead_ ? epoch_ - 1 : epoch_;
+    call->cut_epoch = cut_epoch_;
     idle_connection_is_dead_ = false;
     return call;
 }
@@ -66,10 +67,10 @@
 void NodeStore::List(std::string const&, std::function<void(absl::StatusOr<gateway::ObjectList>)> done)
 {
     auto const call = begin_call(0, 0s);
-    call->done = [this, done](absl::Status const& status) {
+    call->respond = [this, done](absl::Status const& status) -> std::function<void()> {
         if (!status.ok())
-            return done(status);
-        done(gateway::ObjectList { { object() }, table_.revision });
+            return [done, status] { done(status); };
+        return [done, list = gateway::ObjectList { { object() }, table_.revision }] { done(list); };
     };
     poll(call);
 }
@@ -78,22 +79,50 @@
     std::function<void(absl::StatusOr<gateway::ObjectEvents>)> done)
 {
     auto const call = begin_call(revision, wait);
-    call->done = [this, revision, done](absl::Status const& status) {
+    call->is_watch = true;
+    call->respond = [this, revision, done](absl::Status const& status) -> std::function<void()> {
         if (!status.ok())
-            return done(status);
+            return [done, status] { done(status); };
         gateway::ObjectEvents events;
         events.at = table_.revision;
-        if (table_.revision > revision)
+        if (table_.object_revision > revision)
             events.events.push_back({ false, object() });
-        done(events);
+        return [done, events] { done(events); };
     };
     poll(call);
 }
 
-void NodeStore::finish(Call const& call, absl::Status const& status)
+void NodeStore::finish(Call const& call, absl::Status const& status, Duration delay)
 {
     --in_flight_;
-    call.done(status);
+    auto const deliver = call.respond(status);
+    if (delay == Duration {})
+        return deliver();
+    auto const timer = std::make_shared<BootTimer>(loop_, delay);
+    timer->async_wait([timer, deliver](boost::system::error_code error) {
+        if (!error)
+            deliver();
+    });
+}
+
+bool NodeStore::try_respond(Call const& call)
+{
+    if (fault_ != Fault::None || call.epoch != epoch_)
+        return false;
+    if (call.is_watch && call.cut_epoch != cut_epoch_) {
+        finish(call, absl::DeadlineExceededError("the connection was lost"), response_delay_);
+        return true;
+    }
+    if (call.is_watch && table_.watches_silent)
+        return false;
+    if (call.is_watch && call.since < table_.history_from) {
+        finish(call, absl::OutOfRangeError("history is gone"), response_delay_);
+        return true;
+    }
+    if (table_.object_revision <= call.since && BootNow() < call.until)
+        return false;
+    finish(call, absl::OkStatus(), response_delay_);
+    return true;
 }
 
 void NodeStore::poll(std::shared_ptr<Call> const& call)
@@ -104,22 +133,33 @@
             return;
         auto const now = BootNow();
         if (now >= call->timeout_at)
-            return finish(*call, absl::DeadlineExceededError("no response in time"));
+            return finish(*call, absl::DeadlineExceededError("no response in time"), 0s);
         if (fault_ == Fault::Rejects)
-            return finish(*call, absl::UnavailableError("the store responded with HTTP status 429"));
-        auto const reached = fault_ == Fault::None && call->epoch == epoch_;
-        if (reached && (table_.revision > call->since || now >= call->until))
-            return finish(*call, absl::OkStatus());
-        poll(call);
+            return finish(*call, absl::UnavailableError("the store responded with HTTP status 429"), 0s);
+        if (!try_respond(*call))
+            poll(call);
     });
 }
 
 struct BlackholeProxy::Pair : std::enable_shared_from_this<BlackholeProxy::Pair> {
-    explicit Pair(boost::asio::io_context& loop)
-        : client_side(loop)
+    Pair(boost::asio::io_context& event_loop, bool const& proxy_stalled)
+        : loop(event_loop)
+        , client_side(loop)
         , server_side(loop)
+        , stalled(proxy_stalled)
     {
     }
+    // Runs `step` once the connection is not stalled.
+    void when_running(std::function<void()> step)
+    {
+        if (!stalled)
+            return step();
+        auto const timer = std::make_shared<BootTimer>(loop, poll_interval);
+        timer->async_wait([self = shared_from_this(), timer, step = std::move(step)](boost::system::error_code error) {
+            if (!error)
+                self->when_running(step);
+        });
+    }
     void pump(boost::asio::ip::tcp::socket& from, boost::asio::ip::tcp::socket& to, std::array<char, 16384>& bytes)
     {
         from.async_read_some(boost::asio::buffer(bytes),
@@ -128,12 +168,17 @@
                     return self->close();
                 if (self->blackholed)
                     return self->pump(from, to, bytes);
-                boost::asio::async_write(to, boost::asio::buffer(bytes.data(), count),
-                    [self, &from, &to, &bytes](boost::system::error_code write_error, std::size_t) {
-                        if (write_error)
-                            return self->close();
-                        self->pump(from, to, bytes);
-                    });
+                self->when_running([self, &from, &to, &bytes, count] { self->forward(from, to, bytes, count); });
+            });
+    }
+    void forward(boost::asio::ip::tcp::socket& from, boost::asio::ip::tcp::socket& to, std::array<char, 16384>& bytes,
+        std::size_t count)
+    {
+        boost::asio::async_write(to, boost::asio::buffer(bytes.data(), count),
+            [self = shared_from_this(), &from, &to, &bytes](boost::system::error_code error, std::size_t) {
+                if (error)
+                    return self->close();
+                self->pump(from, to, bytes);
             });
     }
     void close()
@@ -145,11 +190,13 @@
             client_side.close(ignored);
     }
 
+    boost::asio::io_context& loop;
     boost::asio::ip::tcp::socket client_side;
     boost::asio::ip::tcp::socket server_side;
     std::array<char, 16384> to_server {};
     std::array<char, 16384> to_client {};
     bool blackholed = false;
+    bool const& stalled;
 };
 
 BlackholeProxy::BlackholeProxy(boost::asio::io_context& loop, std::string const& target)
@@ -175,7 +222,7 @@
 
 void BlackholeProxy::accept()
 {
-    auto const pair = std::make_shared<Pair>(loop_);
+    auto const pair = std::make_shared<Pair>(loop_, stalled_);
     acceptor_.async_accept(pair->client_side, [this, pair](boost::system::error_code error) {
         if (error)
             return;
@@ -267,13 +314,35 @@
     }
 }
 
+void ReplicaFleet::set_response_delay(std::size_t node, Duration delay)
+{
+    nodes_[node]->origin.set_response_delay(delay);
+    nodes_[node]->exempt_until = BootNow() + reconnect_period;
+}
+
+void ReplicaFleet::suspend(std::size_t node, bool suspended)
+{
+    auto& suspended_node = *nodes_[node];
+    suspended_node.suspended = suspended;
+    suspended_node.link->set_stalled(suspended);
+    set_fault(node, suspended ? NodeStore::Fault::Unresponsive : NodeStore::Fault::None);
+}
+
+void ReplicaFleet::end_silence()
+{
+    table_.watches_silent = false;
+    table_.history_from = table_.revision;
+    for (auto const& node : nodes_)
+        node->origin.cut_watches();
+}
+
 void ReplicaFleet::step()
 {
     auto const now = BootNow();
     if (now >= next_reports_)
         exchange_reports();
     for (auto const& node : nodes_) {
-        if (node->origin.fault() != NodeStore::Fault::None)
+        if (node->origin.fault() != NodeStore::Fault::None || node->origin.response_delay() != Duration {})
             node->exempt_until = now + reconnect_period;
         node->store.update_peers(node->table.ReportingNodes(), node->table.LastChanges());
     }
@@ -285,6 +354,8 @@
     auto const now = BootNow();
     next_reports_ = now + report_interval;
     for (auto const& from : nodes_) {
+        if (from->suspended || (!reports_arrive_ && from->sequence > 0))
+            continue;
         auto const report = from->report();
         for (auto const& to : nodes_) {
             if (to != from)
@@ -296,6 +367,7 @@
 void ReplicaFleet::check(Time now)
 {
     for (auto const& node : nodes_) {
+        check_claimed_age(*node);
         if (now < node->exempt_until || node->latest_revision >= table_.required_revision(now, apply_limit))
             continue;
         for (auto const& [at, revision] : table_.acknowledged) {
@@ -308,4 +380,16 @@
     }
 }
 
+// A node lacks no change that was acknowledged before the time as of which it claims to be complete.
+void ReplicaFleet::check_claimed_age(ReplicaNode const& node)
+{
+    if (node.latest_revision == 0)
+        return;
+    auto const claimed = node.store.confirmed("config");
+    for (auto const& [at, revision] : table_.acknowledged) {
+        if (revision > node.latest_revision && at < claimed)
+            worst_overstatement_ = std::max(worst_overstatement_, std::chrono::duration_cast<Duration>(claimed - at));
+    }
+}
+
 }
