A node that the store tells to list again is allowed the list (CONFIG)

Cause: when no node is known to be connected to the store, each node may ask it only in its turn. The watch took the turn; the store answered 410, the history is lost; the list that must follow was chosen anew and found no turn left. The watch was then repeated in the next turn, from the same revision, until the upstreams were no longer taken for disconnected (3 s). A 410 did not count as a response of the store. Class: what belongs to one step of recovery was rationed call by call, and evidence that the store serves this node was dropped.

Change: a 410 counts as a response of the store to this node, which then is not held back.

--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -203,8 +203,10 @@
                 on_watch_response(kind, now() - requested_at - wait);
             if (current.watch_id != watch_id || !current.watching)
                 return;
-            if (events.ok()) {
+            // A lost history is a response too: the list that must follow is not held back.
+            if (events.ok() || absl::IsOutOfRange(events.status()))
                 selector_.record_store_success(now());
+            if (events.ok()) {
                 current.hops = 0;
                 current.response_time = now() - requested_at;
                 if (!events->events.empty())
