A copy is dated by what a response of the store proves, not by its arrival

Callers: a node that reads a response long after the store sent it (slow link, full buffer, a busy or suspended process) took its copy for current, handed it on with an age near 0, answered 404 for routes that had been added and ran requests on routes that had been dropped, without asking elsewhere.

Cause: the responses of watches were dated by their arrival; ages between nodes were rounded down. Class: a duration that is not known was taken for zero, in the sender's favour. docs/design/freshness.md says that time on the way counts as age.

Change: a response with changes is dated by its request; one without was held for the whole wait, so it is dated by request and wait. Ages are rounded up. The next wait may be as short as 1 ms, so that a change that arrives late in a watch does not make the copy stale.

--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -161,7 +161,9 @@
     void report_upstream_change(std::string const& kind, std::string const& node, std::string const& cause);
     Kind& kind_state(std::string const& kind);
     void confirm(std::string const& kind, Time valid_as_of);
+    // The time as of which a response proves the replica to be complete, see FreshnessTracker.
     static Time valid_as_of(PeerRequest const&, Provenance const&);
+    static Time valid_as_of_empty_watch(Time requested_at, std::chrono::milliseconds wait);
     // Stops relaying at once: followers that another node could serve must not wait until this replica is stale.
     void record_store_failure(Kind&);
     // The replica of the kind is stale: tries another connection or another upstream.
--- a/src/replica/freshness_tracker.cc
+++ b/src/replica/freshness_tracker.cc
@@ -27,8 +27,7 @@
 
 std::chrono::milliseconds FreshnessTracker::time_to_next_confirmation(Time now) const
 {
-    // A watch with a shorter timeout would amount to polling.
-    constexpr std::chrono::milliseconds min_watch_wait { 100 };
+    constexpr std::chrono::milliseconds min_watch_wait { 1 };
     auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(parameters_.confirm_interval - age(now));
     return std::clamp(left, min_watch_wait, parameters_.confirm_interval);
 }
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -214,7 +214,9 @@
             } else if (!absl::IsOutOfRange(events.status())) {
                 record_store_failure(current);
             }
-            finish_watch(kind, watch_id, events, now());
+            auto const has_events = events.ok() && !events->events.empty();
+            finish_watch(
+                kind, watch_id, events, has_events ? requested_at : valid_as_of_empty_watch(requested_at, wait));
         });
 }
 
--- a/src/replica/relayed_store_freshness.cc
+++ b/src/replica/relayed_store_freshness.cc
@@ -20,6 +20,12 @@
     return std::min(request.requested_at + from.hold_time, now()) - *from.age;
 }
 
+// The store held the watch for the whole wait; how long its response was on the way is not known.
+Time RelayedStore::valid_as_of_empty_watch(Time requested_at, std::chrono::milliseconds wait)
+{
+    return std::min(requested_at + wait, now());
+}
+
 void RelayedStore::confirm(std::string const& kind, Time valid_as_of)
 {
     auto& state = kind_state(kind);
@@ -100,7 +106,7 @@
     Provenance from;
     from.hops = state.hops;
     if (state.freshness->confirmed() != Time {})
-        from.age = std::chrono::duration_cast<std::chrono::milliseconds>(state.freshness->age(now()));
+        from.age = std::chrono::ceil<std::chrono::milliseconds>(state.freshness->age(now()));
     return from;
 }
 
