A node that lists again leaves a silent peer after 300 ms instead of 900

Callers: a node whose upstream or store has lost the history, while its peers are suspended, keeps an old configuration and does not ask elsewhere: staleness is acted upon only while a watch is under way, and a list waited 0.9 s for the first byte of each peer.

Cause: the limit for lists was chosen for nodes that start, which have nothing to lose; nothing bounded a list by the age of the copy that it replaces. Class: a time-out for each hop in place of one bound.

Change: with a copy, a list may be silent for 300 ms, so that two suspended peers and the store take less than a second. The limits of a call to a peer are handed in by its caller instead of being told from its target.

--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -173,7 +173,9 @@
     absl::Status check_list_request(std::string const& kind, bool allow_stale) const;
     static Provenance provenance(Kind const&);
     void report_store_call(std::string const& kind, std::string_view call, std::string_view cause);
-    fetch::FetchId send_peer_request(serving::PeerNode const&, std::string const& target, fetch::Fetcher::Handler);
+    // `options`: the time limits of the call.
+    fetch::FetchId send_peer_request(
+        serving::PeerNode const&, std::string const& target, fetch::Options options, fetch::Fetcher::Handler);
 
     boost::asio::io_context& loop_;
     gateway::ObjectStore& origin_;
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -26,6 +26,8 @@
 // would send them again over links that are just as busy. The records of a thousand engines take 300 KB, which a relay
 // on a narrow link sends to several followers.
 constexpr std::chrono::milliseconds peer_list_stall_timeout { 900 };
+// The same for a node that has a copy already: while it lists, nothing else keeps the copy within its limit.
+constexpr std::chrono::milliseconds peer_relist_stall_timeout { 300 };
 constexpr std::chrono::milliseconds peer_list_timeout { 6000 };
 constexpr std::chrono::milliseconds startup_check_interval { 50 };
 constexpr std::chrono::milliseconds min_watch_wait { 1 };
@@ -122,7 +124,11 @@
 {
     auto const target = fmt::format("/records/{}{}", kind, allow_stale ? "?stale=1" : "");
     PeerRequest const request { peer.node, now() };
-    send_peer_request(peer, target, [this, kind, done, request](absl::StatusOr<fetch::Reply> const& reply) {
+    fetch::Options options;
+    options.timeout = peer_list_timeout;
+    options.stall_timeout =
+        kind_state(kind).replica.has_snapshot() ? peer_relist_stall_timeout : peer_list_stall_timeout;
+    send_peer_request(peer, target, options, [this, kind, done, request](absl::StatusOr<fetch::Reply> const& reply) {
         auto const& node = request.node;
         if (reply.ok() && reply->status == too_early)
             selector_.record_starting(node, now());
@@ -240,10 +246,11 @@
     auto const target =
         fmt::format("/records/{}?since={}&wait_ms={}", kind, state.revision, options_.follower_watch_timeout.count());
     PeerRequest const request { peer.node, now() };
-    state.fetch = send_peer_request(
-        peer, target, [this, kind, watch_id = state.watch_id, request](absl::StatusOr<fetch::Reply> const& reply) {
-            on_peer_changes(kind, watch_id, request, reply);
-        });
+    fetch::Options options;
+    options.timeout = options_.follower_watch_timeout + options_.follower_watch_margin;
+    state.fetch = send_peer_request(peer, target, options,
+        [this, kind, watch_id = state.watch_id, request](
+            absl::StatusOr<fetch::Reply> const& reply) { on_peer_changes(kind, watch_id, request, reply); });
 }
 
 void RelayedStore::on_peer_changes(std::string const& kind, std::uint64_t watch_id, PeerRequest const& request,
@@ -363,21 +370,15 @@
 }
 
 fetch::FetchId RelayedStore::send_peer_request(
-    serving::PeerNode const& peer, std::string const& target, fetch::Fetcher::Handler done)
+    serving::PeerNode const& peer, std::string const& target, fetch::Options options, fetch::Fetcher::Handler done)
 {
     http::RequestHead head;
     head.method = "GET";
     head.target = target;
     head.fields.Add("Host", peer.address);
-    fetch::Options options;
     // A watch occupies its connection: watches of different kinds must not queue behind each other.
     options.pool = peer.address + target.substr(0, target.find('?'));
     options.connect_timeout = peer_connect_timeout;
-    auto const has_unready_seed = target.find("wait_ms") != std::string::npos;
-    options.timeout =
-        has_unready_seed ? options_.follower_watch_timeout + options_.follower_watch_margin : peer_list_timeout;
-    if (!has_unready_seed)
-        options.stall_timeout = peer_list_stall_timeout;
     options.max_body_bytes = max_peer_reply_bytes;
     return fetcher_.fetch(peer.address, head, "", options,
         [this, peer, done = std::move(done)](absl::StatusOr<fetch::Reply> const& reply) {
--- a/tests/replica/freshness_test.cc
+++ b/tests/replica/freshness_test.cc
@@ -116,6 +116,27 @@
         EXPECT_LE(fleet->worst_delay(), measuring_margin) << fleet->size() << " nodes, " << fleet->worst_node();
 }
 
+// Guards against a node that has to list again and waits for suspended peers until its copy is beyond the limit.
+TEST_F(FreshnessTest, NodeWithACopyDoesNotWaitLongForAListOfSuspendedPeers)
+{
+    constexpr Duration limit = 1s; // Half of the limit for changes: the copy may be half as old when the list begins.
+    auto fleet = make_small_fleet();
+    Time listing_since {};
+    Duration took {};
+    Once begin_list { 4s, [&] {
+                         fleet->suspend(0, true);
+                         fleet->suspend(1, true);
+                         listing_since = BootNow();
+                         fleet->node(2).store.List("config", [&](absl::StatusOr<gateway::ObjectList> const& list) {
+                             EXPECT_TRUE(list.ok()) << list.status();
+                             took = BootNow() - listing_since;
+                         });
+                     } };
+    run({ fleet.get() }, 7s, begin_list);
+    EXPECT_GT(took, 0s);
+    EXPECT_LE(took, limit);
+}
+
 // The paths of `nodes` to the store have a fault from `from` to `to`.
 struct RandomFault {
     Duration from;
