Each outage of the store begins with a turn of every node to ask it

Callers: in a large fleet, nodes whose relays the store turns away learn of changes and leaving engines late in a second outage, though the store would serve them: with 300 machines the next turn to ask came 12 s after the first one.

Measured: EachOutageBeginsWithATurnOfEveryNode failed in the second and third of four outages and holds; replica_test, freshness_test and record_age_test hold.

--- a/include/saltquay/replica/upstream_selector.h
+++ b/include/saltquay/replica/upstream_selector.h
@@ -107,6 +107,8 @@
     }
     // The store responded to this node directly: while it does, this node is not held back.
     void record_store_success(Time now) { last_store_success_ = now; }
+    // Another node relayed fresh records to this one: the next outage is a new one, in which every node has a turn.
+    void record_connected() { next_probe_.reset(); }
 
 private:
     using Ranked = serving::RankedNode;
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -266,6 +266,7 @@
     if (reply.ok() && reply->status == ok)
         relayed = decode_events(reply->body);
     if (relayed.ok() && relayed->events.at >= state.revision && relayed->from.hops <= options_.max_hops) {
+        selector_.record_connected();
         report_upstream_change(kind, node, "follows");
         state.hops = relayed->from.hops + 1;
         state.response_time = now() - request.requested_at;
--- a/tests/replica/upstream_selector_test.cc
+++ b/tests/replica/upstream_selector_test.cc
@@ -286,6 +286,22 @@
 }
 
 }
+// Guards against a large fleet whose nodes had their turn in an earlier outage and wait for the next one in a new outage.
+TEST(UpstreamSelectorTest, EachOutageBeginsWithATurnOfEveryNode)
+{
+    auto const peers = make_zone("a", 300, 10);
+    UpstreamSelector node({ "self", "", "a", 1, false }, {});
+    for (Time outage { 10s }; outage < Time { 30s }; outage += 5s) {
+        node.record_connected();
+        for (auto const& peer : peers)
+            node.record_disconnected(peer.node, outage);
+        auto asked = false;
+        for (auto now = outage; !asked && now <= outage + UpstreamParameters {}.initial_probe_spread; now += 10ms)
+            asked = node.choose(peers, now).source == Upstream::Source::Store;
+        EXPECT_TRUE(asked) << outage.time_since_epoch() / 1s;
+    }
+}
+
 class RegionUpstreamTest : public ::testing::Test {
 protected:
     // Six zones of twelve nodes; each region has two zones.
