Soak and a process test: routes that a configuration drops, and a store that forgets its history

The soak only asked for routes that a version added, which a node with old records answers with 503; a node that went on to run a dropped route was not seen.

--- a/tests/platform/soak_check_test.py
+++ b/tests/platform/soak_check_test.py
@@ -11,7 +11,7 @@
 
 from soak import Soak
 from soak_gateway import Gateway
-from soak_oracle import LIMIT_WINDOW_S, LIMITS, RECOVERY_S, Oracle
+from soak_oracle import KEPT_ROUTES, LIMIT_WINDOW_S, LIMITS, RECOVERY_S, Oracle
 from soak_standins import DutyPlatform, Engine, Store
 
 
@@ -112,6 +112,22 @@
         oracle.check_generation(gateway, 1, 404, 103.0)
         self.assertEqual(len(oracle.violations), 1)
 
+    def test_detects_dropped_route_at_undisturbed_gateway(self):
+        oracle, gateway = Oracle(), argparse.Namespace(name="g", incarnation=1, undisturbed_since=90.0)
+        oracle.acknowledged = {1: 100.0, 1 + KEPT_ROUTES: 110.0}
+        oracle.check_dropped(gateway, 1, 200, 112.0)  # Not due yet.
+        oracle.check_dropped(gateway, 1, 404, 113.0)
+        oracle.check_generation(gateway, 1, 404, 113.0)  # The route was dropped.
+        gateway.undisturbed_since = 111.0
+        oracle.check_dropped(gateway, 1, 200, 113.0)  # Disturbed recently.
+        self.assertEqual(oracle.violations, [])
+        gateway.undisturbed_since = 90.0
+        oracle.check_dropped(gateway, 1, 200, 113.0)
+        self.assertEqual(len(oracle.violations), 1)
+        oracle.check_generation(gateway, 1 + KEPT_ROUTES, 200, 111.0)
+        oracle.check_dropped(gateway, 1, 200, 112.0)  # Went back.
+        self.assertEqual(len(oracle.violations), 2)
+
     def test_detects_return_to_older_configuration(self):
         oracle = Oracle()
         oracle.acknowledged = {4: 0.0, 5: 0.0, 6: 0.0}
--- a/tests/platform/soak_clients.py
+++ b/tests/platform/soak_clients.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from soak_oracle import LIMITED_TENANTS, ROUTES, TENANTS, UNKNOWN_KEY
+from soak_oracle import KEPT_ROUTES, LIMITED_TENANTS, ROUTES, TENANTS, UNKNOWN_KEY
 
 
 async def read_response(reader):
@@ -33,6 +33,13 @@
             self.oracle.check_generation(gateway, generation, status, asked)
         return status
 
+    async def probe_dropped(self, gateway, generation):
+        self.number += 1
+        incarnation, asked = gateway.incarnation, time.monotonic()
+        status = await self.status_of(gateway, f"gen{generation}", f"dropped-{self.arguments.seed}-{self.number}")
+        if gateway.incarnation == incarnation:
+            self.oracle.check_dropped(gateway, generation, status, asked)
+
     async def status_of(self, gateway, route, request, key=TENANTS["tenant-0"]):
         """Sends one request; returns the status of the response, or None if there was none."""
         body = f"ask {request}"
@@ -56,6 +63,8 @@
             await asyncio.sleep(0.05)
             newest = max(self.oracle.acknowledged)
             await self.probe(self.rng.choice(self.gateways), self.rng.randint(max(1, newest - 3), newest))
+            if newest > KEPT_ROUTES:
+                await self.probe_dropped(self.rng.choice(self.gateways), newest - KEPT_ROUTES)
 
     async def run_fatal_client(self, until):
         """Sends the same engine-crashing request repeatedly to random gateways for some seconds, then another one."""
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -173,7 +173,17 @@
         for gateway in self.gateways:
             gateway.mark_disturbed()
 
+    async def lose_history(self):
+        self.log_fault("store", "all", "loses its history")
+        losing = asyncio.ensure_future(self.store.lose_history())
+        while not losing.done():
+            for gateway in self.gateways:
+                gateway.mark_disturbed()
+            await asyncio.sleep(0.05)
+
     async def fault_store(self):
+        if self.rng.random() < 0.5:
+            return await self.lose_history()
         self.set_store(False)
         asyncio.get_running_loop().call_later(self.rng.uniform(0.5, 3), self.set_store, True)
 
