RelayedStore: the store's response to a watch has a handler of its own

valid_as_of() has an overload for it beside the one for peers. Comments say replica, as the header does. No change of behaviour: replica_test, freshness_test and record_age_test hold.

--- a/include/saltquay/replica/relayed_store.h
+++ b/include/saltquay/replica/relayed_store.h
@@ -96,7 +96,7 @@
     std::function<void(std::string const& kind)> on_record_update;
     // Called when the replica of a kind becomes stale, and when it becomes fresh again.
     std::function<void(std::string const& kind, ReplicaStatus const&)> on_freshness_change;
-    // Called when peers have reported a change for some time that this node's replica lacks.
+    // Called when this node's replica has lacked a change that peers report for longer than the allowed lag.
     std::function<void(std::string const& kind, ReplicaStatus const&)> on_lag;
     // Called with each response of the store to a watch: the time from its request, less the wait that was asked for.
     std::function<void(std::string const& kind, Duration delay)> on_watch_response;
@@ -138,6 +138,12 @@
         std::string node;
         Time requested_at {};
     };
+    // A watch at the store: its id, when it was sent, and how long it was to be held open.
+    struct StoreWatch {
+        std::uint64_t id = 0;
+        Time requested_at {};
+        std::chrono::milliseconds wait {};
+    };
     using ListHandler = std::function<void(absl::StatusOr<gateway::ObjectList>)>;
 
     static Time now();
@@ -149,6 +155,8 @@
     void watch_at_store(std::string const& kind, std::string const& cause);
     // Sends the watch to the store at once.
     void send_store_watch(std::string const& kind, std::chrono::milliseconds wait, std::string const& cause);
+    void on_store_changes(
+        std::string const& kind, StoreWatch const&, absl::StatusOr<gateway::ObjectEvents> const& events);
     void watch_at_store_after(std::string const& kind, Duration delay, std::string const& cause);
     void on_peer_changes(
         std::string const& kind, std::uint64_t watch_id, PeerRequest const&, absl::StatusOr<fetch::Reply> const& reply);
@@ -163,7 +171,7 @@
     void confirm(std::string const& kind, Time valid_as_of);
     // The time as of which a response proves the replica to be complete, see FreshnessTracker.
     static Time valid_as_of(PeerRequest const&, Provenance const&);
-    static Time valid_as_of_empty_watch(Time requested_at, std::chrono::milliseconds wait);
+    static Time valid_as_of(StoreWatch const&, gateway::ObjectEvents const&);
     // Stops relaying at once: followers that another node could serve must not wait until this replica is stale.
     void record_store_failure(Kind&);
     // The replica of the kind is stale: tries another connection or another upstream.
--- a/include/saltquay/replica/upstream_selector.h
+++ b/include/saltquay/replica/upstream_selector.h
@@ -105,7 +105,8 @@
     {
         starting_until_[std::string(node)] = now + parameters_.starting_retry_delay;
     }
-    // The store responded to this node directly: while it does, this node is not held back.
+    // The store responded to this node directly, be it that the history is lost: while it does, this node is not held
+    // back.
     void record_store_success(Time now) { last_store_success_ = now; }
     // Another node relayed fresh records to this one: the next outage is a new one, in which every node has a turn.
     void record_connected() { next_probe_.reset(); }
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -39,9 +39,7 @@
      "A published configuration cannot be read; the one before stays in force.",
      "Mend the key that the message names and publish again."},
     {kConfigReceived, kInfo, "config_received",
-     "A newer serving configuration arrived: from where, over how many hops, how long the call took, and the age of "
-     "the "
-     "node's copy.",
+     "A newer serving configuration arrived: from where, after how long a call, and how old the node's copy is.",
      "If the call took long: look at the node or store that the line names."},
     {kEngineDraining, kInfo, "engine_draining", "An engine gets no new work before a change.", "None."},
     {kOrderSent, kInfo, "order_sent", "A fenced order went to an engine.", "None."},
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -26,7 +26,7 @@
 // would send them again over links that are just as busy. The records of a thousand engines take 300 KB, which a relay
 // on a narrow link sends to several followers.
 constexpr std::chrono::milliseconds peer_list_stall_timeout { 900 };
-// The same for a node that has a copy already: while it lists, nothing else keeps the copy within its limit.
+// The same for a node that has a replica already: while it lists, nothing else keeps the replica within its limit.
 constexpr std::chrono::milliseconds peer_relist_stall_timeout { 300 };
 constexpr std::chrono::milliseconds peer_list_timeout { 6000 };
 constexpr std::chrono::milliseconds startup_check_interval { 50 };
@@ -201,29 +201,32 @@
 {
     auto const& state = kind_state(kind);
     report_store_call(kind, "watch", cause);
+    StoreWatch const watch { state.watch_id, now(), wait };
     origin_.Watch(kind, state.revision, wait,
-        [this, kind, wait, requested_at = now(), watch_id = state.watch_id](
-            absl::StatusOr<ObjectEvents> const& events) {
-            auto& current = kind_state(kind);
-            if (events.ok() && on_watch_response)
-                on_watch_response(kind, now() - requested_at - wait);
-            if (current.watch_id != watch_id || !current.watching)
-                return;
-            // A lost history is a response too: the list that must follow is not held back.
-            if (events.ok() || absl::IsOutOfRange(events.status()))
-                selector_.record_store_success(now());
-            if (events.ok()) {
-                current.hops = 0;
-                current.response_time = now() - requested_at;
-                if (!events->events.empty())
-                    current.next_store_watch = requested_at + options_.min_store_watch_interval;
-            } else if (!absl::IsOutOfRange(events.status())) {
-                record_store_failure(current);
-            }
-            auto const has_events = events.ok() && !events->events.empty();
-            finish_watch(
-                kind, watch_id, events, has_events ? requested_at : valid_as_of_empty_watch(requested_at, wait));
-        });
+        [this, kind, watch](absl::StatusOr<ObjectEvents> const& events) { on_store_changes(kind, watch, events); });
+}
+
+void RelayedStore::on_store_changes(
+    std::string const& kind, StoreWatch const& watch, absl::StatusOr<ObjectEvents> const& events)
+{
+    auto& state = kind_state(kind);
+    auto const response_time = now() - watch.requested_at;
+    if (events.ok() && on_watch_response)
+        on_watch_response(kind, response_time - watch.wait);
+    if (!state.watching || state.watch_id != watch.id)
+        return;
+    // A lost history is a response, too: the list that must follow is not held back.
+    if (events.ok() || absl::IsOutOfRange(events.status()))
+        selector_.record_store_success(now());
+    else
+        record_store_failure(state);
+    if (!events.ok())
+        return finish_watch(kind, watch.id, events, Time {});
+    state.hops = 0;
+    state.response_time = response_time;
+    if (!events->events.empty())
+        state.next_store_watch = watch.requested_at + options_.min_store_watch_interval;
+    finish_watch(kind, watch.id, events, valid_as_of(watch, *events));
 }
 
 void RelayedStore::watch_at_store_after(std::string const& kind, Duration delay, std::string const& cause)
--- a/src/replica/relayed_store_freshness.cc
+++ b/src/replica/relayed_store_freshness.cc
@@ -20,10 +20,11 @@
     return std::min(request.requested_at + from.hold_time, now()) - *from.age;
 }
 
-// The store held the watch for the whole wait; how long its response was on the way is not known.
-Time RelayedStore::valid_as_of_empty_watch(Time requested_at, std::chrono::milliseconds wait)
+// A response without changes was held for the whole wait. When one with changes was sent is not known. Network time
+// counts as age.
+Time RelayedStore::valid_as_of(StoreWatch const& watch, gateway::ObjectEvents const& events)
 {
-    return std::min(requested_at + wait, now());
+    return events.events.empty() ? std::min(watch.requested_at + watch.wait, now()) : watch.requested_at;
 }
 
 void RelayedStore::confirm(std::string const& kind, Time valid_as_of)
