--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -163,7 +163,7 @@
       [this](const std::shared_ptr<http::Exchange>& exchange) { HandleMetricsRequest(exchange); }, metrics_server_);
 }
 
-void GatewayProcess::WatchStore() {
+void GatewayProcess::ObserveStore() {
   store_.on_record_update = [this](const std::string& kind) { relay_.on_record_update(kind); };
   store_.on_upstream_change = [this](const std::string& kind, const std::string& node, const std::string& cause) {
     gateway_.Log(EventId::kRecordUpstream, "",
@@ -185,6 +185,10 @@
   store_.on_peer_response = [this](const serving::PeerNode& peer, std::size_t bytes) {
     gateway_.traffic().Count(TrafficKind::kRecords, peer.zone, bytes);
   };
+}
+
+void GatewayProcess::WatchStore() {
+  ObserveStore();
   WatcherHandlers config;
   config.on_list = [this](const ObjectList& list) {
     for (const StoredObject& object : list.items) OnConfigObject(object);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -53,6 +53,8 @@
 
  private:
   absl::Status Listen();
+  // Logs and counts what the replicas of the store's objects do, and passes their changes on to followers.
+  void ObserveStore();
   void WatchStore();
   void OnConfigObject(const StoredObject& object);
   void LogConfigReceived(const serving::ServingConfig& config, const StoredObject& object);
--- a/tests/replica/upstream_selector_test.cc
+++ b/tests/replica/upstream_selector_test.cc
@@ -286,7 +286,8 @@
 }
 
 }
-// Guards against a large fleet whose nodes had their turn in an earlier outage and wait for the next one in a new outage.
+// Guards against a large fleet whose nodes had their turn in an earlier outage and wait for the next one in a new
+// outage.
 TEST(UpstreamSelectorTest, EachOutageBeginsWithATurnOfEveryNode)
 {
     auto const peers = make_zone("a", 300, 10);
