A lease record of 100,000 levels no longer ends every node that reads it

What callers saw: a node that reads the record of the duties' lease, as every node does for as long as it runs, ended by signal 11 if another writer had put a deeply nested value into it; the requests that it had read ended with it. Started again, it read the record again.

Cause: the codec copied each member before it looked at its type, and nlohmann::json copies a value by one call a level. Now the record is parsed with a limit of depth (ParseBoundedJson) and the members are looked at in place. A record that is too deep counts as one that does not decode, as before: the lease of an unknown holder, which has to expire.

--- a/src/gateway/lease_codec.cc
+++ b/src/gateway/lease_codec.cc
@@ -2,14 +2,18 @@
 
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
 #include "src/base/status.h"
 
 namespace saltquay::gateway {
 namespace {
 
+absl::Status Invalid(const std::string& cause) {
+  return MakeError(ErrorKind::kCorrupt, "the lease's record does not decode: " + cause + "; delete the object");
+}
+
 absl::Status InvalidMember(const char* name) {
-  return MakeError(ErrorKind::kCorrupt, std::string("the lease's record does not decode: member '") + name +
-                                            "' is missing or of another type; delete the object");
+  return Invalid(std::string("member '") + name + "' is missing or of another type");
 }
 
 }  // namespace
@@ -21,23 +25,25 @@
 }
 
 absl::StatusOr<serving::LeaseRecord> DecodeLease(const StoredObject& object) {
-  const nlohmann::json content = nlohmann::json::parse(object.content, nullptr, false);
-  const auto member = [&](const char* name) {
-    const auto found = content.is_object() ? content.find(name) : content.end();
-    return found == content.end() ? nlohmann::json() : *found;
+  const absl::StatusOr<nlohmann::json> content = ParseBoundedJson(object.content);
+  if (!content.ok()) return Invalid(MessageOf(content.status()));
+  const nlohmann::json missing;
+  const auto member = [&](const char* name) -> const nlohmann::json& {
+    const auto found = content->is_object() ? content->find(name) : content->end();
+    return found == content->end() ? missing : *found;
   };
   serving::LeaseRecord record;
   record.revision = object.revision;
-  const nlohmann::json holder = member("holder");
+  const nlohmann::json& holder = member("holder");
   if (!holder.is_string()) return InvalidMember("holder");
   record.holder = holder.get<std::string>();
-  const nlohmann::json address = member("address");
+  const nlohmann::json& address = member("address");
   if (!address.is_string()) return InvalidMember("address");
   record.address = address.get<std::string>();
-  const nlohmann::json nonce = member("nonce");
+  const nlohmann::json& nonce = member("nonce");
   if (!nonce.is_number_unsigned()) return InvalidMember("nonce");
   record.nonce = nonce.get<std::uint64_t>();
-  const nlohmann::json token = member("token");
+  const nlohmann::json& token = member("token");
   if (!token.is_number_integer() || token < 0) return InvalidMember("token");
   record.token = token.get<std::int64_t>();
   return record;
