An engine's KV cache handle goes into requests only if it is a printable word

What an engine could do: its response to a prefill names a handle, which becomes part of a target (DELETE /handles/HANDLE) and of a header field of a request to another engine. A handle with a line end was taken as it was: the rest of the handle was a second request, or further fields, of the engine's own choice, sent to other engines on the node's connections.

Now a handle with anything but printable ASCII, or of more than 256 bytes, counts as none: the prefill has failed, and the request is tried elsewhere, as before for a body without a handle. Bodies of engines are parsed with a limit of depth; the old code looked at members in place, so that their depth ended nothing.

--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -4,9 +4,11 @@
 #include <charconv>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
 #include "src/gateway/retry_after.h"
 
 namespace saltquay::gateway {
@@ -16,6 +18,7 @@
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxPromptParts = 256;
+constexpr std::size_t kMaxHandleBytes = 256;
 
 std::optional<int> ParseInt(std::string_view text) {
   while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
@@ -56,6 +59,18 @@
   return parts;
 }
 
+// Handles become part of a request's target and of a header field.
+bool IsHandle(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxHandleBytes &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c < 0x7F; });
+}
+
+// Returns an object; an empty one if the body is none.
+nlohmann::json ParseObject(const std::string& body) {
+  absl::StatusOr<nlohmann::json> parsed = ParseBoundedJson(body);
+  return parsed.ok() && parsed->is_object() ? std::move(*parsed) : nlohmann::json::object();
+}
+
 std::string HostWithoutPort(std::string_view host) {
   host = host.substr(0, host.find(':'));
   return std::string{host};
@@ -160,10 +175,11 @@
 }
 
 std::string EngineProtocol::DecodeKvHandle(const std::string& body) const {
-  const nlohmann::json response = nlohmann::json::parse(body, nullptr, false);
-  if (!response.is_object() || !response.contains(names_.handle_member)) return "";
-  const nlohmann::json& handle = response[names_.handle_member];
-  return handle.is_string() ? handle.get<std::string>() : "";
+  const nlohmann::json response = ParseObject(body);
+  const auto member = response.find(names_.handle_member);
+  if (member == response.end() || !member->is_string()) return "";
+  const auto& handle = member->get_ref<const std::string&>();
+  return IsHandle(handle) ? handle : "";
 }
 
 http::RequestHead EngineProtocol::MakeKvRelease(const serving::KvCacheSource& kv_cache_source,
@@ -188,8 +204,7 @@
 }
 
 std::optional<serving::EngineStateReport> EngineProtocol::DecodeEngineState(const std::string& body) const {
-  const nlohmann::json response = nlohmann::json::parse(body, nullptr, false);
-  if (!response.is_object()) return std::nullopt;
+  const nlohmann::json response = ParseObject(body);
   const auto stage = response.find(names_.stage_member);
   const auto sequence = response.find(names_.sequence_member);
   const auto busy = response.find(names_.busy_member);
@@ -205,8 +220,7 @@
 
 std::int64_t EngineProtocol::DecodeStartTime(const http::ResponseHead& head, const std::string& body) const {
   if (head.status != kOk) return 0;
-  const nlohmann::json response = nlohmann::json::parse(body, nullptr, false);
-  if (!response.is_object()) return 0;
+  const nlohmann::json response = ParseObject(body);
   const auto started_ms = response.find(names_.started_ms_member);
   const bool told = started_ms != response.end() && started_ms->is_number_integer();
   return told ? std::max<std::int64_t>(0, started_ms->get<std::int64_t>()) : 0;
--- a/tests/gateway/foreign_input_test.cc
+++ b/tests/gateway/foreign_input_test.cc
@@ -21,7 +21,6 @@
 
 using saltquay::testing::IncompleteObjects;
 using saltquay::testing::Members;
-using saltquay::testing::ObjectOf;
 using saltquay::testing::ObjectsWith;
 using saltquay::testing::OddText;
 using saltquay::testing::OddValues;
--- a/tests/support/odd_json.h
+++ b/tests/support/odd_json.h
@@ -30,51 +30,64 @@
   return Repeat(R"({"a":)", levels) + "1" + std::string(levels, '}');
 }
 
-// Values for a member: of every type, too deep, too large, or not JSON at all.
-inline std::vector<OddText> OddValues() {
+inline std::vector<OddText> OddNumbers() {
+  return {{"zero", "0"},
+          {"negative", "-1"},
+          {"fraction", "0.5"},
+          {"negative_zero", "-0.0"},
+          {"large_fraction", "1e300"},
+          {"number_out_of_range", "1e400"},
+          {"int64_min", "-9223372036854775808"},
+          {"int64_max", "9223372036854775807"},
+          {"int64_max_plus_1", "9223372036854775808"},
+          {"uint64_max", "18446744073709551615"},
+          {"two_to_the_70", "1180591620717411303424"},
+          {"long_number", std::string(5000, '9')}};
+}
+
+inline std::vector<OddText> OddStrings() {
   constexpr std::size_t kMegabyte = 1024 * 1024;
-  std::vector<OddText> values = {{"null", "null"},
-                                 {"true", "true"},
-                                 {"zero", "0"},
-                                 {"negative", "-1"},
-                                 {"fraction", "0.5"},
-                                 {"negative_zero", "-0.0"},
-                                 {"large_fraction", "1e300"},
-                                 {"number_out_of_range", "1e400"},
-                                 {"int64_min", "-9223372036854775808"},
-                                 {"int64_max", "9223372036854775807"},
-                                 {"int64_max_plus_1", "9223372036854775808"},
-                                 {"uint64_max", "18446744073709551615"},
-                                 {"two_to_the_70", "1180591620717411303424"},
-                                 {"long_number", std::string(5000, '9')},
-                                 {"empty_string", R"("")"},
-                                 {"string", R"("text")"},
-                                 {"number_in_a_string", R"("7")"},
-                                 {"escaped_nul", R"("\u0000")"},
-                                 {"line_ends", R"("a\r\nX: y\r\n\r\n")"},
-                                 {"quote_and_backslash", R"("\"\\")"},
-                                 {"lone_high_surrogate", R"("\ud800")"},
-                                 {"lone_low_surrogate", R"("\udc00")"},
-                                 {"invalid_utf8", "\"\xff\xfe\""},
-                                 {"overlong_utf8", "\"\xc0\xaf\""},
-                                 {"nul", std::string("\"\0\"", 3)},
-                                 {"string_of_1_mb", '"' + std::string(kMegabyte, 'x') + '"'},
-                                 {"empty_array", "[]"},
-                                 {"array_of_null", "[null]"},
-                                 {"array_of_numbers", "[1,2,3]"},
-                                 {"array_of_objects", "[{},{}]"},
-                                 {"huge_array", "[" + Repeat("0,", 200'000) + "0]"},
-                                 {"huge_array_of_objects", "[" + Repeat("{},", 100'000) + "{}]"},
-                                 {"empty_object", "{}"},
-                                 {"object", R"({"a":1})"},
-                                 {"empty_name", R"({"":""})"},
-                                 {"nothing", ""},
-                                 {"word", "nan"}};
+  return {{"empty_string", R"("")"},
+          {"string", R"("text")"},
+          {"number_in_a_string", R"("7")"},
+          {"escaped_nul", R"("\u0000")"},
+          {"line_ends", R"("a\r\nX: y\r\n\r\n")"},
+          {"quote_and_backslash", R"("\"\\")"},
+          {"lone_high_surrogate", R"("\ud800")"},
+          {"lone_low_surrogate", R"("\udc00")"},
+          {"invalid_utf8", "\"\xff\xfe\""},
+          {"overlong_utf8", "\"\xc0\xaf\""},
+          {"nul", std::string("\"\0\"", 3)},
+          {"string_of_1_mb", '"' + std::string(kMegabyte, 'x') + '"'}};
+}
+
+inline std::vector<OddText> OddContainers() {
+  return {{"empty_array", "[]"},
+          {"array_of_null", "[null]"},
+          {"array_of_numbers", "[1,2,3]"},
+          {"array_of_objects", "[{},{}]"},
+          {"huge_array", "[" + Repeat("0,", 200'000) + "0]"},
+          {"huge_array_of_objects", "[" + Repeat("{},", 100'000) + "{}]"},
+          {"empty_object", "{}"},
+          {"object", R"({"a":1})"},
+          {"empty_name", R"({"":""})"}};
+}
+
+inline std::vector<OddText> DeepValues() {
+  std::vector<OddText> values = {{"open_arrays", std::string(100'000, '[')}};
   for (const std::size_t levels : {65, 5'000, 100'000, 1'000'000}) {
     values.push_back({"array_of_depth_" + std::to_string(levels), DeepArray(levels)});
     values.push_back({"object_of_depth_" + std::to_string(levels), DeepObject(levels)});
   }
-  values.push_back({"open_arrays", std::string(100'000, '[')});
+  return values;
+}
+
+// Values for a member: of every type, too deep, too large, or not JSON at all.
+inline std::vector<OddText> OddValues() {
+  std::vector<OddText> values = {{"null", "null"}, {"true", "true"}, {"nothing", ""}, {"word", "nan"}};
+  for (const auto& more : {OddNumbers(), OddStrings(), OddContainers(), DeepValues()}) {
+    values.insert(values.end(), more.begin(), more.end());
+  }
   return values;
 }
 
