An engine's report with a number above 2^63 does not decode

The sequence number of an engine's state and its start time were read as 64 bit numbers with a sign, whatever their text: a sequence of 2^63 or 2^64 - 1 became a negative one, which the next order then named as the expected one. Now a number that does not fit counts as missing: the report does not decode, the start time is not told.

--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -71,6 +72,15 @@
   return parsed.ok() && parsed->is_object() ? std::move(*parsed) : nlohmann::json::object();
 }
 
+// Returns nullopt unless the object has an integer of that name that fits.
+std::optional<std::int64_t> IntegerMember(const nlohmann::json& object, const std::string& name) {
+  const auto member = object.find(name);
+  if (member == object.end() || !member->is_number_integer()) return std::nullopt;
+  const bool fits = !member->is_number_unsigned() ||
+                    member->get<std::uint64_t>() <= std::uint64_t{std::numeric_limits<std::int64_t>::max()};
+  return fits ? std::optional(member->get<std::int64_t>()) : std::nullopt;
+}
+
 std::string HostWithoutPort(std::string_view host) {
   host = host.substr(0, host.find(':'));
   return std::string{host};
@@ -206,24 +216,19 @@
 std::optional<serving::EngineStateReport> EngineProtocol::DecodeEngineState(const std::string& body) const {
   const nlohmann::json response = ParseObject(body);
   const auto stage = response.find(names_.stage_member);
-  const auto sequence = response.find(names_.sequence_member);
+  const std::optional<std::int64_t> sequence = IntegerMember(response, names_.sequence_member);
   const auto busy = response.find(names_.busy_member);
-  if (stage == response.end() || !stage->is_string() || sequence == response.end() || !sequence->is_number_integer()) {
-    return std::nullopt;
-  }
+  if (stage == response.end() || !stage->is_string() || !sequence) return std::nullopt;
   serving::EngineStateReport report;
   report.stage = *stage == names_.stage_prefill ? serving::EngineStage::kPrefill : serving::EngineStage::kDecode;
-  report.sequence = sequence->get<std::int64_t>();
+  report.sequence = *sequence;
   report.busy = busy != response.end() && busy->is_boolean() && busy->get<bool>();
   return report;
 }
 
 std::int64_t EngineProtocol::DecodeStartTime(const http::ResponseHead& head, const std::string& body) const {
   if (head.status != kOk) return 0;
-  const nlohmann::json response = ParseObject(body);
-  const auto started_ms = response.find(names_.started_ms_member);
-  const bool told = started_ms != response.end() && started_ms->is_number_integer();
-  return told ? std::max<std::int64_t>(0, started_ms->get<std::int64_t>()) : 0;
+  return std::max<std::int64_t>(0, IntegerMember(ParseObject(body), names_.started_ms_member).value_or(0));
 }
 
 http::RequestHead EngineProtocol::MakeOrderHead(const serving::SendStageOrder& action,
