One odd log line no longer ends the explanation of all others

saltquayctl explain reads logs, whose lines hold what others wrote. A line whose 'engine' was no string or whose 'window' was no number threw a json type_error out of the explainer, which nothing catches; one with a value of 100,000 levels ended it by signal 11, since a value is serialized by one call a level. Now a line is parsed with a limit of depth, and a member of another type counts as missing; a line that is too deep is counted among those that do not parse, like a line that is no JSON.

--- a/src/gateway/log_explainer.cc
+++ b/src/gateway/log_explainer.cc
@@ -2,11 +2,16 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
+#include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
+
 namespace saltquay::gateway {
 namespace {
 
@@ -20,29 +25,41 @@
          line.name == "record_upstream" || line.name == "records_stale" || line.name == "records_fresh";
 }
 
-std::string EngineOf(const LogLine& line) {
-  const json members = json::parse(line.text, nullptr, false);
-  return members.is_object() ? members.value("engine", "") : "";
+// Returns an empty object if the text is not a readable object.
+json ParseMembers(std::string_view text) {
+  absl::StatusOr<json> members = ParseBoundedJson(text);
+  return members.ok() && members->is_object() ? std::move(*members) : json::object();
+}
+
+// Returns an empty string unless the member is a string.
+std::string StringMember(const json& members, const char* name) {
+  const auto member = members.find(name);
+  return member != members.end() && member->is_string() ? member->get<std::string>() : "";
 }
 
+std::optional<std::int64_t> IntegerMember(const json& members, const char* name) {
+  const auto member = members.find(name);
+  if (member == members.end() || !member->is_number_integer()) return std::nullopt;
+  return member->get<std::int64_t>();
+}
+
+std::string EngineOf(const LogLine& line) { return StringMember(ParseMembers(line.text), "engine"); }
+
 }  // namespace
 
 void LogExplainer::Read(std::istream& log, const std::string& source) {
   std::string text;
   for (int number = 1; std::getline(log, text); ++number) {
     const std::size_t brace = text.find('{');
-    const json members = brace == std::string::npos ? json() : json::parse(text.substr(brace), nullptr, false);
-    const bool event = members.is_object() && members.contains("time_ms") && members["time_ms"].is_number_integer() &&
-                       members.contains("name") && members["name"].is_string();
-    if (!event) {
+    const json members = brace == std::string::npos ? json::object() : ParseMembers(text.substr(brace));
+    const std::optional<std::int64_t> time_ms = IntegerMember(members, "time_ms");
+    const std::string name = StringMember(members, "name");
+    if (!time_ms || name.empty()) {
       if (!text.empty()) unparsed_lines_.push_back({source, number});
       continue;
     }
-    const auto word = [&](const char* key) {
-      return members.contains(key) && members[key].is_string() ? members[key].get<std::string>() : std::string();
-    };
     lines_.push_back(
-        {members["time_ms"].get<std::int64_t>(), word("process"), word("name"), word("request"), text.substr(brace)});
+        {*time_ms, StringMember(members, "process"), name, StringMember(members, "request"), text.substr(brace)});
   }
   std::stable_sort(lines_.begin(), lines_.end(),
                    [](const LogLine& first, const LogLine& second) { return first.time_ms < second.time_ms; });
@@ -101,8 +118,7 @@
   for (const LogLine& line : lines_) {
     if (line.name == "lease_acquired" || line.name == "lease_lost") holders.push_back(line);
     if (!line.name.starts_with("usage_")) continue;
-    const json members = json::parse(line.text, nullptr, false);
-    if (!members.is_object() || members.value("window", std::int64_t{-1}) != window) continue;
+    if (IntegerMember(ParseMembers(line.text), "window") != window) continue;
     // Before the first line about the window, only the last lease change is relevant.
     const std::size_t first = lines.empty() && !holders.empty() ? holders.size() - 1 : 0;
     lines.insert(lines.end(), holders.begin() + static_cast<std::ptrdiff_t>(first), holders.end());
@@ -113,7 +129,7 @@
 }
 
 std::string FormatLogLine(const LogLine& line) {
-  json members = json::parse(line.text, nullptr, false);
+  json members = ParseMembers(line.text);
   for (const char* key : {"time_ms", "process", "name", "event", "level", "request"}) members.erase(key);
   std::string details;
   for (const auto& [key, value] : members.items()) {
