Sealed usage reports with windows or counts out of range do not decode

Another writer's windows and counts were converted to 64 bits with a sign, whatever they were: fractions and numbers above 2^63 became others, negative ones were taken, and the last report's window decides which one is sealed next, even if it is not the newest. The other reports are not used without it: a window whose report were left out would be sealed again with other counts, and the platform must never get two different reports of a window (UsageReporterProperty).

--- a/tests/gateway/foreign_neighbours_test.cc
+++ b/tests/gateway/foreign_neighbours_test.cc
@@ -79,6 +79,18 @@
   }
 }
 
+// Guards against: windows out of order, or far in the future, decide which window is sealed next.
+TEST(ForeignNeighboursTest, UsageReportsHaveAscendingWindowsInRange) {
+  const auto decode = [](const std::string& first, const std::string& second) {
+    const std::string report = R"({"counts":{},"window":)";
+    return DecodeSealedUsage({"usage", 3, R"({"reports":[)" + report + first + "}," + report + second + "}]}"});
+  };
+  EXPECT_TRUE(decode("7", "8").ok());
+  for (const char* window : {"6", "7", "-8", "9223372036854775807", "18446744073709551615", "1e9"}) {
+    EXPECT_EQ(saltquay::KindOf(decode("7", window).status()), ErrorKind::kCorrupt) << window;
+  }
+}
+
 // Guards against: an engine's handle with a space or a line end makes a request of the engine's own choice.
 TEST(ForeignNeighboursTest, HandleThatIsNoWordIsNotAHandle) {
   const EngineProtocol protocol{EngineProtocolFields{}};
