A quarantine mark with a time out of range has no negative age

A mark's age is the difference of two 64 bit numbers in ms, converted to us. With a time of another writer either step overflowed: a mark of -9.3e15 ms got an age of -9.1e18 us, that is a crash in the future, which would never expire. Now a time is read as the number without a sign that nodes write, and the age is at most a year, long past any quarantine's end. A mark of another form is left out as before and the marks beside it stay; the list is parsed with a limit of depth.

ForeignNeighboursTest.AgeOfAQuarantineMarkIsNeverNegative before: actual: -9144947636334724616us vs 0us; now it passes.

--- a/src/gateway/quarantine_store.cc
+++ b/src/gateway/quarantine_store.cc
@@ -1,10 +1,13 @@
 #include "src/gateway/quarantine_store.h"
 
 #include <algorithm>
+#include <optional>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
+
 namespace saltquay::gateway {
 namespace {
 
@@ -17,6 +20,8 @@
 constexpr Duration kConflictRetryDelay = 100ms;
 constexpr Duration kInitialBackoff = 1s;
 constexpr Duration kMaxBackoff = 8s;
+// Marks are at most a few minutes old when they are written. Older ages would overflow Duration.
+constexpr std::uint64_t kMaxAgeMs = 365LL * 24 * 60 * 60 * 1000;
 
 std::set<serving::CrashSubject> SubjectsOf(const std::vector<serving::CrashMark>& marks) {
   std::set<serving::CrashSubject> subjects;
@@ -24,6 +29,25 @@
   return subjects;
 }
 
+std::optional<std::uint64_t> NumberMember(const json& item, const char* name) {
+  const auto member = item.find(name);
+  if (member == item.end() || !member->is_number_unsigned()) return std::nullopt;
+  return member->get<std::uint64_t>();
+}
+
+std::optional<serving::CrashMark> DecodeMark(const json& item, std::int64_t unix_ms) {
+  if (!item.is_object()) return std::nullopt;
+  const std::optional<std::uint64_t> part = NumberMember(item, "part");
+  const std::optional<std::uint64_t> request = NumberMember(item, "request");
+  const std::optional<std::uint64_t> engine = NumberMember(item, "engine");
+  const std::optional<std::uint64_t> at_ms = NumberMember(item, "at_ms");
+  if ((!part && !request) || !engine || !at_ms) return std::nullopt;
+  const auto now_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(0, unix_ms));
+  const std::uint64_t age_ms = std::min(now_ms - std::min(now_ms, *at_ms), kMaxAgeMs);
+  const auto subject = part ? serving::CrashSubject::PromptPart(*part) : serving::CrashSubject::Request(*request);
+  return serving::CrashMark{subject, serving::EngineKey(*engine), std::chrono::milliseconds(age_ms)};
+}
+
 // The member that holds the subject's fingerprint.
 const char* MemberOf(const serving::CrashSubject& subject) { return subject.is_part() ? "part" : "request"; }
 
@@ -41,17 +65,12 @@
 
 std::vector<serving::CrashMark> DecodeQuarantine(const std::string& content, std::int64_t unix_ms) {
   std::vector<serving::CrashMark> marks;
-  const json document = json::parse(content, nullptr, false);
-  if (!document.is_object() || !document.contains("marks") || !document["marks"].is_array()) return marks;
-  for (const json& item : document["marks"]) {
-    const auto is_number = [&](const char* key) { return item.contains(key) && item[key].is_number_integer(); };
-    if (!item.is_object() || !is_number("engine") || !is_number("at_ms")) continue;
-    if (!is_number("request") && !is_number("part")) continue;
-    const auto subject = is_number("part") ? serving::CrashSubject::PromptPart(item["part"].get<std::uint64_t>())
-                                           : serving::CrashSubject::Request(item["request"].get<std::uint64_t>());
-    const std::int64_t age_ms = std::max<std::int64_t>(0, unix_ms - item["at_ms"].get<std::int64_t>());
-    marks.push_back(
-        {subject, serving::EngineKey(item["engine"].get<std::uint64_t>()), std::chrono::milliseconds(age_ms)});
+  const absl::StatusOr<json> document = ParseBoundedJson(content);
+  if (!document.ok() || !document->is_object()) return marks;
+  const auto list = document->find("marks");
+  if (list == document->end() || !list->is_array()) return marks;
+  for (const json& item : *list) {
+    if (const std::optional<serving::CrashMark> mark = DecodeMark(item, unix_ms)) marks.push_back(*mark);
   }
   return marks;
 }
