stream_resumed and its refusals tell what the decision rests on

The lines of the log named the source of a decision about a stream's version, but nothing to tell the hypotheses apart: whether peers were silent, whether the node's own copy of the engines' records was old, or known for too short a time.

Both lines now say how many peers were asked and how many answered, how old the copy is (record_age_ms: since the time as of which the store's responses prove it to be complete) and for how long it has been known (known_ms). The driver passes the former on as the event RecordsConfirmed, after the records themselves, whenever a watch or a list confirms the copy. No decision depends on it yet.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -134,7 +134,9 @@
      "A request was handed to a peer, since this node cannot reach the engines that it needs.",
      "If it lasts: look at the links between this node and the engines that engine_path names."},
     {kStreamResumed, kInfo, "stream_resumed",
-     "A client resumes a stream: the software version that began it, and from where this node knows it.", "None."},
+     "A client resumes a stream: the software version that began it, and from where this node knows it. If peers were "
+     "asked: how many of them answered, the age of the engines' records here, and for how long they have been known.",
+     "None."},
     {kStoreUnavailable, kWarning, "store_unavailable", "The platform's store does not answer.",
      "Serving goes on; publish, approve and roll wait for the store."},
     {kStoreRecovered, kInfo, "store_recovered", "The platform's store answers again.", "None."},
--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -151,6 +151,11 @@
 struct StoreConnectivityChanged {
   bool connected = false;
 };
+// The engines' records that were passed on are complete as of that time: each change that the store made before it has
+// arrived.
+struct RecordsConfirmed {
+  Time as_of{};
+};
 // Aggregate of the peers' latest reports.
 struct PeersChanged {
   int nodes = 1;      // Including this one.
@@ -255,7 +260,7 @@
 struct TimerFired {};
 
 using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
-                           StoreConnectivityChanged, PeersChanged, RequestArrived, ClientDisconnected,
+                           StoreConnectivityChanged, RecordsConfirmed, PeersChanged, RequestArrived, ClientDisconnected,
                            EngineNoticeReceived, AttemptHeadReceived, AttemptEventsReceived, AttemptCompleted,
                            AttemptFailed, AttemptAtOtherProcess, EngineProbed, PeerProbedEngine, PeerCrashesReported,
                            PeerEngineLimitsReported, PeerLeavingEnginesReported, NodesChanged, PeersListed,
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -64,6 +64,10 @@
   Log(EventId::kStoreContact, nullptr, fmt::format(R"("in_contact":{})", store_connected_));
 }
 
+void ServingCore::On(const RecordsConfirmed& event) {
+  records_as_of_ = std::max(records_as_of_.value_or(event.as_of), event.as_of);
+}
+
 void ServingCore::On(const PeersChanged& event) {
   retry_budget_share_.set_nodes(event.nodes, now_);
   peer_report_age_ = event.age;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -88,6 +88,7 @@
   void On(const EngineRemoved& event);
   void On(const EngineChangesApplied& event);
   void On(const StoreConnectivityChanged& event);
+  void On(const RecordsConfirmed& event);
   void On(const PeersChanged& event);
   void On(const RequestArrived& event);
   void On(const ClientDisconnected& event);
@@ -286,7 +287,11 @@
   void OnStreamAnswer(Flow& flow, const StreamAnswer& answer);
   // The version if it must be that one, since no other has served; nullopt if it cannot be told.
   std::optional<std::string> InferSoftwareVersion(const std::string& service, const StreamAnswer& answer);
-  void ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source);
+  // `evidence`: see DescribeEvidence.
+  void ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source, std::string_view evidence);
+  // JSON members that tell what the decision about a stream's version rests on, with a leading comma: how many peers
+  // were asked and have answered, how old the engines' records are here, and since when they have been known.
+  std::string DescribeEvidence(const StreamAnswer& answer) const;
   // Whether the flow's stream may only go on at a version that no engine has.
   bool LacksSoftwareVersion(Flow& flow);
   void OnSoftwareVersionGone(Flow& flow);
@@ -381,6 +386,7 @@
   bool engines_listed_ = false;
   int added_engines_ = 0;  // Not logged yet.
   bool store_connected_ = false;
+  std::optional<Time> records_as_of_;  // See RecordsConfirmed.
   std::map<FlowId, std::unique_ptr<Flow>> flows_;
   std::set<std::pair<Time, FlowId>> wake_up_queue_;
   std::map<FlowId, Time> wake_ups_;
--- a/src/core/serving/software_version_history.h
+++ b/src/core/serving/software_version_history.h
@@ -20,6 +20,8 @@
   void BeginFirstStart() { known_since_ = Time::min(); }
   // The records may change unseen.
   void End() { known_since_.reset(); }
+  // Since when the records have been known without a gap; nullopt if they may change unseen.
+  std::optional<Time> known_since() const { return known_since_; }
   // The versions that engines of the service are known to have had within that time.
   std::vector<std::string> SeenWithin(const std::string& service, Duration time, Time now) const;
   // The only version within that time; nullopt if there were several or none, or if this node has not known the records
--- a/src/core/serving/software_version_steps.cc
+++ b/src/core/serving/software_version_steps.cc
@@ -8,6 +8,11 @@
 #include "src/core/serving/serving_core.h"
 
 namespace saltquay::serving {
+namespace {
+
+constexpr int kUnavailable = 503;
+
+}  // namespace
 
 StreamKey ServingCore::StreamKeyOf(const Flow& flow) {
   const bool names_origin = !flow.metadata.last_event_id.empty() && !flow.metadata.resumes.empty();
@@ -22,7 +27,7 @@
 void ServingCore::FindStreamOrigin(Flow& flow) {
   const StreamKey stream = StreamKeyOf(flow);
   if (const std::optional<StreamOrigin> origin = stream_origins_.Find(stream, now_))
-    return ResumeAt(flow, *origin, "this node");
+    return ResumeAt(flow, *origin, "this node", "");
   flow.origin_pending = true;
   awaiting_origin_.emplace(stream, flow.id);
   ScheduleWakeUp(flow);
@@ -33,12 +38,21 @@
   flow.origin_pending = false;
   if (answer.origin) {
     stream_origins_.Record(answer.stream, *answer.origin, stream_lifetime_, now_);
-    return ResumeAt(flow, *answer.origin, "peer");
+    return ResumeAt(flow, *answer.origin, "peer", DescribeEvidence(answer));
   }
   if (const std::optional<std::string> only = InferSoftwareVersion(flow.service, answer))
-    return ResumeAt(flow, {*only}, "only version");
+    return ResumeAt(flow, {*only}, "only version", DescribeEvidence(answer));
   actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
-  Refuse(flow, "software version of the stream is not known");
+  Refuse(flow, kUnavailable, "software version of the stream is not known", parameters_.retry_after,
+         DescribeEvidence(answer));
+}
+
+std::string ServingCore::DescribeEvidence(const StreamAnswer& answer) const {
+  const auto age = [this](std::optional<Time> time) {
+    return time && *time != Time::min() ? (now_ - *time) / 1ms : -1;
+  };
+  return fmt::format(R"(,"asked":{},"answered":{},"record_age_ms":{},"known_ms":{})", answer.peers_asked,
+                     answer.peers_answered, age(records_as_of_), age(version_history_.known_since()));
 }
 
 std::optional<std::string> ServingCore::InferSoftwareVersion(const std::string& service, const StreamAnswer& answer) {
@@ -54,16 +68,16 @@
   return known_here || answer.only_version ? std::optional(*versions.begin()) : std::nullopt;
 }
 
-void ServingCore::ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source) {
+void ServingCore::ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source, std::string_view evidence) {
   BindOrigin(flow, origin);
   if (!flow.software_version) {
     actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
     return Refuse(flow, "software version of the stream's engine is not known yet");
   }
   Log(EventId::kStreamResumed, &flow,
-      fmt::format(R"("resumes":"{}","last_event":"{}","software":"{}","source":"{}")",
+      fmt::format(R"("resumes":"{}","last_event":"{}","software":"{}","source":"{}"{})",
                   EscapeJson(flow.metadata.resumes), EscapeJson(flow.last_event_id), EscapeJson(*flow.software_version),
-                  source));
+                  source, evidence));
   const bool lacks_engine = LacksSoftwareVersion(flow);
   actions_->push_back(ResumptionDecided{lacks_engine ? ResumptionOutcome::kNoEngine : ResumptionOutcome::kSent});
   Advance(flow);
--- a/src/core/serving/stream_origins.cc
+++ b/src/core/serving/stream_origins.cc
@@ -79,7 +79,7 @@
   question.answer.stream = stream;
   const std::vector<std::string> addresses = ResponsiblePeers(stream, parameters_.peers_asked);
   question.unanswered = {addresses.begin(), addresses.end()};
-  question.peers_asked = addresses.size();
+  question.answer.peers_asked = addresses.size();
   if (addresses.empty()) {
     answers_.push_back(question.answer);
     return;
@@ -98,6 +98,7 @@
   const auto entry = questions_.find(reply.stream);
   if (entry == questions_.end() || entry->second.unanswered.erase(reply.from) == 0) return;
   StreamAnswer& answer = entry->second.answer;
+  ++answer.peers_answered;
   if (reply.knowledge == StreamKnowledge::kOrigin) answer.origin = reply.origin;
   if (reply.knowledge == StreamKnowledge::kSeveralVersions) answer.several_versions = true;
   if (reply.knowledge == StreamKnowledge::kOnlyVersion) {
@@ -114,7 +115,7 @@
 bool StreamOrigins::IsSettled(const Question& question) {
   if (question.answer.origin || question.unanswered.empty()) return true;
   const bool one_version = question.answer.only_version && !question.answer.several_versions;
-  return one_version && 2 * question.unanswered.size() <= question.peers_asked;
+  return one_version && 2 * question.unanswered.size() <= question.answer.peers_asked;
 }
 
 void StreamOrigins::Respond(const StreamQuery& query, const std::optional<std::string>& only_version,
--- a/src/core/serving/stream_origins.h
+++ b/src/core/serving/stream_origins.h
@@ -41,6 +41,8 @@
   // The only version that has served for long enough, by a peer that knows; nullopt if none does.
   std::optional<std::string> only_version;
   bool several_versions = false;  // A peer knows of several.
+  std::size_t peers_asked = 0;
+  std::size_t peers_answered = 0;
 };
 
 class StreamOrigins {
@@ -90,7 +92,6 @@
   };
   struct Question {
     StreamQuery query;
-    std::size_t peers_asked = 0;
     std::set<std::string> unanswered;  // Addresses.
     StreamAnswer answer;
     Time resend_at{};
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -164,7 +164,10 @@
 }
 
 void GatewayProcess::ObserveStore() {
-  store_.on_record_update = [this](const std::string& kind) { relay_.on_record_update(kind); };
+  store_.on_record_update = [this](const std::string& kind) {
+    relay_.on_record_update(kind);
+    if (kind == parsers_.engine_kind) gateway_.Dispatch(serving::RecordsConfirmed{store_.confirmed(kind)});
+  };
   store_.on_upstream_change = [this](const std::string& kind, const std::string& node, const std::string& cause) {
     gateway_.Log(EventId::kRecordUpstream, "",
                  fmt::format(R"("kind":"{}","node":"{}","cause":"{}")", kind, EscapeJson(node), EscapeJson(cause)));
