--- a/tests/support/stream_fleet.cc
+++ b/tests/support/stream_fleet.cc
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr int kEvents = 8;
-constexpr int kMaxRequests = 5;
 constexpr Duration kPrefillTime = 20ms;
 constexpr Duration kEventTime = 10ms;
 constexpr Duration kRoundTrip = 1ms;
@@ -33,7 +32,12 @@
 }  // namespace
 
 StreamFleet::StreamFleet(const StreamFleetOptions& options, std::uint64_t seed)
-    : options_(options), random_(seed), config_(MakeConfig()), nodes_(options.nodes), lives_(options.nodes) {
+    : options_(options),
+      random_(seed),
+      config_(MakeConfig()),
+      nodes_(options.nodes),
+      lives_(options.nodes),
+      watches_(options.nodes) {
   for (int i = 0; i < options.engines; ++i) {
     EngineRecord record;
     record.id = "e" + std::to_string(i);
@@ -42,7 +46,7 @@
     record.zone = "a";
     record.slots = 64;
     record.started_ms = 1000 + i;
-    record.software_version = i % 2 == 0 ? "v1" : "v1.1";
+    record.software_version = i % options.versions == 0 ? "v1" : "v1.1";
     engines_[record.id] = {record};
     store_[record.id] = record;
   }
@@ -53,12 +57,29 @@
   nodes_[node] = std::make_unique<ServingCore>(ServingParameters{}, "a", random_.Bits());
   ++lives_[node];
   nodes_[node]->set_peer_address(Address(node));
-  std::vector<EngineRecord> records;
-  for (const auto& [id, record] : store_) records.push_back(record);
+  if (options_.first_start && lives_[node] == 1) nodes_[node]->BeginFirstStart();
   Send(node, ConfigurationChanged{config_});
-  Send(node, EnginesReplaced{records});
+  Send(node, EnginesReplaced{Records()});
   Send(node, StoreConnectivityChanged{true});
   Send(node, PeersChanged{});
+  if (!options_.watches_store || lives_[node] == 1) ListPeers(node);
+  if (!options_.watches_store) return;
+  watches_[node] = {changes_.size(), 0, false, now_, true};
+  Send(node, RecordsConfirmed{now_});
+  WatchStore(node);
+  const Duration until_peers_are_known = random_.DurationBelow(300ms);
+  At(now_ + until_peers_are_known, [this, node, life = lives_[node]] {
+    if (lives_[node] == life) OnNode(node, Source::kTimers, [this, node] { ListPeers(node); });
+  });
+}
+
+std::vector<EngineRecord> StreamFleet::Records() const {
+  std::vector<EngineRecord> records;
+  for (const auto& [id, record] : store_) records.push_back(record);
+  return records;
+}
+
+void StreamFleet::ListPeers(int node) {
   std::vector<PeerNode> peers;
   for (int other = 0; other < options_.nodes; ++other) {
     if (other != node) peers.push_back({"n" + std::to_string(other), Address(other), "a"});
@@ -77,7 +98,8 @@
   const std::optional<Time> due = nodes_[node]->next_deadline();
   if (!due) return;
   At(std::max(*due, now_), [this, node, life = lives_[node], due] {
-    if (lives_[node] == life && nodes_[node]->next_deadline() == due) Send(node, TimerFired{});
+    if (lives_[node] != life || nodes_[node]->next_deadline() != due) return;
+    OnNode(node, Source::kTimers, [this, node] { Send(node, TimerFired{}); });
   });
 }
 
@@ -87,7 +109,7 @@
     if (const auto* cancel = std::get_if<CancelAttempt>(&action)) calls_.erase({node, cancel->attempt});
     if (const auto* messages = std::get_if<SendStreamMessages>(&action)) SendMessages(node, *messages);
     if (const auto* reply = std::get_if<SendLocalReply>(&action))
-      EndRequest({node, reply->flow}, reply->retry_after.value_or(kReturnDelay));
+      EndRequest({node, reply->flow}, options_.clients.retry_delay.value_or(reply->retry_after.value_or(kReturnDelay)));
     if (const auto* abort = std::get_if<AbortResponse>(&action)) EndRequest({node, abort->flow}, kReturnDelay);
     if (const auto* end = std::get_if<EndRelay>(&action)) requests_.erase({node, end->flow});
     if (const auto* relay = std::get_if<BeginRelay>(&action)) {
@@ -101,6 +123,7 @@
   if (now_ >= end) return;
   Stream stream;
   stream.leaves = random_.Chance(0.5);
+  stream.began = now_;
   streams_.push_back(stream);
   SendRequest(streams_.size() - 1);
   At(now_ + FromSeconds(1 / per_second), [this, per_second, end] { Offer(per_second, end); });
@@ -120,11 +143,17 @@
   }
   ++(stream.position > 0 ? taken_up_ : begun_).sent;
   Request request{index, arrived.metadata.request_id};
+  request.heard_at = now_;
+  request.counts_as_served = stream.position > 0 && Serves(*stream.versions.begin());
+  if (request.counts_as_served) ++taken_up_at_serving_version_.sent;
   const bool leaves = stream.leaves && stream.requests < 2;
   request.events_left = leaves ? 1 + static_cast<int>(random_.Below(3)) : kEvents;
   ++stream.requests;
   requests_[{node, arrived.flow}] = request;
-  Send(node, arrived);
+  if (options_.clients.response_timeout) WatchResponse({node, arrived.flow});
+  if (ended_.contains(node))
+    return EndRequest({node, arrived.flow}, options_.clients.retry_delay.value_or(kReturnDelay));
+  OnNode(node, Source::kClients, [this, node, arrived] { Send(node, arrived); });
 }
 
 void StreamFleet::EndRequest(const NodeFlow& flow, Duration delay) {
@@ -136,7 +165,8 @@
 }
 
 void StreamFleet::ComeBack(std::size_t stream, Duration delay) {
-  if (streams_[stream].requests >= kMaxRequests || streams_[stream].position >= kEvents) return;
+  if (streams_[stream].requests >= options_.clients.max_requests || streams_[stream].position >= kEvents) return;
+  if (now_ > streams_[stream].began + options_.clients.patience) return;
   At(now_ + delay, [this, stream] { SendRequest(stream); });
 }
 
@@ -155,6 +185,12 @@
   At(now_ + kRoundTrip, [this, node, life = lives_[node], start] {
     const auto call = calls_.find({node, start.attempt});
     if (lives_[node] != life || call == calls_.end()) return;
+    if (engines_.at(start.engine_id).ended) {
+      calls_.erase(call);
+      return OnNode(node, Source::kEngines, [this, node, start] {
+        Send(node, AttemptFailed{start.flow, start.attempt, AttemptFailure::kNotSent});
+      });
+    }
     const EngineRecord& running = engines_.at(start.engine_id).record;
     call->second.started_ms = running.started_ms;
     call->second.version = running.software_version;
@@ -167,7 +203,7 @@
     }
     const Duration asks = start.process_started_ms && !is_kept ? kRoundTrip : 0ms;
     At(now_ + asks + kPrefillTime, [this, node, life, attempt = start.attempt] {
-      if (lives_[node] == life) BringHead(node, attempt);
+      if (lives_[node] == life) OnNode(node, Source::kEngines, [this, node, attempt] { BringHead(node, attempt); });
     });
   });
 }
@@ -191,7 +227,8 @@
     return Send(node, AttemptCompleted{call.start.flow, attempt, ""});
   }
   At(now_ + kEventTime, [this, node, life = lives_[node], attempt, number] {
-    if (lives_[node] == life) BringEvent(node, attempt, number + 1);
+    if (lives_[node] != life) return;
+    OnNode(node, Source::kEngines, [this, node, attempt, number] { BringEvent(node, attempt, number + 1); });
   });
   Send(node, AttemptEventsReceived{call.start.flow, attempt, std::to_string(number)});
   DeliverEvent(node, call, number);
@@ -202,13 +239,18 @@
   const auto request = requests_.find(flow);
   if (request == requests_.end() || request->second.relayed != call.start.attempt) return;
   Stream& stream = streams_[request->second.stream];
-  if (!request->second.answered) ++(stream.position > 0 ? taken_up_ : begun_).answered;
+  if (!request->second.answered) {
+    ++(stream.position > 0 ? taken_up_ : begun_).answered;
+    taken_up_at_serving_version_.answered += request->second.counts_as_served;
+  }
   request->second.answered = true;
+  request->second.heard_at = now_;
   if (stream.first_request.empty()) stream.first_request = request->second.id;
   stream.position = number;
   stream.versions.insert(call.version);
   if (--request->second.events_left > 0 || number == kEvents) return;
-  EndRequest(flow, kReturnDelay);
+  const bool pauses = options_.clients.max_pause > 0s;
+  EndRequest(flow, kReturnDelay + (pauses ? random_.DurationBelow(options_.clients.max_pause) : 0s));
   Send(node, ClientDisconnected{call.start.flow});
 }
 
@@ -246,7 +288,9 @@
   for (const auto& [key, flow] : broken) {
     calls_.erase(key);
     if (random_.Chance(options_.silent_connections)) continue;
-    Send(key.first, AttemptFailed{flow, key.second, AttemptFailure::kBroken});
+    OnNode(key.first, Source::kEngines, [this, key = key, flow = flow] {
+      Send(key.first, AttemptFailed{flow, key.second, AttemptFailure::kBroken});
+    });
   }
 }
 
@@ -277,7 +321,8 @@
       if (random_.Chance(options_.message_loss)) continue;
       const Duration delay = random_.DurationBelow(random_.Chance(0.05) ? 100ms : 3ms);
       At(now_ + delay, [this, to, life = lives_[to], message = message.message] {
-        if (lives_[to] == life) Send(to, StreamMessageArrived{message});
+        if (lives_[to] != life || ended_.contains(to)) return;
+        OnNode(to, Source::kPeers, [this, to, message] { Send(to, StreamMessageArrived{message}); });
       });
     }
   }
