EscapeJson: a character beyond ASCII is one escape, invalid bytes are U+FFFD

Operators saw log lines that name an entry that isn't there: the store's `ağ-yedek-5c10` was logged as `a\u00c4\u009f-yedek-5c10`, which a reader takes for `aÄ<9f>-yedek-5c10`. Each byte of a UTF-8 sequence was escaped as a character of its own.

EscapeJsonPrefix bounds what others wrote: at most so many bytes, cut at the end of a character.

--- a/src/base/log_stream.h
+++ b/src/base/log_stream.h
@@ -49,7 +49,9 @@
   std::uint64_t dropped_told_ = 0;
 };
 
-// Returns `text` with quotes, backslashes and control characters escaped.
+// Returns `text`, which is UTF-8, as the inside of a JSON string in ASCII. Invalid bytes become U+FFFD.
 std::string EscapeJson(std::string_view text);
+// Escapes at most `max_bytes` of `text`, at the end of a character, and appends "..." to a text that is longer.
+std::string EscapeJsonPrefix(std::string_view text, std::size_t max_bytes);
 
 }  // namespace saltquay
--- a/tests/base/base_test.cc
+++ b/tests/base/base_test.cc
@@ -5,9 +5,11 @@
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "src/base/config_reader.h"
 #include "src/base/event_catalogue.h"
+#include "src/base/log_stream.h"
 #include "src/base/logger.h"
 #include "src/base/status.h"
 
@@ -46,6 +48,39 @@
   EXPECT_NE(MessageOf(unknown.status()).find("'zap' is unknown"), std::string::npos);
 }
 
+std::string ReadBack(const std::string& escaped) {
+  return nlohmann::json::parse('"' + escaped + '"').get<std::string>();
+}
+
+// Guards against log lines that name another object than the one refused: bytes of UTF-8 were escaped one by one.
+TEST(EscapeJsonTest, ReadersGetTheTextBack) {
+  EXPECT_EQ(EscapeJson("a\xc4\x9f-yedek-5c10"), "a\\u011f-yedek-5c10");
+  EXPECT_EQ(EscapeJson("\xf0\x9f\x98\x80"), "\\ud83d\\ude00");
+  for (const std::string text : {"", "plain", "a \"quote\" and \\", "line\r\n\t\x01\x1b\x7f",
+                                 "\xc4\x9f\xe4\xb8\xad\xf0\x9f\x98\x80\xef\xbf\xbf"}) {
+    EXPECT_EQ(ReadBack(EscapeJson(text)), text);
+  }
+}
+
+TEST(EscapeJsonTest, InvalidBytesBecomeReplacementCharacters) {
+  for (const std::string text :
+       {"a\xff", "a\xc4", "a\xc0\x80", "a\xed\xa0\x80", "a\xf8\x88\x80\x80\x80", "a\xf4\x90\x80\x80"}) {
+    const std::string escaped = EscapeJson(text);
+    EXPECT_TRUE(escaped.starts_with("a\\ufffd")) << escaped;
+    EXPECT_TRUE(ReadBack(escaped).starts_with("a\xef\xbf\xbd")) << escaped;
+  }
+}
+
+// Guards against one name of another writer that fills the log.
+TEST(EscapeJsonTest, ThePrefixIsBoundedAndWhole) {
+  EXPECT_EQ(EscapeJsonPrefix("short", 8), "short");
+  EXPECT_EQ(EscapeJsonPrefix("12345678", 8), "12345678");
+  EXPECT_EQ(EscapeJsonPrefix("123456789", 8), "12345678...");
+  EXPECT_EQ(EscapeJsonPrefix("1234567\xc4\x9f", 8), "1234567...");
+  EXPECT_EQ(EscapeJsonPrefix("123\xf0\x9f\x98\x80", 6), "123...");
+  EXPECT_LT(EscapeJsonPrefix(std::string(200000, '\xff'), 64).size(), 6 * 64 + 4U);
+}
+
 TEST(EventCatalogueTest, NumbersAndNamesAreUnique) {
   std::set<int> numbers;
   std::set<std::string_view> names;
