Log lines: texts of another writer are escaped and bounded where records are read

Operators could get log lines that aren't JSON, or that someone else wrote: the line of a removed entry (`engine_record`, cause "gone") and of a changed one held the entry's name, service and zone as they were. A name with a line break ended the line, and what followed it stood in the log as a line of its own; a name of 200 KB was written whole, twice a revision.

These lines, engine_record_refused and config_refused now escape the texts and keep at most 512 bytes of each (kMaxLoggedBytes).

store_entries_test checks each line of the logs, too: JSON, at most 32 KB.

--- a/src/base/log_stream.h
+++ b/src/base/log_stream.h
@@ -49,6 +49,9 @@
   std::uint64_t dropped_told_ = 0;
 };
 
+// Maximum length of a text in the log that someone else chose, in bytes.
+inline constexpr std::size_t kMaxLoggedBytes = 512;
+
 // Returns `text`, which is UTF-8, as the inside of a JSON string in ASCII. Invalid bytes become U+FFFD.
 std::string EscapeJson(std::string_view text);
 // Escapes at most `max_bytes` of `text`, at the end of a character, and appends "..." to a text that is longer.
--- a/src/core/serving/engine_record_steps.cc
+++ b/src/core/serving/engine_record_steps.cc
@@ -7,6 +7,12 @@
 #include "src/core/serving/serving_core.h"
 
 namespace saltquay::serving {
+namespace {
+
+// Any writer of the store may choose these texts.
+std::string Logged(std::string_view text) { return EscapeJsonPrefix(text, kMaxLoggedBytes); }
+
+}  // namespace
 
 void ServingCore::On(const EnginesReplaced& event) {
   engines_.Replace(event.records);
@@ -33,8 +39,9 @@
   }
   Log(EventId::kEngineRecord, nullptr,
       fmt::format(R"("engine":"{}","started_ms":{},"software":"{}","service":"{}","zone":"{}","leaving":{},"stage":{})",
-                  event.record.id, event.record.started_ms, EscapeJson(event.record.software_version),
-                  event.record.service, event.record.zone, event.record.leaving, static_cast<int>(event.record.stage)));
+                  Logged(event.record.id), event.record.started_ms, EscapeJson(event.record.software_version),
+                  Logged(event.record.service), Logged(event.record.zone), event.record.leaving,
+                  static_cast<int>(event.record.stage)));
 }
 
 void ServingCore::ApplyRecord(const std::string& engine_id) {
@@ -51,7 +58,7 @@
 void ServingCore::On(const EngineRemoved& event) {
   engines_.Remove(event.id);
   crash_detector_.RecordRemoval(event.id);
-  Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engine":"{}","cause":"gone")", event.id));
+  Log(EventId::kEngineRecord, nullptr, fmt::format(R"("engine":"{}","cause":"gone")", Logged(event.id)));
 }
 
 void ServingCore::On(const EngineChangesApplied& /*event*/) {
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -222,7 +222,8 @@
   absl::StatusOr<serving::ServingConfig> config = parsers_.parse_config(object);
   if (!config.ok()) {
     gateway_.Log(EventId::kConfigRefused, "",
-                 fmt::format(R"("revision":{},"cause":"{}")", object.revision, EscapeJson(MessageOf(config.status()))));
+                 fmt::format(R"("revision":{},"cause":"{}")", object.revision,
+                             EscapeJsonPrefix(MessageOf(config.status()), kMaxLoggedBytes)));
     return;
   }
   if (!gateway_.core().config() || config->version > gateway_.core().version()) LogConfigReceived(*config, object);
@@ -256,9 +257,10 @@
 std::optional<serving::EngineRecord> GatewayProcess::ParseEngineRecord(const StoredObject& object) {
   absl::StatusOr<serving::EngineRecord> record = compacting_store_.ParseEngine(object);
   if (record.ok()) return std::move(*record);
-  gateway_.Log(EventId::kEngineRecordRefused, "",
-               fmt::format(R"("engine":"{}","revision":{},"cause":"{}")", EscapeJson(object.name), object.revision,
-                           EscapeJson(MessageOf(record.status()))));
+  gateway_.Log(
+      EventId::kEngineRecordRefused, "",
+      fmt::format(R"("engine":"{}","revision":{},"cause":"{}")", EscapeJsonPrefix(object.name, kMaxLoggedBytes),
+                  object.revision, EscapeJsonPrefix(MessageOf(record.status()), kMaxLoggedBytes)));
   return std::nullopt;
 }
 
--- a/tests/platform/store_entries_test.py
+++ b/tests/platform/store_entries_test.py
@@ -13,7 +13,8 @@
 - No gateway process ends by itself.
 - At least MIN_SHARE of the requests are served.
 - Each gateway follows a new engine and a new configuration within FOLLOWED_S.
-- The log names an object that no reader can take for a valid record.
+- The log names an object that no reader can take for a valid record, and each of its lines is a JSON object of at most
+  MAX_LINE_BYTES.
 """
 
 import argparse
@@ -34,6 +35,7 @@
 ENGINES, REQUESTS_PER_S, PAGE_SIZE, RANDOM_OBJECTS = 4, 60, 3, 5
 MIN_SHARE, FOLLOWED_S, START_S, REWRITE_S, SETTLE_S, CASE_S = 0.95, 2.0, 2.0, 0.5, 0.5, 2.6
 LOGGED_NAME_CHARS = 32  # The log may cut off longer names.
+MAX_LINE_BYTES = 32768
 WHEN = ("event", "start", "border", "rewritten")
 KINDS = ("servers", "config", "main")  # "main": the configuration itself.
 
@@ -188,19 +190,24 @@
         for server in [self.store, self.spare, *self.engines]:
             server.server.close()
 
-    def logged_names(self, gateway):
-        names = []
-        with open(gateway.log.name, encoding="utf-8", errors="replace") as log:
-            for line in log:
-                if '"engine_record_refused"' in line:
-                    names.append(json.loads(line).get("engine", ""))
-        return names
-
-    def unnamed(self):
+    def read_log(self, gateway):
+        """Returns the objects of the log, and how many of its lines aren't one, or are too long."""
+        lines, broken = [], 0
+        with open(gateway.log.name, "rb") as log:
+            for line in log.read().split(b"\n")[:-1]:
+                try:
+                    lines.append(json.loads(line))
+                    broken += len(line) > MAX_LINE_BYTES
+                except ValueError:
+                    broken += 1
+        return lines, broken
+
+    def unnamed(self, logs):
         """Returns labels of objects that some gateway's log does not name although it must have refused them."""
         missing = []
+        names = [[line.get("engine", "") for line in lines if line["name"] == "engine_record_refused"] for lines in logs]
         for odd in self.odd if self.kind == "servers" else []:
-            if odd.refused and any(not is_named(odd, self.logged_names(gateway)) for gateway in self.gateways):
+            if odd.refused and any(not is_named(odd, logged) for logged in names):
                 missing.append(odd.name[:LOGGED_NAME_CHARS])
         return missing
 
@@ -213,7 +220,10 @@
         for what, measuring in self.measuring.items():
             if late := sum(task.result() is None for task in measuring):
                 found.append(f"a new {what} not followed by {late} of {self.count}")
-        if missing := self.unnamed():
+        logs = [self.read_log(gateway) for gateway in self.gateways]
+        if broken := sum(count for _, count in logs):
+            found.append(f"{broken} broken lines of the log")
+        if missing := self.unnamed([lines for lines, _ in logs]):
             found.append(f"not named in the log: {ascii(missing[:3])}")
         return found
 
