A tenant's name that is no UTF-8 no longer ends the node that seals usage

nlohmann::json's dump throws on a string that is no UTF-8, and the usage reports, the lease's record and the orders to engines were dumped without a handler for that. Tenants' names in usage counts come from datagrams of peers, whose strings are only checked for their bounds: one damaged name ended the node that holds the duties' lease, out of its event loop, and the next holder after it. Now such bytes are replaced, as the forwarded state and the log's lines already do.

ForeignNeighboursTest.NamesThatAreNoUtf8AreWritten before: json.exception.type_error.316, invalid UTF-8 byte at index 1: 0xFF; now it passes. platform/duty_client.cc dumps the same names; it is not part of this commit.

--- a/src/gateway/engine_protocol.cc
+++ b/src/gateway/engine_protocol.cc
@@ -250,7 +250,7 @@
                                {names_.holder_member, holder},
                                {names_.token_member, action.fencing_token},
                                {names_.expected_sequence_member, action.expected_sequence}};
-  return body.dump();
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace saltquay::gateway
--- a/src/gateway/lease_codec.cc
+++ b/src/gateway/lease_codec.cc
@@ -21,7 +21,7 @@
 std::string EncodeLease(const serving::LeaseRecord& record) {
   return nlohmann::json{
       {"holder", record.holder}, {"address", record.address}, {"nonce", record.nonce}, {"token", record.token}}
-      .dump();
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 absl::StatusOr<serving::LeaseRecord> DecodeLease(const StoredObject& object) {
--- a/src/gateway/usage_codec.cc
+++ b/src/gateway/usage_codec.cc
@@ -49,7 +49,7 @@
   for (const duties::UsageReport& report : sealed.reports) {
     reports.push_back({{"window", report.window}, {"counts", report.counts}});
   }
-  return json{{"reports", reports}}.dump();
+  return json{{"reports", reports}}.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 absl::StatusOr<duties::SealedUsage> DecodeSealedUsage(const StoredObject& object) {
--- a/tests/gateway/foreign_neighbours_test.cc
+++ b/tests/gateway/foreign_neighbours_test.cc
@@ -9,6 +9,7 @@
 
 #include "src/base/status.h"
 #include "src/gateway/engine_protocol.h"
+#include "src/gateway/lease_codec.h"
 #include "src/gateway/log_explainer.h"
 #include "src/gateway/quarantine_store.h"
 #include "src/gateway/usage_codec.h"
@@ -163,5 +164,17 @@
   EXPECT_EQ(explainer.unparsed_lines()[0].number, 1);
 }
 
+// Guards against: a name that is no UTF-8, as a datagram of a peer can hold, ends the node that writes it on.
+TEST(ForeignNeighboursTest, NamesThatAreNoUtf8AreWritten) {
+  const duties::SealedUsage usage{3, {{7, {{"t\xff", 4}}}}};
+  const auto decoded = DecodeSealedUsage({"usage", 3, EncodeSealedUsage(usage)});
+  ASSERT_TRUE(decoded.ok());
+  ASSERT_EQ(decoded->reports.size(), 1U);
+  EXPECT_EQ(decoded->reports[0].counts.size(), 1U);
+  EXPECT_TRUE(DecodeLease({"duties", 3, EncodeLease({"n\xff", "\xfe", 5, 3, 3})}).ok());
+  const serving::SendStageOrder order{};
+  EXPECT_NE(EngineProtocol(EngineProtocolFields{}).MakeOrderBody(order, "n\xff"), "");
+}
+
 }  // namespace
 }  // namespace saltquay::gateway
