An address with a port out of range is none

ParseEndpoint took '127.0.0.1:65536' for port 0: from_chars leaves the value as it was and stops behind the digits. Addresses of peers come from datagrams, and settings from files, so such an address was called, or listened on, in place of a typed error. Records of engines were checked by their own parser.

--- a/src/http/socket.cc
+++ b/src/http/socket.cc
@@ -25,7 +25,8 @@
   if (valid) {
     const char* first = address.data() + colon + 1;
     const char* last = address.data() + address.size();
-    valid = first != last && std::from_chars(first, last, port).ptr == last;
+    const auto read = std::from_chars(first, last, port);
+    valid = read.ec == std::errc() && read.ptr == last;
     ip = boost::asio::ip::make_address_v4(address.substr(0, colon), error);
   }
   if (!valid || error)
