A peer's demand that is no number, and a negative age, do not count

One NaN in a peer's report of a service's demand made the sum over all nodes none, and with it the plan of the roles; a negative age made a report one of the future. Such a demand is left out, the report's other parts stay.

ForeignDatagramTest.DemandWithoutFiniteNumbersIsLeftOut before: 2 decode of 2, now 1; AgeIsNeverNegative before: -5000000us, now 0us. *Codec*:*Forward*:*Report*:*Peer* of gateway_test pass.

--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <limits>
 #include <optional>
 
@@ -159,6 +160,12 @@
 
 namespace {
 
+bool HasValidNumbers(const wire::ServiceDemand& demand) {
+  const auto numbers = {demand.prefill_engines(), demand.decode_engines(), demand.reading_depth(),
+                        demand.reading_engines()};
+  return std::all_of(numbers.begin(), numbers.end(), [](float number) { return std::isfinite(number) && number >= 0; });
+}
+
 // Reads the fields about the sender and the duties; the other lists are read by DecodeReport.
 void ReadSender(const wire::Report& source, serving::PeerReport& report) {
   report.node = Text(source.node());
@@ -169,7 +176,7 @@
   report.aggregate = source.aggregate();
   report.scope = static_cast<serving::ReportScope>(source.scope());
   report.nodes = std::max(0, source.nodes());
-  report.age = std::chrono::milliseconds(source.age_ms());
+  report.age = std::chrono::milliseconds(std::max(0, source.age_ms()));
   report.zone = Text(source.zone());
   report.link_mbps = source.link_mbps();
   if (const wire::LeaseMark* lease = source.lease()) {
@@ -219,6 +226,7 @@
     if (const auto mark = CrashFromWire(item)) report.crashes.push_back(*mark);
   });
   ForEach(source->demand(), [&](const wire::ServiceDemand& item) {
+    if (!HasValidNumbers(item)) return;
     report.demand.push_back({Text(item.service()), item.prefill_engines(), item.decode_engines(), item.reading_depth(),
                              item.depth_nodes(), Text(item.region()), item.reading_engines()});
   });
