--- a/src/gateway/forward_protocol.cc
+++ b/src/gateway/forward_protocol.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
 #include "src/gateway/retry_after.h"
 
 namespace saltquay::gateway {
@@ -66,8 +67,9 @@
 }
 
 absl::StatusOr<serving::ForwardedRequest> DecodeForwardedState(const http::RequestHead& head) {
-  const json state = json::parse(head.fields.Find(kForwardedField).value_or(""), nullptr, false);
-  if (!state.is_object()) return InvalidMember("");
+  const absl::StatusOr<json> parsed = ParseBoundedJson(head.fields.Find(kForwardedField).value_or(""));
+  if (!parsed.ok() || !parsed->is_object()) return InvalidMember("");
+  const json& state = *parsed;
   serving::ForwardedRequest decoded;
   const auto node = state.find("node");
   if (node == state.end() || !node->is_string()) return InvalidMember("node");
