Streams of unknown origin are remembered while their clients come back

Cause: the time for which one version must have served alone before it may be inferred was compared with the age of a stream, as if that had a bound. But a refusal asks the client to come back, so it has none; only the time between two of its attempts has.

So each attempt renews what is recorded about its stream, here and at the responsible peers, at most every 5 s. If nobody knows the origin, that is recorded instead, as a notice with the attempt -1 (a node of an earlier version takes it for an origin of the version "", and refuses). Nothing is inferred for such a stream; a known origin that turns up replaces the record. A request that is handed to a peer no longer makes this node forget where a resumed stream began.

--- a/src/core/serving/forward_steps.cc
+++ b/src/core/serving/forward_steps.cc
@@ -53,7 +53,8 @@
   flow.engine_wait_ends.reset();
   flow.tried_peers.insert(peer->node);
   forwarding_peers_.RecordSent(peer->node);
-  stream_origins_.Forget(StreamKeyOf(flow));  // The peer determines it.
+  // The peer determines where a new stream begins.
+  if (flow.metadata.last_event_id.empty()) stream_origins_.Forget(StreamKeyOf(flow));
   Attempt attempt;
   attempt.id = ++last_attempt_;
   attempt.mode = AttemptMode::kForward;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -287,6 +287,8 @@
   void OnStreamAnswer(Flow& flow, const StreamAnswer& answer);
   // The version if it must be that one, since no other has served; nullopt if it cannot be told.
   std::optional<std::string> InferSoftwareVersion(const std::string& service, const StreamAnswer& answer);
+  // The flow's client has come back: what is recorded about its stream lasts until it may come back once more.
+  void RenewStream(const Flow& flow, const StreamOrigin& origin);
   // `evidence`: see DescribeEvidence.
   void ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source, std::string_view evidence);
   // JSON members that tell what the decision about a stream's version rests on, with a leading comma: how many peers
--- a/src/core/serving/software_version_steps.cc
+++ b/src/core/serving/software_version_steps.cc
@@ -26,8 +26,8 @@
 
 void ServingCore::FindStreamOrigin(Flow& flow) {
   const StreamKey stream = StreamKeyOf(flow);
-  if (const std::optional<StreamOrigin> origin = stream_origins_.Find(stream, now_))
-    return ResumeAt(flow, *origin, "this node", "");
+  const std::optional<StreamOrigin> origin = stream_origins_.Find(stream, now_);
+  if (origin && origin->known()) return ResumeAt(flow, *origin, "this node", "");
   flow.origin_pending = true;
   awaiting_origin_.emplace(stream, flow.id);
   ScheduleWakeUp(flow);
@@ -37,11 +37,11 @@
 void ServingCore::OnStreamAnswer(Flow& flow, const StreamAnswer& answer) {
   flow.origin_pending = false;
   if (answer.origin) {
-    stream_origins_.Record(answer.stream, *answer.origin, stream_lifetime_, now_);
     return ResumeAt(flow, *answer.origin, "peer", DescribeEvidence(answer));
   }
   if (const std::optional<std::string> only = InferSoftwareVersion(flow.service, answer))
     return ResumeAt(flow, {*only}, "only version", DescribeEvidence(answer));
+  RenewStream(flow, kUnknownOrigin);
   actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
   Refuse(flow, kUnavailable, "software version of the stream is not known", parameters_.retry_after,
          DescribeEvidence(answer));
@@ -56,7 +56,9 @@
 }
 
 std::optional<std::string> ServingCore::InferSoftwareVersion(const std::string& service, const StreamAnswer& answer) {
-  if (answer.several_versions) return std::nullopt;
+  const std::optional<StreamOrigin> recorded = stream_origins_.Find(answer.stream, now_);
+  const bool is_unknown = answer.origin_unknown || (recorded && !recorded->known());
+  if (answer.several_versions || is_unknown) return std::nullopt;
   version_history_.Refresh(engines_, now_);
   const std::vector<std::string> seen = version_history_.SeenWithin(service, stream_lifetime_, now_);
   std::set<std::string> versions(seen.begin(), seen.end());
@@ -69,6 +71,7 @@
 }
 
 void ServingCore::ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source, std::string_view evidence) {
+  RenewStream(flow, origin);
   BindOrigin(flow, origin);
   if (!flow.software_version) {
     actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
@@ -83,6 +86,13 @@
   Advance(flow);
 }
 
+void ServingCore::RenewStream(const Flow& flow, const StreamOrigin& origin) {
+  const StreamKey stream = StreamKeyOf(flow);
+  const bool tells_peers = stream_origins_.Renew(stream, origin, stream_lifetime_, now_);
+  const bool announces = UpdateStreamAnnouncing(flow.service) || !origin.known() || origin.process;
+  if (tells_peers && announces) stream_origins_.Announce(stream, now_);
+}
+
 bool ServingCore::LacksSoftwareVersion(Flow& flow) {
   if (flow.origin_process) BindOrigin(flow, {"", 0, flow.origin_process});
   if (!flow.software_version) return flow.origin_process.has_value();
--- a/src/core/serving/stream_messages.h
+++ b/src/core/serving/stream_messages.h
@@ -31,8 +31,12 @@
   // Set instead of the version while no record of the engine's process has arrived.
   std::optional<EngineProcess> process = std::nullopt;
 
+  // False: nobody knew it when a client came back, so it is older than what the nodes remember.
+  bool known() const { return attempt >= 0; }
   bool operator==(const StreamOrigin&) const = default;
 };
+// Any known origin replaces it.
+inline const StreamOrigin kUnknownOrigin{"", -1};
 
 // The request is sent to an engine of that version.
 struct StreamNotice {
@@ -50,7 +54,7 @@
 
 enum class StreamKnowledge : std::uint8_t {
   kNone,             // The sender cannot tell.
-  kOrigin,           // It was told the stream's origin.
+  kOrigin,           // It was told the stream's origin, or that it is unknown.
   kOnlyVersion,      // It was not, but only this version has served for as long as a client may come back.
   kSeveralVersions,  // It was not, and several versions have served.
 };
--- a/src/core/serving/stream_origins.cc
+++ b/src/core/serving/stream_origins.cc
@@ -23,6 +23,14 @@
   if (streams_.size() > parameters_.max_streams) streams_.erase(expiries_.extract(expiries_.begin()).mapped());
 }
 
+bool StreamOrigins::Renew(StreamKey stream, const StreamOrigin& origin, Duration lifetime, Time now) {
+  const auto entry = streams_.find(stream);
+  const bool lasts = entry != streams_.end() && entry->second.origin == origin &&
+                     entry->second.expires_at > now + lifetime - parameters_.renewal_interval;
+  if (!lasts) Record(stream, origin, lifetime, now);
+  return !lasts;
+}
+
 void StreamOrigins::Resolve(const EngineProcess& process, const std::string& software_version) {
   std::erase_if(unversioned_, [&](StreamKey stream) {
     const auto entry = streams_.find(stream);
@@ -62,7 +70,8 @@
   if (entry == streams_.end() || entry->second.expires_at <= now) return;
   entry->second.announced = true;
   const StreamNotice notice{stream, entry->second.origin, entry->second.expires_at - now};
-  const std::size_t count = notice.origin.process ? parameters_.peers_asked : parameters_.peers_told;
+  const bool has_version = notice.origin.known() && !notice.origin.process;
+  const std::size_t count = has_version ? parameters_.peers_told : parameters_.peers_asked;
   for (const std::string& address : ResponsiblePeers(stream, count)) messages_.push_back({address, notice});
 }
 
@@ -99,7 +108,10 @@
   if (entry == questions_.end() || entry->second.unanswered.erase(reply.from) == 0) return;
   StreamAnswer& answer = entry->second.answer;
   ++answer.peers_answered;
-  if (reply.knowledge == StreamKnowledge::kOrigin) answer.origin = reply.origin;
+  if (reply.knowledge == StreamKnowledge::kOrigin) {
+    answer.origin_unknown = answer.origin_unknown || !reply.origin.known();
+    if (reply.origin.known()) answer.origin = reply.origin;
+  }
   if (reply.knowledge == StreamKnowledge::kSeveralVersions) answer.several_versions = true;
   if (reply.knowledge == StreamKnowledge::kOnlyVersion) {
     const std::string& version = reply.origin.software_version;
@@ -114,7 +126,8 @@
 // Half of the peers are enough to tell that there is one version only: if there were two, streams would be announced.
 bool StreamOrigins::IsSettled(const Question& question) {
   if (question.answer.origin || question.unanswered.empty()) return true;
-  const bool one_version = question.answer.only_version && !question.answer.several_versions;
+  const bool one_version =
+      question.answer.only_version && !question.answer.several_versions && !question.answer.origin_unknown;
   return one_version && 2 * question.unanswered.size() <= question.answer.peers_asked;
 }
 
--- a/src/core/serving/stream_origins.h
+++ b/src/core/serving/stream_origins.h
@@ -11,6 +11,11 @@
 // takes the first reply that names an origin. If nobody knows, the version may be inferred only if one version alone
 // has served for long enough, and no peer objects; otherwise the request has to be refused. A version that replaces
 // another one is announced twice: peers that miss it would name the earlier one.
+//
+// A client that is refused comes back, so how old a stream is has no bound. Only the time between two of its attempts
+// has: each attempt renews what is recorded about the stream, here and at the peers. If nobody knows its origin, that
+// is recorded instead. For such a stream nothing is inferred, since it may have begun before the time that the
+// inference covers; a known origin that turns up replaces the record.
 #pragma once
 
 #include <cstddef>
@@ -31,6 +36,7 @@
   std::size_t peers_asked = 6;
   Duration resend_interval = 50ms;
   Duration reply_timeout = 150ms;  // Then the peers that have not replied are taken for unreachable.
+  Duration renewal_interval = 5s;  // What is recorded about a stream is renewed at most that often.
   std::size_t max_streams = 65536;
 };
 
@@ -38,6 +44,7 @@
 struct StreamAnswer {
   StreamKey stream = 0;
   std::optional<StreamOrigin> origin;
+  bool origin_unknown = false;  // A peer was told that the origin is unknown.
   // The only version that has served for long enough, by a peer that knows; nullopt if none does.
   std::optional<std::string> only_version;
   bool several_versions = false;  // A peer knows of several.
@@ -57,12 +64,16 @@
   void OnNotice(const StreamNotice& notice, Time now);
   // Records the origin for at least that long, unless a later attempt's is known.
   void Record(StreamKey stream, const StreamOrigin& origin, Duration lifetime, Time now);
+  // A client has come back to the stream: extends the life of the known origin to `lifetime`, or records that it is
+  // unknown. Returns whether the peers should be told.
+  bool Renew(StreamKey stream, const StreamOrigin& origin, Duration lifetime, Time now);
   // A record has told the software version of the process.
   void Resolve(const EngineProcess& process, const std::string& software_version);
   void Forget(StreamKey stream) { streams_.erase(stream); }
+  // What is recorded about the stream; the origin may be unknown.
   std::optional<StreamOrigin> Find(StreamKey stream, Time now) const;
-  // Tells the peers that are responsible for the stream what is recorded about it; all that may be asked if only its
-  // process is, since the others might take the only known version for the stream's.
+  // Tells the peers that are responsible for the stream what is recorded about it; all that may be asked if its version
+  // is not, since the others might take the only known version for the stream's.
   void Announce(StreamKey stream, Time now);
   // The same for each stream that was recorded here and not announced.
   void AnnounceAll(Time now);
