Streams are remembered for a minute after their route's timeout

stream_return_time is 60 s now: origins, announcements and the time for which one version must have served alone keep one common span.

--- a/src/core/serving/serving_parameters.h
+++ b/src/core/serving/serving_parameters.h
@@ -134,7 +134,7 @@
   Duration retry_after = 400ms;
   int max_attempts_per_flow = 5;
   // How long after the longest duration of a stream its client may still come back to resume it.
-  Duration stream_return_time = 10s;
+  Duration stream_return_time = 60s;
 };
 
 }  // namespace saltquay::serving
--- a/src/core/serving/stream_origins.h
+++ b/src/core/serving/stream_origins.h
@@ -37,7 +37,7 @@
   Duration resend_interval = 50ms;
   Duration reply_timeout = 150ms;  // Then the peers that have not replied are taken for unreachable.
   Duration renewal_interval = 5s;  // What is recorded about a stream is renewed at most that often.
-  std::size_t max_streams = 65536;
+  std::size_t max_streams = 131072;
 };
 
 // The outcome of a question to the peers.
--- a/tests/core/serving/software_version_test.cc
+++ b/tests/core/serving/software_version_test.cc
@@ -8,6 +8,9 @@
 namespace saltquay::serving {
 namespace {
 
+// Longer than clients may be silent before they come back to a stream.
+constexpr Duration kLongEnough = 90s;
+
 // Plain stream route "chat" before uniform engines: a1 and a2 of version A, b1 and b2 of version B.
 class SoftwareVersionTest : public ServingFixture {
  protected:
@@ -136,7 +139,7 @@
   RemoveVersionB();
   Resume("unknown");
   EXPECT_EQ(One<SendLocalReply>().status, 503);  // Engines of version B have served until now.
-  Pass(20s);
+  Pass(kLongEnough);
   Resume("unknown");
   EXPECT_EQ(One<StartAttempt>().engine_id[0], 'a');
 }
@@ -144,7 +147,7 @@
 // Guards against: while the store is away, a version that came meanwhile is not seen, and the known one is assumed.
 TEST_F(SoftwareVersionTest, OnlyVersionIsNotAssumedWithoutTheStore) {
   RemoveVersionB();
-  Pass(20s);
+  Pass(kLongEnough);
   Send(StoreConnectivityChanged{false});
   Resume("unknown");
   EXPECT_EQ(One<SendLocalReply>().status, 503);
@@ -153,7 +156,7 @@
 // Guards against: streams cannot be resumed while the store is away, since no node may assume the only version then.
 TEST_F(SoftwareVersionTest, StreamsInFlightAreAnnouncedWhenTheStoreIsLost) {
   RemoveVersionB();
-  Pass(20s);
+  Pass(kLongEnough);
   SetPeers();
   BeginResponse();
   EXPECT_TRUE(All<SendStreamMessages>().empty());
@@ -164,13 +167,13 @@
 // Guards against: a version that came and went while the store was away is not counted.
 TEST_F(SoftwareVersionTest, OnlyVersionIsAssumedTheWholeTimeAfterTheStoreHasReturned) {
   RemoveVersionB();
-  Pass(20s);
+  Pass(kLongEnough);
   Send(StoreConnectivityChanged{false});
   Pass(1s);
   Send(StoreConnectivityChanged{true});
   Resume("unknown");
   EXPECT_EQ(One<SendLocalReply>().status, 503);
-  Pass(20s);
+  Pass(kLongEnough);
   Resume("unknown");
   EXPECT_EQ(One<StartAttempt>().engine_id[0], 'a');
 }
@@ -217,7 +220,7 @@
 // Guards against: streams that began before a second version came are unknown to the peers.
 TEST_F(SoftwareVersionTest, StreamsInFlightAreAnnouncedWhenASecondVersionComes) {
   RemoveVersionB();
-  Pass(20s);
+  Pass(kLongEnough);
   SetPeers();
   BeginResponse();
   EXPECT_TRUE(All<SendStreamMessages>().empty());
@@ -331,7 +334,7 @@
 // Guards against: peers that are not told take the only version of the records for that of such a stream.
 TEST_F(EngineProcessTest, StreamAtAnUnrecordedProcessIsAnnouncedAlthoughOneVersionServes) {
   Send(EnginesReplaced{{Engine("a1", "A")}});
-  Pass(20s);
+  Pass(kLongEnough);
   SetPeers();
   Arrive("chat");
   FindOtherProcess(One<StartAttempt>());
