Store responses: each entry is read by itself, so that one can't end the process or spoil a list

What callers saw: one entry of another writer ended every node by SIGSEGV, again and again (nested 50,000 deep in `spec`), or kept all nodes from following the store (a number out of range, 1e400, anywhere in a list or watch).

Cause: the whole response was parsed into one value of nlohmann::json. Each record was then written out from it (`dump`), and members were copied; both recurse a level each. One value that didn't decode made the whole response an error.

An entry without a valid name or revision has no content, as before, and StoredObject::defect says why. The message of a refusal gives cause, size, depth, kind and name, and is bounded: a state or unit of 900 KB went into the log whole.

--- a/src/base/bounded_json.cc
+++ b/src/base/bounded_json.cc
@@ -1,5 +1,6 @@
 #include "src/base/bounded_json.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -89,4 +90,24 @@
   return std::move(builder.root());
 }
 
+std::size_t JsonDepth(std::string_view text) {
+  std::size_t depth = 0;
+  std::size_t deepest = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char character = text[i];
+    if (in_string) {
+      if (character == '\\') ++i;  // The next character cannot end the string.
+      in_string = character != '"';
+    } else if (character == '"') {
+      in_string = true;
+    } else if (character == '[' || character == '{') {
+      deepest = std::max(deepest, ++depth);
+    } else if (depth > 0 && (character == ']' || character == '}')) {
+      --depth;
+    }
+  }
+  return deepest;
+}
+
 }  // namespace saltquay
--- a/src/base/bounded_json.h
+++ b/src/base/bounded_json.h
@@ -18,4 +18,7 @@
 // names the cause and its position and does not repeat any of the text. Never throws.
 absl::StatusOr<nlohmann::json> ParseBoundedJson(std::string_view text);
 
+// Returns in how many levels arrays and objects are nested in `text`, which need not be JSON.
+std::size_t JsonDepth(std::string_view text);
+
 }  // namespace saltquay
--- a/src/gateway/object_store.h
+++ b/src/gateway/object_store.h
@@ -21,7 +21,8 @@
 struct StoredObject {
   std::string name;
   std::int64_t revision = 0;
-  std::string content;  // JSON.
+  std::string content;   // JSON.
+  std::string defect{};  // Why the store's entry cannot be read, if so: it has no content then.
 };
 
 struct ObjectList {
--- a/tests/base/bounded_json_test.cc
+++ b/tests/base/bounded_json_test.cc
@@ -120,5 +120,16 @@
   ExpectCorrupt("[" + Repeat("1", 1'000'000) + "]", "a number is out of range");
 }
 
+TEST(JsonDepthTest, CountsNestedArraysAndObjects) {
+  EXPECT_EQ(JsonDepth(""), 0U);
+  EXPECT_EQ(JsonDepth("7"), 0U);
+  EXPECT_EQ(JsonDepth(Arrays(1)), 1U);
+  EXPECT_EQ(JsonDepth(Mixed(64)), 64U);
+  EXPECT_EQ(JsonDepth(Objects(200'000)), 200'000U);
+  EXPECT_EQ(JsonDepth(R"([[],[{"a":[]}],[]])"), 4U);
+  EXPECT_EQ(JsonDepth(R"(["[[[\"[[{","\\",["]"]])"), 2U);
+  for (const char* const text : {"]]]]", "[", "[[}}]", "\"[[", "\"\\", "\"a\\"}) EXPECT_LE(JsonDepth(text), 2U) << text;
+}
+
 }  // namespace
 }  // namespace saltquay
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -6,21 +6,16 @@
 
 #include "absl/strings/str_join.h"
 #include "platform/json_sanitizer.h"
-#include "platform/object_store_client.h"
 #include "platform/records.h"
-#include "tests/support/scripted_server.h"
+#include "tests/support/store_client_fixture.h"
 
 namespace saltquay::platform {
 namespace {
 
+using saltquay::testing::Reply;
 using saltquay::testing::ScriptedConnection;
 using saltquay::testing::ScriptedServer;
 
-std::string Reply(int status, const std::string& body) {
-  return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
-}
-
 TEST(RecordsTest, ParsesConfiguration) {
   const auto config = ParseConfig({"main", 3, R"({"version":7,"routes":[
     {"name":"r1","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":4000,"target_latency_ms":600,"priority":1,
@@ -219,6 +214,36 @@
   }
 }
 
+// Guards against a refusal that doesn't tell which entry to look at, or that is as long as the entry.
+TEST(RecordsTest, RefusalNamesTheObjectAndStaysShort) {
+  const std::string deep = std::string(50'000, '[') + std::string(50'000, ']');
+  const std::string message = MessageOf(ParseEngine({"odd", 5, deep}).status());
+  EXPECT_NE(message.find("nested deeper than 64 levels"), std::string::npos) << message;
+  EXPECT_NE(message.find("record of 100000 bytes in 50000 levels; servers/odd;"), std::string::npos) << message;
+  EXPECT_NE(
+      MessageOf(ParseConfig({"main", 5, deep}).status()).find("record of 100000 bytes in 50000 levels; config/main;"),
+      std::string::npos);
+  gateway::StoredObject unreadable{"odd", 0, ""};
+  unreadable.defect = "the entry's revision is not a whole number";
+  EXPECT_NE(MessageOf(ParseEngine(unreadable).status()).find(unreadable.defect), std::string::npos);
+
+  const std::string endless(900'000, 'x');
+  for (const std::string& text :
+       {R"({"service":"s","address":"1.2.3.4:5","slots":4,"state":")" + endless + "\"}", "[" + endless,
+        R"({")" + endless + R"(":1})", R"({"service":"s","address":")" + endless + "\"}", "\"" + endless + "\""}) {
+    for (const std::string& name : {std::string("odd"), endless}) {
+      EXPECT_LT(MessageOf(ParseEngine({name, 5, text}).status()).size(), 400U);
+      EXPECT_LT(MessageOf(ParseConfig({name, 5, text}).status()).size(), 400U);
+    }
+  }
+  EXPECT_LT(MessageOf(ParseLimitOf(R"(,"rate_per_s":5,"unit":")" + endless + "\"").status()).size(), 400U);
+  // A name is cut between two characters.
+  std::string wide_name;
+  for (int i = 0; i < 100; ++i) wide_name += "a\xC4\x9F";
+  const std::string cut = MessageOf(ParseEngine({wide_name, 5, "{}"}).status());
+  EXPECT_EQ(SanitizeJson(cut), cut);
+}
+
 TEST(JsonSanitizerTest, ReplacesOnlyInvalidText) {
   const std::string pair = R"({"a":"\ud83d\ude00 \\ud800 \n é"})";
   EXPECT_EQ(SanitizeJson(pair), pair);
@@ -240,24 +265,7 @@
   RC_ASSERT(nlohmann::json::accept(SanitizeJson("{\"a\":\"" + bytes + "\"}")));
 }
 
-class StoreTest : public ::testing::Test {
- protected:
-  template <typename Result, typename Begin>
-  absl::StatusOr<Result> Run(const std::string& address, Begin begin) {
-    ObjectStoreClient client(loop_, address);
-    std::optional<absl::StatusOr<Result>> result;
-    begin(client, [&](absl::StatusOr<Result> value) { result = std::move(value); });
-    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (!result && std::chrono::steady_clock::now() < limit) {
-      loop_.restart();
-      loop_.run_one_for(std::chrono::milliseconds(50));
-    }
-    loop_.restart();
-    loop_.poll();
-    return result ? *result : absl::InternalError("no response within 5 s");
-  }
-  boost::asio::io_context loop_;
-};
+using StoreTest = saltquay::testing::StoreClientFixture;
 
 constexpr char kObject[] = R"({"metadata":{"name":"a","revision":5},"spec":{"x":1},"status":null})";
 
