CrashReporter: a process that a signal ends tells the signal, what it was doing, and its stack

Operators saw nodes that ended by themselves, and no line that says why: the last lines of the log were those of the second before, and up to 32 KB of lines that were held for the next flush were lost as well.

At SIGSEGV (also by stack overflow: the handler has a stack of its own), SIGBUS, SIGABRT (std::terminate), SIGFPE and SIGILL the process now writes the lines that its log still holds, then `node_crashed` (signal, open requests, activities, innermost first) and `node_crash_stack` (frames of one call site in a row count as one, so that a recursion shows both its ends), and ends by the same signal. The handler allocates nothing: the line's buffer, the frames and the stack exist before. An alarm ends it if the unwinder hangs. ScopedActivity records what a thread is doing; the http server, the fetcher, the gateway's requests and responses, and the readers of records set it.

Limits: lines are lost if the signal comes within an append to the log, or if the reader takes nothing for 0.1 s. Frames of shared libraries without a symbol are told by address only.

Failed try: one line with both. Walking a damaged stack may end the handler, and the half line before it isn't JSON.

--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -13,6 +13,8 @@
   kNodeStopping = 102,
   kNodeStopped = 103,
   kNodeStoodStill = 104,
+  kNodeCrashed = 105,
+  kNodeCrashStack = 106,
   kMemberAlive = 200,
   kMemberSuspect = 201,
   kMemberDead = 202,
--- a/src/base/log_stream.h
+++ b/src/base/log_stream.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "src/base/event_catalogue.h"
+#include "src/base/json_escape.h"
 
 namespace saltquay {
 
@@ -35,6 +36,8 @@
   void Flush();
 
   bool empty() const { return buffer_.empty(); }
+  // Lines that were not written yet; the last of them may be incomplete.
+  std::string_view buffered() const { return buffer_; }
   std::uint64_t dropped() const { return dropped_; }
 
  private:
@@ -49,12 +52,4 @@
   std::uint64_t dropped_told_ = 0;
 };
 
-// Maximum length of a text in the log that someone else chose, in bytes.
-inline constexpr std::size_t kMaxLoggedBytes = 512;
-
-// Returns `text`, which is UTF-8, as the inside of a JSON string in ASCII. Invalid bytes become U+FFFD.
-std::string EscapeJson(std::string_view text);
-// Escapes at most `max_bytes` of `text`, at the end of a character, and appends "..." to a text that is longer.
-std::string EscapeJsonPrefix(std::string_view text, std::size_t max_bytes);
-
 }  // namespace saltquay
--- a/src/fetch/fetcher.cc
+++ b/src/fetch/fetcher.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "src/base/crash_reporter.h"
 #include "src/http/boot_timer.h"
 
 namespace saltquay::fetch {
@@ -17,6 +18,7 @@
     BootTimer stall_timer;
     std::chrono::milliseconds stall_timeout { 0 };
     std::string pool;
+    std::string target;
     Reply reply;
     Handler done;
 };
@@ -29,6 +31,7 @@
     auto const pending = std::make_shared<Pending>(loop_);
     pending->done = std::move(done);
     pending->pool = options.pool;
+    pending->target = head.target;
     pending_[id] = pending;
     if (!endpoint.ok()) {
         boost::asio::post(loop_,
@@ -113,6 +116,8 @@
     pending->stall_timer.cancel();
     // This may run inside the call's own handler, so the call is destroyed later.
     boost::asio::post(loop_, [pending] { pending->call.reset(); });
+    ScopedActivity const activity(
+        "handle response", pending->pool, pending->target, 0, reply.ok() ? reply->body.size() : 0);
     pending->done(std::move(reply));
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <boost/asio/post.hpp>
 
+#include "src/base/crash_reporter.h"
 #include "src/gateway/request_fingerprint.h"
 #include "src/gateway/response_end.h"
 
@@ -78,6 +79,7 @@
 
 void Gateway::Dispatch(const serving::Event& event) {
   std::vector<serving::Action> actions;
+  SetCrashOpenRequests(flows_.size());
   core_.OnEvent(Now(), event, actions);
   for (const serving::Action& action : actions) {
     std::visit([this](const auto& typed) { Perform(typed); }, action);
@@ -110,6 +112,7 @@
   arrived.metadata.fingerprint = FingerprintRequest(exchange->head, exchange->body, fingerprint_key_);
   if (arrived.metadata.prompt) FingerprintPromptParts(arrived.metadata.prompt->parts, fingerprint_key_);
   arrived.metadata.forwarded = forwarded;
+  const ScopedActivity activity("handle request", "request", arrived.metadata.request_id, 0, exchange->body.size());
   flows_[id] = ActiveFlow{exchange, arrived.metadata.request_id, Now(), false, false, forwarded.has_value(), {}};
   exchange->on_client_left = [this, id, of_peer = forwarded.has_value()] {
     if (flows_.erase(id) == 0) return;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -1,13 +1,15 @@
 #include "src/gateway/gateway_process.h"
 
 #include <malloc.h>
-#include <algorithm>
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 
 #include <fmt/format.h>
 
+#include "src/base/crash_reporter.h"
+
 namespace saltquay::gateway {
 namespace {
 
@@ -112,10 +114,11 @@
   gateway_.on_check_engine_at_peers = [this](const serving::CheckEngineAtPeers& action) { engine_checks_.Ask(action); };
 }
 
-GatewayProcess::~GatewayProcess() = default;
+GatewayProcess::~GatewayProcess() { SetCrashLog(nullptr); }
 
 absl::Status GatewayProcess::Start() {
   std::signal(SIGPIPE, SIG_IGN);
+  SetCrashLog(&log_);
   // A fixed threshold: buffers of long messages go back to the system when they are freed, instead of staying in a heap
   // of many pieces.
   constexpr int kMappedBytes = 128 * 1024;
@@ -219,6 +222,8 @@
 
 void GatewayProcess::OnConfigObject(const StoredObject& object) {
   if (object.name != parsers_.config_name) return;
+  const ScopedActivity activity("read record", parsers_.config_kind, object.name, object.revision,
+                                object.content.size());
   absl::StatusOr<serving::ServingConfig> config = parsers_.parse_config(object);
   if (!config.ok()) {
     gateway_.Log(EventId::kConfigRefused, "",
@@ -255,6 +260,8 @@
 }
 
 std::optional<serving::EngineRecord> GatewayProcess::ParseEngineRecord(const StoredObject& object) {
+  const ScopedActivity activity("read record", parsers_.engine_kind, object.name, object.revision,
+                                object.content.size());
   absl::StatusOr<serving::EngineRecord> record = compacting_store_.ParseEngine(object);
   if (record.ok()) return std::move(*record);
   gateway_.Log(
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -1,6 +1,7 @@
 // Responses of engines and peers to attempts, from their heads to their ends.
 #include <fmt/format.h>
 
+#include "src/base/crash_reporter.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/response_end.h"
 
@@ -86,6 +87,7 @@
 void Gateway::OnBody(serving::AttemptId id, std::string_view bytes) {
   const auto entry = attempts_.find(id);
   if (entry == attempts_.end()) return;
+  const ScopedActivity activity("handle response", entry->second.engine_id, entry->second.request_id, 0, bytes.size());
   traffic_.Count(TrafficKind::kResponse, entry->second.locality, bytes.size());
   if (entry->second.relays_events) {
     RelayEvents(id, entry->second, bytes);
@@ -121,6 +123,7 @@
   const auto entry = attempts_.find(id);
   if (entry == attempts_.end()) return;
   ActiveAttempt& attempt = entry->second;
+  const ScopedActivity activity("end response", attempt.engine_id, attempt.request_id);
   if (attempt.relays_events) {
     if (const auto failure = FindTruncation(attempt.events)) return FailAttempt(id, *failure);
   }
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include "src/base/crash_reporter.h"
 #include "src/http/socket.h"
 
 namespace saltquay::http {
@@ -168,6 +169,8 @@
   exchange_->connection_ = weak_from_this();
   request_keeps_alive_ = exchange_->head.keep_alive;
   const std::shared_ptr<Exchange> exchange = exchange_;
+  const ScopedActivity activity("handle request", exchange->head.method, exchange->head.target, 0,
+                                exchange->body.size());
   server_->handler_(exchange);
 }
 
