--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -7,7 +7,8 @@
 - Proxies in front of engines and the store delay, reset or swallow data, in one or both directions. Open connections
   are blackholed for good while new ones work. Every gateway has its own proxy to the store, so that single gateways
   can be disconnected from it.
-- The store refuses calls or forgets its history; another writer corrupts the records of engines.
+- The store refuses calls or forgets its history; another writer corrupts the records of engines, and adds odd
+  objects (nested deeply, with numbers out of range, of other types, under odd names) that change twice a second.
 - Engines lose responses, send them once more, late, drain, or restart under the same id; handles lapse.
 - Gateways are stopped, paused, reloaded and killed, alone, in series and all at once, and are started again.
 Clients reuse open connections until they are closed.
@@ -46,13 +47,15 @@
 from soak_faults import Faults  # noqa: E402
 from soak_gateway import Gateway  # noqa: E402
 from soak_oracle import KEPT_ROUTES, LIMIT_WINDOW_S, LIMITED_TENANTS, LIMITS, ROUTES, TENANTS, Oracle  # noqa: E402
-from soak_standins import DutyPlatform, Engine, Proxy, Store  # noqa: E402
+from soak_standins import DutyPlatform, Engine, Proxy  # noqa: E402
+from soak_writer import OtherWriter  # noqa: E402
+from store_entries_standins import RawStore  # noqa: E402
 
 
-class Soak(Clients, Faults):
+class Soak(Clients, Faults, OtherWriter):
     def __init__(self, arguments, folder, fault_log):
         self.arguments, self.folder, self.fault_log = arguments, folder, fault_log
-        self.rng, self.oracle, self.store = random.Random(arguments.seed), Oracle(), Store()
+        self.rng, self.oracle, self.store = random.Random(arguments.seed), Oracle(), RawStore()
         self.duties = DutyPlatform(self.oracle, self.rng)
         self.engines, self.proxies, self.gateways, self.number = self.oracle.engines, {}, [], 0
         self.routes, self.generation = [], 0
@@ -141,6 +144,7 @@
         await asyncio.gather(*fault_series, self.keep_running(until + 3), self.change_configuration(until),
                              self.probe_configurations(until), self.run_fatal_client(until),
                              self.kill_all_gateways(until), self.send_responses_again(until),
+                             self.write_odd_objects(until),
                              *[self.run_limited_client(until, tenant) for tenant in LIMITS for _ in range(4)],
                              *[self.run_client(until) for _ in range(24)])
         keeping = asyncio.ensure_future(self.keep_running(time.monotonic() + 13))
--- a/tests/platform/soak_check_test.py
+++ b/tests/platform/soak_check_test.py
@@ -13,6 +13,7 @@
 from soak_gateway import Gateway
 from soak_oracle import KEPT_ROUTES, LIMIT_WINDOW_S, LIMITS, RECOVERY_S, Oracle
 from soak_standins import DutyPlatform, Engine, Store
+from store_entries_standins import RawStore, odd_objects, random_object
 
 
 def soak():
@@ -238,6 +239,43 @@
         older = {**head, "x-fencing-token": "4"}
         self.assertEqual(platform.accept_report(older, {"window_number": 9, "counts": {}}), 409)
 
+    def test_store_sends_odd_objects_as_they_are_and_pages_end(self):
+        async def run():
+            store = RawStore(page_size=2)
+            for index, (label, odd) in enumerate(odd_objects().items()):
+                if index % 10 == 0 or label.startswith(("name", "number")):
+                    await store.put_raw("servers", odd.name, lambda revision, odd=odd: odd.encode(revision, {"slots": 8}))
+            await store.put("servers", "last", {"slots": 8})
+            names, after = [], None
+            while True:
+                page = store.page("servers", after)
+                names.append(page)
+                more = sorted(name for _, name in store.objects if after is None or name > after)
+                if b'"more":false' in page:
+                    return names, store
+                after = more[1]
+
+        pages, store = asyncio.run(run())
+        self.assertEqual(len(pages), (len(store.objects) + 1) // 2)
+        self.assertTrue(b'"name": "last"' in b"".join(pages))
+        self.assertTrue("a\u011f-yedek-5c10".encode() in b"".join(pages))
+
+    def test_odd_objects_depend_on_the_seed_alone(self):
+        first, second = [[random_object(rng).encode(1, {}) for _ in range(20)] for rng in (random.Random(5), random.Random(5))]
+        self.assertEqual(first, second)
+
+    def test_other_writer_takes_back_what_it_wrote(self):
+        async def run():
+            running = soak()
+            engine = Engine("e", "plain", None, running.oracle, running.rng)
+            running.engines.append(engine)
+            await running.write_odd_objects(time.monotonic() + 2.2)
+            return running.store
+
+        store = asyncio.run(run())
+        self.assertGreater(len(store.events), 5)
+        self.assertEqual(store.objects, {})
+
 
 if __name__ == "__main__":
     unittest.main()
