The version of a stream is inferred only from what is proven

Now one of two proofs is needed: an answer from each peer that was asked, as many as usual were, and a current copy of the records (confirmed within 1.5 s) here or at one of them; or this node's copy is confirmed as of a time after the request arrived, so that each version that may have begun the stream has been in it. A peer states the only version only by a current copy. Otherwise: 503, Retry-After.

StreamOriginsTest.OnlyVersionNeedsHalfOfThePeers asserted the fault; AnswerIsCompleteOnlyIfAllPeersReplied stands for it: a silent peer delays the answer to its timeout and leaves it incomplete, and all answers settle it at once. software_version_test lets the store confirm the records, without which nothing is inferred now.

--- a/src/core/serving/engine_gate.h
+++ b/src/core/serving/engine_gate.h
@@ -6,12 +6,19 @@
 #pragma once
 
 #include <optional>
+#include <string>
 
 #include "saltquay/limits/engine_permits.h"
 #include "src/core/serving/engine_directory.h"
 
 namespace saltquay::serving {
 
+// An engine that has named a limit.
+struct KnownEngineLimit {
+  std::string engine_id;
+  std::optional<Time> ended_at;  // When this node learnt that the engine names no limit any more.
+};
+
 // Permission to send one request to an engine, during the current event.
 class EngineAdmission {
  public:
--- a/src/core/serving/engine_process_steps.cc
+++ b/src/core/serving/engine_process_steps.cc
@@ -9,7 +9,7 @@
 
 namespace saltquay::serving {
 
-bool ServingCore::MayBeResumed(const Flow& flow, AttemptMode mode) {
+bool MayBeResumed(const Flow& flow, AttemptMode mode) {
   return flow.route.kind == RouteKind::kStreaming && flow.route.resumable && mode != AttemptMode::kPrefill;
 }
 
--- a/src/core/serving/flow.h
+++ b/src/core/serving/flow.h
@@ -86,9 +86,17 @@
   std::int64_t limit_cost = 0;                  // Units of the tenant's limit that the request consumes; 0: no limit.
   std::optional<std::string> software_version;  // At which the stream began; it may go on only there.
   std::optional<EngineProcess> origin_process;  // Set instead while it is known only which process began the stream.
-  bool origin_pending = false;                  // Peers are asked for it.
+  bool origin_pending = false;                  // Peers are asked for it, or it depends on records to be confirmed.
+  std::optional<Time> records_wait_ends;        // How long to wait for that.
   bool limit_pending = false;                   // The limiter has not decided yet.
   std::string limit_owner;                      // Name of the node that decided on the limit.
 };
 
+// The stream that the request begins or resumes.
+StreamKey StreamKeyOf(const Flow& flow);
+// Whether the client resumes a stream and its origin is not known yet.
+bool NeedsStreamOrigin(const Flow& flow);
+// Whether another node or engine may go on with a stream that an attempt of that mode begins.
+bool MayBeResumed(const Flow& flow, AttemptMode mode);
+
 }  // namespace saltquay::serving
--- a/src/core/serving/forward_steps.cc
+++ b/src/core/serving/forward_steps.cc
@@ -19,7 +19,7 @@
 
 void ServingCore::On(const PeersListed& event) {
   forwarding_peers_.Set(event.nodes);
-  stream_origins_.set_peers(event.nodes);
+  stream_origins_.set_peers(event.nodes, now_);
 }
 
 bool ServingCore::LacksPath(const Flow& flow) {
--- a/src/core/serving/serving_core.cc
+++ b/src/core/serving/serving_core.cc
@@ -65,7 +65,12 @@
 }
 
 void ServingCore::On(const RecordsConfirmed& event) {
-  records_as_of_ = std::max(records_as_of_.value_or(event.as_of), event.as_of);
+  version_history_.Confirm(event.as_of);
+  const std::map<FlowId, StreamAnswer> waiting = std::exchange(awaiting_records_, {});
+  for (const auto& [id, answer] : waiting) {
+    Flow* flow = FindFlow(id);
+    if (flow != nullptr) OnStreamAnswer(*flow, answer);
+  }
 }
 
 void ServingCore::On(const PeersChanged& event) {
@@ -222,6 +227,8 @@
   Flow* flow = FindFlow(event.flow);
   if (flow == nullptr) return;
   CountUsageWithoutResponse(*flow);
+  // The client may come back until its stream is older than what the nodes remember.
+  if (flow->origin_pending && !OnlySoftwareVersion(flow->service)) RenewStream(*flow, kUnknownOrigin);
   Log(EventId::kClientLeft, flow, fmt::format(R"("attempts":{})", flow->attempts.size()));
   CancelForwards(*flow);  // The peer decides the same.
   const bool keeps_running = flow->route.kind == RouteKind::kAtMostOnce;
@@ -303,6 +310,10 @@
     wake_ups_.erase(id);
     Flow* flow = FindFlow(id);
     if (flow == nullptr) continue;
+    if (flow->records_wait_ends && now_ >= *flow->records_wait_ends) {
+      OnRecordsLate(*flow);
+      continue;
+    }
     if (now_ >= flow->expires_at) {
       OnDeadline(*flow);
       continue;
@@ -331,6 +342,7 @@
   constexpr Duration kWaitStep = 20ms;
   Time at = flow.expires_at;
   if (flow.hedge_at && *flow.hedge_at > now_) at = std::min(at, *flow.hedge_at);
+  if (flow.records_wait_ends) at = std::min(at, *flow.records_wait_ends);
   if (flow.engine_wait_ends) at = std::min({at, *flow.engine_wait_ends, now_ + kWaitStep});
   for (const auto& [id, attempt] : flow.attempts) {
     if (attempt.head_seen) continue;
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -1,6 +1,5 @@
-// The serving core: routing, attempts, retries, limits and final responses for
-// opaque requests. Deterministic: no clock, thread or socket; the same object
-// runs in the daemon and in simulation.
+// The serving core: routing, attempts, retries, limits and final responses for opaque requests. Deterministic: no
+// clock, thread or socket; the same object runs in the daemon and in simulation.
 //
 // Protocol of a flow. Each request gets exactly one response. An attempt is sent to one engine, identified by its id. A
 // request that may have been executed is not sent again unless its route permits it; a refusal (429, 503) is sent only
@@ -280,19 +279,18 @@
   void RecordEnginesAlive(const PeersChanged& event);
 
   // Software versions at which streams begin and go on (software_version_steps.cc).
-  static StreamKey StreamKeyOf(const Flow& flow);
-  // Whether the client resumes a stream and its origin is not known yet.
-  static bool NeedsStreamOrigin(const Flow& flow);
   void FindStreamOrigin(Flow& flow);
   void OnStreamAnswer(Flow& flow, const StreamAnswer& answer);
-  // The version if it must be that one, since no other has served; nullopt if it cannot be told.
-  std::optional<std::string> InferSoftwareVersion(const std::string& service, const StreamAnswer& answer);
-  // The flow's client has come back: what is recorded about its stream lasts until it may come back once more.
+  // The version that must have begun the stream if this node and its peers know all; nullopt if it cannot be told.
+  std::optional<std::string> InferSoftwareVersion(const Flow& flow, const StreamAnswer& answer);
+  // The only version of the service that has served for long enough, by records that are current.
+  std::optional<std::string> OnlySoftwareVersion(const std::string& service);
+  void RefuseUnknownOrigin(Flow& flow, const StreamAnswer& answer);
+  void OnRecordsLate(Flow& flow);
+  // The client has come back: what is recorded about its stream lasts until it may come back once more.
   void RenewStream(const Flow& flow, const StreamOrigin& origin);
-  // `evidence`: see DescribeEvidence.
   void ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source, std::string_view evidence);
-  // JSON members that tell what the decision about a stream's version rests on, with a leading comma: how many peers
-  // were asked and have answered, how old the engines' records are here, and since when they have been known.
+  // What the decision about a stream's version rests on: JSON members with a leading comma.
   std::string DescribeEvidence(const StreamAnswer& answer) const;
   // Whether the flow's stream may only go on at a version that no engine has.
   bool LacksSoftwareVersion(Flow& flow);
@@ -309,8 +307,6 @@
   void StepStreamOrigins();
 
   // Which process of an engine serves, of those that run one after the other under its id (engine_process_steps.cc).
-  // Whether another node or engine may go on with a stream that the attempt begins.
-  static bool MayBeResumed(const Flow& flow, AttemptMode mode);
   // The version of the stream's engine; nullopt while no record tells it.
   std::optional<std::string> SoftwareVersionOf(const StreamOrigin& origin) const;
   void BindOrigin(Flow& flow, const StreamOrigin& origin);
@@ -357,10 +353,6 @@
   EngineSelector selector_;
   std::unique_ptr<limits::EnginePermits> permits_;
   std::unique_ptr<EngineGate> gate_;
-  struct KnownEngineLimit {
-    std::string engine_id;
-    std::optional<Time> ended_at;  // When this node learnt that the engine names no limit any more.
-  };
   std::map<EngineKey, KnownEngineLimit> engine_limits_;
   Time last_rest_ends_{};  // Over all engines.
   Time next_statement_report_{};
@@ -376,7 +368,8 @@
   SoftwareVersionHistory version_history_;
   std::set<std::string> announced_services_;  // Whose streams are announced to peers.
   std::multimap<StreamKey, FlowId> awaiting_origin_;
-  Duration stream_lifetime_ = 0s;  // How long after its beginning a stream may be resumed.
+  std::map<FlowId, StreamAnswer> awaiting_records_;  // What the peers answered.
+  Duration stream_lifetime_ = 0s;                    // How long after its beginning a stream may be resumed.
   EngineCrashDetector crash_detector_;
   CrashLedger crashes_;
   RecentRuns recent_runs_;
@@ -388,7 +381,6 @@
   bool engines_listed_ = false;
   int added_engines_ = 0;  // Not logged yet.
   bool store_connected_ = false;
-  std::optional<Time> records_as_of_;  // See RecordsConfirmed.
   std::map<FlowId, std::unique_ptr<Flow>> flows_;
   std::set<std::pair<Time, FlowId>> wake_up_queue_;
   std::map<FlowId, Time> wake_ups_;
--- a/src/core/serving/serving_parameters.h
+++ b/src/core/serving/serving_parameters.h
@@ -135,6 +135,10 @@
   int max_attempts_per_flow = 5;
   // How long after the longest duration of a stream its client may still come back to resume it.
   Duration stream_return_time = 60s;
+  // The records of engines count as current if they are confirmed as of that time ago.
+  Duration max_record_age = 1500ms;
+  // How long a resumption waits for them to be confirmed as of its arrival.
+  Duration max_confirmation_wait = 1700ms;
 };
 
 }  // namespace saltquay::serving
--- a/src/core/serving/software_version_history.h
+++ b/src/core/serving/software_version_history.h
@@ -1,6 +1,7 @@
 // Which software versions of a service's engines have served lately, by the records that this node receives.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,6 +23,10 @@
   void End() { known_since_.reset(); }
   // Since when the records have been known without a gap; nullopt if they may change unseen.
   std::optional<Time> known_since() const { return known_since_; }
+  // The known records are complete as of that time, see RecordsConfirmed.
+  void Confirm(Time as_of) { confirmed_ = std::max(confirmed_, as_of); }
+  // Time {} until the first confirmation.
+  Time confirmed() const { return confirmed_; }
   // The versions that engines of the service are known to have had within that time.
   std::vector<std::string> SeenWithin(const std::string& service, Duration time, Time now) const;
   // The only version within that time; nullopt if there were several or none, or if this node has not known the records
@@ -33,6 +38,7 @@
 
   std::optional<std::uint64_t> generation_;  // Of the directory.
   std::optional<Time> known_since_;
+  Time confirmed_{};
   std::map<std::string, LastSeen> services_;
   std::map<std::string, LastSeen> present_;  // At the last refresh.
 };
--- a/src/core/serving/software_version_steps.cc
+++ b/src/core/serving/software_version_steps.cc
@@ -14,12 +14,12 @@
 
 }  // namespace
 
-StreamKey ServingCore::StreamKeyOf(const Flow& flow) {
+StreamKey StreamKeyOf(const Flow& flow) {
   const bool names_origin = !flow.metadata.last_event_id.empty() && !flow.metadata.resumes.empty();
   return HashText(names_origin ? flow.metadata.resumes : flow.metadata.request_id);
 }
 
-bool ServingCore::NeedsStreamOrigin(const Flow& flow) {
+bool NeedsStreamOrigin(const Flow& flow) {
   const bool resumes = flow.route.kind == RouteKind::kStreaming && !flow.metadata.last_event_id.empty();
   return resumes && !flow.software_version;
 }
@@ -31,16 +31,59 @@
   flow.origin_pending = true;
   awaiting_origin_.emplace(stream, flow.id);
   ScheduleWakeUp(flow);
-  stream_origins_.Ask(stream, flow.service, now_);
+  stream_origins_.Ask(stream, flow.service, stream_lifetime_, now_);
 }
 
 void ServingCore::OnStreamAnswer(Flow& flow, const StreamAnswer& answer) {
   flow.origin_pending = false;
-  if (answer.origin) {
-    return ResumeAt(flow, *answer.origin, "peer", DescribeEvidence(answer));
-  }
-  if (const std::optional<std::string> only = InferSoftwareVersion(flow.service, answer))
-    return ResumeAt(flow, {*only}, "only version", DescribeEvidence(answer));
+  flow.records_wait_ends.reset();
+  if (answer.origin) return ResumeAt(flow, *answer.origin, "peer", DescribeEvidence(answer));
+  const std::optional<StreamOrigin> recorded = stream_origins_.Find(answer.stream, now_);
+  if (recorded && recorded->known()) return ResumeAt(flow, *recorded, "this node", DescribeEvidence(answer));
+  const std::optional<std::string> version = InferSoftwareVersion(flow, answer);
+  if (!version) return RefuseUnknownOrigin(flow, answer);
+  // Silence says nothing: a peer that was told may be the one that does not answer.
+  if (answer.complete && (answer.only_version || OnlySoftwareVersion(flow.service)))
+    return ResumeAt(flow, {*version}, "only version", DescribeEvidence(answer));
+  // Otherwise the records have to tell all versions that may have begun the stream. A peer's statement covers the time
+  // until its own records were confirmed.
+  const std::optional<Time> known_since = version_history_.known_since();
+  const Duration needed = answer.only_version ? parameters_.max_record_age : stream_lifetime_;
+  if (!known_since || *known_since > flow.arrived - needed) return RefuseUnknownOrigin(flow, answer);
+  if (version_history_.confirmed() >= flow.arrived)
+    return ResumeAt(flow, {*version}, "only version", DescribeEvidence(answer));
+  flow.origin_pending = true;
+  flow.records_wait_ends = std::min(flow.arrived + parameters_.max_confirmation_wait, flow.expires_at);
+  awaiting_records_[flow.id] = answer;
+  ScheduleWakeUp(flow);
+}
+
+std::optional<std::string> ServingCore::InferSoftwareVersion(const Flow& flow, const StreamAnswer& answer) {
+  const bool is_unknown = answer.origin_unknown || stream_origins_.Find(answer.stream, now_).has_value();
+  if (answer.several_versions || is_unknown) return std::nullopt;
+  version_history_.Refresh(engines_, now_);
+  const std::vector<std::string> seen = version_history_.SeenWithin(flow.service, stream_lifetime_, now_);
+  std::set<std::string> versions(seen.begin(), seen.end());
+  if (answer.only_version) versions.insert(*answer.only_version);
+  return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
+std::optional<std::string> ServingCore::OnlySoftwareVersion(const std::string& service) {
+  version_history_.Refresh(engines_, now_);
+  const bool confirmed = version_history_.confirmed() != Time{};
+  const bool current =
+      store_connected_ && confirmed && now_ - version_history_.confirmed() < parameters_.max_record_age;
+  if (!current || !ready()) return std::nullopt;
+  return version_history_.OnlyVersionWithin(service, stream_lifetime_, now_);
+}
+
+void ServingCore::OnRecordsLate(Flow& flow) {
+  const StreamAnswer answer = awaiting_records_[flow.id];
+  awaiting_records_.erase(flow.id);
+  RefuseUnknownOrigin(flow, answer);
+}
+
+void ServingCore::RefuseUnknownOrigin(Flow& flow, const StreamAnswer& answer) {
   RenewStream(flow, kUnknownOrigin);
   actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
   Refuse(flow, kUnavailable, "software version of the stream is not known", parameters_.retry_after,
@@ -48,26 +91,10 @@
 }
 
 std::string ServingCore::DescribeEvidence(const StreamAnswer& answer) const {
-  const auto age = [this](std::optional<Time> time) {
-    return time && *time != Time::min() ? (now_ - *time) / 1ms : -1;
-  };
+  const auto age = [this](Time time) { return time > Time{} ? (now_ - time) / 1ms : -1; };
   return fmt::format(R"(,"asked":{},"answered":{},"record_age_ms":{},"known_ms":{})", answer.peers_asked,
-                     answer.peers_answered, age(records_as_of_), age(version_history_.known_since()));
-}
-
-std::optional<std::string> ServingCore::InferSoftwareVersion(const std::string& service, const StreamAnswer& answer) {
-  const std::optional<StreamOrigin> recorded = stream_origins_.Find(answer.stream, now_);
-  const bool is_unknown = answer.origin_unknown || (recorded && !recorded->known());
-  if (answer.several_versions || is_unknown) return std::nullopt;
-  version_history_.Refresh(engines_, now_);
-  const std::vector<std::string> seen = version_history_.SeenWithin(service, stream_lifetime_, now_);
-  std::set<std::string> versions(seen.begin(), seen.end());
-  if (answer.only_version) versions.insert(*answer.only_version);
-  if (versions.size() != 1) return std::nullopt;
-  // Without the store, another version may have come.
-  const bool known_here =
-      store_connected_ && version_history_.OnlyVersionWithin(service, stream_lifetime_, now_).has_value();
-  return known_here || answer.only_version ? std::optional(*versions.begin()) : std::nullopt;
+                     answer.peers_answered, age(version_history_.confirmed()),
+                     age(version_history_.known_since().value_or(Time{})));
 }
 
 void ServingCore::ResumeAt(Flow& flow, const StreamOrigin& origin, std::string_view source, std::string_view evidence) {
@@ -160,9 +187,7 @@
   const auto& query = std::get<StreamQuery>(event.message);
   version_history_.Refresh(engines_, now_);
   const bool several = version_history_.SeenWithin(query.service, stream_lifetime_, now_).size() > 1;
-  const std::optional<std::string> only =
-      store_connected_ ? version_history_.OnlyVersionWithin(query.service, stream_lifetime_, now_) : std::nullopt;
-  stream_origins_.Respond(query, only, several, now_);
+  stream_origins_.Respond(query, OnlySoftwareVersion(query.service), several, now_);
 }
 
 void ServingCore::StepStreamOrigins() {
--- a/src/core/serving/stream_origins.cc
+++ b/src/core/serving/stream_origins.cc
@@ -7,6 +7,18 @@
 
 namespace saltquay::serving {
 
+void StreamOrigins::set_peers(std::vector<PeerNode> peers, Time now) {
+  if (peers.size() < peers_.size()) earlier_peers_[now] = std::max(earlier_peers_[now], peers_.size());
+  peers_ = std::move(peers);
+}
+
+std::size_t StreamOrigins::MostPeersWithin(Duration time, Time now) {
+  std::erase_if(earlier_peers_, [&](const auto& entry) { return entry.first < now - time; });
+  std::size_t most = peers_.size();
+  for (const auto& [until, count] : earlier_peers_) most = std::max(most, count);
+  return most;
+}
+
 void StreamOrigins::Record(StreamKey stream, const StreamOrigin& origin, Duration lifetime, Time now) {
   Expire(now);
   const auto [entry, is_new] = streams_.try_emplace(stream);
@@ -81,7 +93,7 @@
   }
 }
 
-void StreamOrigins::Ask(StreamKey stream, const std::string& service, Time now) {
+void StreamOrigins::Ask(StreamKey stream, const std::string& service, Duration lifetime, Time now) {
   if (questions_.contains(stream)) return;
   Question question;
   question.query = {stream, service, address_};
@@ -89,7 +101,9 @@
   const std::vector<std::string> addresses = ResponsiblePeers(stream, parameters_.peers_asked);
   question.unanswered = {addresses.begin(), addresses.end()};
   question.answer.peers_asked = addresses.size();
+  question.peers_expected = std::min(parameters_.peers_asked, MostPeersWithin(lifetime, now));
   if (addresses.empty()) {
+    question.answer.complete = question.peers_expected == 0;
     answers_.push_back(question.answer);
     return;
   }
@@ -118,19 +132,13 @@
     answer.several_versions = answer.several_versions || answer.only_version.value_or(version) != version;
     answer.only_version = version;
   }
-  if (!IsSettled(entry->second)) return;
+  const bool all_answered = entry->second.unanswered.empty();
+  answer.complete = all_answered && answer.peers_asked >= entry->second.peers_expected;
+  if (!answer.origin && !all_answered) return;
   answers_.push_back(answer);
   questions_.erase(entry);
 }
 
-// Half of the peers are enough to tell that there is one version only: if there were two, streams would be announced.
-bool StreamOrigins::IsSettled(const Question& question) {
-  if (question.answer.origin || question.unanswered.empty()) return true;
-  const bool one_version =
-      question.answer.only_version && !question.answer.several_versions && !question.answer.origin_unknown;
-  return one_version && 2 * question.unanswered.size() <= question.answer.peers_asked;
-}
-
 void StreamOrigins::Respond(const StreamQuery& query, const std::optional<std::string>& only_version,
                             bool several_versions, Time now) {
   StreamReply reply;
--- a/src/core/serving/stream_origins.h
+++ b/src/core/serving/stream_origins.h
@@ -5,12 +5,14 @@
 // tells some peers the engine's version at that moment, before there can be an event. The peers are chosen by
 // rendezvous hashing of the request's id, across zones, so that any node computes whom to ask. A later attempt of the
 // same request at another version replaces the earlier one. While only one version has served for as long as clients
-// may come back, streams are not announced; when that changes, each node announces those that it knows.
+// may be silent, streams are not announced; when that changes, each node announces those that it knows.
 //
 // A node that does not know a stream asks more peers than were told, since nodes may disagree about the members. It
 // takes the first reply that names an origin. If nobody knows, the version may be inferred only if one version alone
-// has served for long enough, and no peer objects; otherwise the request has to be refused. A version that replaces
-// another one is announced twice: peers that miss it would name the earlier one.
+// has served for long enough, no peer objects, and it is certain that none was missed: each peer that may have been
+// told has answered, or this node's records are confirmed as of a time after the client came back. Silence is no
+// evidence. Otherwise the request has to be refused. A version that replaces another one is announced twice: peers that
+// miss it would name the earlier one.
 //
 // A client that is refused comes back, so how old a stream is has no bound. Only the time between two of its attempts
 // has: each attempt renews what is recorded about the stream, here and at the peers. If nobody knows its origin, that
@@ -50,6 +52,8 @@
   bool several_versions = false;  // A peer knows of several.
   std::size_t peers_asked = 0;
   std::size_t peers_answered = 0;
+  // Each of them answered, and they are as many as usual: none of those that may have been told was left out.
+  bool complete = false;
 };
 
 class StreamOrigins {
@@ -59,7 +63,7 @@
   // `address`: where this node receives replies; empty if it has no peers.
   void set_address(std::string address) { address_ = std::move(address); }
   // All known nodes that are not stopping, excluding this one.
-  void set_peers(std::vector<PeerNode> peers) { peers_ = std::move(peers); }
+  void set_peers(std::vector<PeerNode> peers, Time now);
 
   void OnNotice(const StreamNotice& notice, Time now);
   // Records the origin for at least that long, unless a later attempt's is known.
@@ -78,8 +82,9 @@
   // The same for each stream that was recorded here and not announced.
   void AnnounceAll(Time now);
 
-  // Asks the peers that are responsible for the stream; the outcome appears among the answers.
-  void Ask(StreamKey stream, const std::string& service, Time now);
+  // Asks the peers that are responsible for the stream; the outcome appears among the answers. `lifetime`: how long ago
+  // peers may have been told that are not known any more.
+  void Ask(StreamKey stream, const std::string& service, Duration lifetime, Time now);
   void OnReply(const StreamReply& reply);
   // Replies to a peer. `only_version`: the only one of the service that has served for long enough, as known to this
   // node; `several_versions`: whether it knows of several.
@@ -103,6 +108,7 @@
   };
   struct Question {
     StreamQuery query;
+    std::size_t peers_expected = 0;
     std::set<std::string> unanswered;  // Addresses.
     StreamAnswer answer;
     Time resend_at{};
@@ -112,12 +118,14 @@
   // The first `count` peers that are responsible for the stream.
   std::vector<std::string> ResponsiblePeers(StreamKey stream, std::size_t count) const;
   void SendQueries(const Question& question);
-  static bool IsSettled(const Question& question);
+  // The largest number of peers that was known within that time.
+  std::size_t MostPeersWithin(Duration time, Time now);
   void Expire(Time now);
 
   StreamOriginParameters parameters_;
   std::string address_;
   std::vector<PeerNode> peers_;
+  std::map<Time, std::size_t> earlier_peers_;  // How many were known until then.
   std::map<StreamKey, Stream> streams_;
   std::set<StreamKey> unversioned_;          // Those whose origin names a process; may contain others.
   std::multimap<Time, StreamKey> expiries_;  // May contain earlier times than the stream's own.
--- a/tests/core/serving/rejoined_streams_test.cc
+++ b/tests/core/serving/rejoined_streams_test.cc
@@ -105,27 +105,19 @@
 // A version joins while a node is suspended or cut off.
 Time JoinPastANode(StreamFleet& fleet, const StreamFleetOptions& options, Random& random) {
   const Time joins = fleet.now() + 3s;
-  fleet.Offer(25, joins + 7s);
-  fleet.AddEngines(joins, 2 + static_cast<int>(random.Below(3)), "v2");
+  fleet.Offer(60, joins + 5s);
+  fleet.AddEngines(joins, 2 + static_cast<int>(random.Below(9)), "v2");
   if (random.Chance(0.3)) fleet.RemoveVersion(joins + random.DurationBelow(6s), random.Chance(0.5) ? "v1" : "v2");
   const int node = static_cast<int>(random.Below(options.nodes));
-  const Time begins = joins + 500ms - random.DurationBelow(2s);
-  const Time ends = begins + 500ms + random.DurationBelow(6s);
-  const Duration forgets = random.Chance(0.5) ? random.DurationBelow(4s) : 3600s;
-  switch (random.Below(4)) {
-    case 0:
-      fleet.SuspendNode(node, begins, ends);
-      fleet.Isolate(node, begins, ends, {false, false, forgets});
-      break;
-    case 1:
-      fleet.Isolate(node, begins, ends, {true, false, forgets});
-      break;
-    case 2:
-      fleet.Isolate(node, begins, ends, {false, true, forgets});
-      break;
-    default:
-      fleet.Isolate(node, begins, ends, {true, true, forgets});
-  }
+  const Time begins = joins + 200ms - random.DurationBelow(1200ms);
+  const Time ends = begins + 500ms + random.DurationBelow(5s);
+  StreamFleet::Cut cut;
+  cut.forgets = random.Chance(0.5) ? random.DurationBelow(3s) : 3600s;
+  const bool suspended = random.Chance(0.3);
+  if (suspended) fleet.SuspendNode(node, begins, ends);
+  if (!suspended || random.Chance(0.3)) cut.peers = random.Chance(0.5) ? 1 : random.Unit();
+  cut.store = random.Chance(0.5);
+  fleet.Isolate(node, begins, ends, cut);
   return joins + 150s;
 }
 
--- a/tests/core/serving/software_version_test.cc
+++ b/tests/core/serving/software_version_test.cc
@@ -38,6 +38,13 @@
     Send(arrived);
   }
   void SetPeers() { Send(PeersListed{{{"n1", "10.1.0.1:7", "a"}, {"n2", "10.1.0.2:7", "b"}}}); }
+  // The store confirms the records.
+  void Confirm() { Send(RecordsConfirmed{now_}); }
+  void PassLongEnough() {
+    Pass(kLongEnough);
+    Confirm();
+    Pass(100ms);
+  }
   void RemoveVersionB() {
     Send(EngineRemoved{"b1"});
     Send(EngineRemoved{"b2"});
@@ -139,7 +146,7 @@
   RemoveVersionB();
   Resume("unknown");
   EXPECT_EQ(One<SendLocalReply>().status, 503);  // Engines of version B have served until now.
-  Pass(kLongEnough);
+  PassLongEnough();
   Resume("unknown");
   EXPECT_EQ(One<StartAttempt>().engine_id[0], 'a');
 }
@@ -147,7 +154,7 @@
 // Guards against: while the store is away, a version that came meanwhile is not seen, and the known one is assumed.
 TEST_F(SoftwareVersionTest, OnlyVersionIsNotAssumedWithoutTheStore) {
   RemoveVersionB();
-  Pass(kLongEnough);
+  PassLongEnough();
   Send(StoreConnectivityChanged{false});
   Resume("unknown");
   EXPECT_EQ(One<SendLocalReply>().status, 503);
@@ -156,7 +163,7 @@
 // Guards against: streams cannot be resumed while the store is away, since no node may assume the only version then.
 TEST_F(SoftwareVersionTest, StreamsInFlightAreAnnouncedWhenTheStoreIsLost) {
   RemoveVersionB();
-  Pass(kLongEnough);
+  PassLongEnough();
   SetPeers();
   BeginResponse();
   EXPECT_TRUE(All<SendStreamMessages>().empty());
@@ -167,13 +174,14 @@
 // Guards against: a version that came and went while the store was away is not counted.
 TEST_F(SoftwareVersionTest, OnlyVersionIsAssumedTheWholeTimeAfterTheStoreHasReturned) {
   RemoveVersionB();
-  Pass(kLongEnough);
+  PassLongEnough();
   Send(StoreConnectivityChanged{false});
   Pass(1s);
   Send(StoreConnectivityChanged{true});
+  Confirm();
   Resume("unknown");
   EXPECT_EQ(One<SendLocalReply>().status, 503);
-  Pass(kLongEnough);
+  PassLongEnough();
   Resume("unknown");
   EXPECT_EQ(One<StartAttempt>().engine_id[0], 'a');
 }
@@ -186,6 +194,7 @@
   fresh.OnEvent(now_, ConfigurationChanged{*core_.config()}, actions);
   fresh.OnEvent(now_, EnginesReplaced{{Engine("a1", "A"), Engine("a2", "A")}}, actions);
   fresh.OnEvent(now_, StoreConnectivityChanged{true}, actions);
+  fresh.OnEvent(now_, RecordsConfirmed{now_}, actions);
   actions.clear();
   RequestArrived arrived;
   arrived.flow = 1;
@@ -220,7 +229,7 @@
 // Guards against: streams that began before a second version came are unknown to the peers.
 TEST_F(SoftwareVersionTest, StreamsInFlightAreAnnouncedWhenASecondVersionComes) {
   RemoveVersionB();
-  Pass(kLongEnough);
+  PassLongEnough();
   SetPeers();
   BeginResponse();
   EXPECT_TRUE(All<SendStreamMessages>().empty());
@@ -231,6 +240,92 @@
   EXPECT_EQ(std::get<StreamNotice>(sent.messages[0].message).origin.software_version, "A");
 }
 
+// Guards against: a peer that is silent, or not asked, counts as one that knows of no other version.
+TEST_F(SoftwareVersionTest, SilenceOfAPeerIsNoEvidence) {
+  RemoveVersionB();
+  PassLongEnough();
+  SetPeers();
+  const StreamReply agrees{HashText("unknown"), StreamKnowledge::kOnlyVersion, {"A"}, "10.1.0.1:7"};
+  Resume("unknown");
+  const Time arrived = now_;
+  Send(StreamMessageArrived{agrees});
+  Pass(200ms);
+  Send(RecordsConfirmed{arrived - 1ms});
+  EXPECT_TRUE(All<StartAttempt>().empty() && All<SendLocalReply>().empty());
+  Send(RecordsConfirmed{arrived});
+  EXPECT_EQ(One<StartAttempt>().engine_id[0], 'a');
+  // Both peers reply.
+  Resume("another unknown");
+  StreamReply other{HashText("another unknown"), StreamKnowledge::kOnlyVersion, {"A"}, "10.1.0.1:7"};
+  Send(StreamMessageArrived{other});
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  other.from = "10.1.0.2:7";
+  Send(StreamMessageArrived{other});
+  EXPECT_EQ(One<StartAttempt>().engine_id[0], 'a');
+}
+
+// Guards against: a version that joined while this node was cut off or suspended is not known to it.
+TEST_F(SoftwareVersionTest, SilentPeersLeaveItToRecordsConfirmedSinceTheArrival) {
+  RemoveVersionB();
+  PassLongEnough();
+  SetPeers();
+  Resume("another version's");
+  Pass(200ms);
+  EXPECT_TRUE(All<StartAttempt>().empty() && All<SendLocalReply>().empty());
+  Send(EngineChanged{Engine("c1", "C")});
+  Send(EngineChangesApplied{});
+  Confirm();
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  EXPECT_EQ(One<SendLocalReply>().status, 503);
+}
+
+TEST_F(SoftwareVersionTest, ResumptionDoesNotWaitForRecordsForLong) {
+  RemoveVersionB();
+  PassLongEnough();
+  SetPeers();
+  Resume("unknown");
+  Pass(2s);
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  EXPECT_TRUE(One<SendLocalReply>().retry_after);
+}
+
+// Guards against: a node that was suspended goes by, and tells others, what it knew before.
+TEST_F(SoftwareVersionTest, OldRecordsSayNothingAboutTheOnlyVersion) {
+  RemoveVersionB();
+  PassLongEnough();
+  Pass(3s);
+  Resume("unknown");
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  Send(StreamMessageArrived{StreamQuery{7, "plain", "10.1.0.1:7"}});
+  EXPECT_EQ(std::get<StreamReply>(One<SendStreamMessages>().messages[0].message).knowledge, StreamKnowledge::kNone);
+  Confirm();
+  EXPECT_EQ(One<StartAttempt>().engine_id[0], 'a');
+  Send(StreamMessageArrived{StreamQuery{7, "plain", "10.1.0.1:7"}});
+  EXPECT_EQ(std::get<StreamReply>(One<SendStreamMessages>().messages[0].message).knowledge,
+            StreamKnowledge::kOnlyVersion);
+}
+
+// Guards against: a stream goes on at another version once its client has been refused for long enough.
+TEST_F(SoftwareVersionTest, StreamsOfRefusedClientsAreRememberedWhileTheyComeBack) {
+  const StartAttempt first = Begin();
+  const std::string origin = "r" + std::to_string(last_flow_);
+  Send(ClientDisconnected{first.flow});
+  const bool began_at_a = first.engine_id[0] == 'a';
+  for (const std::string engine : {"1", "2"}) Send(EngineRemoved{(began_at_a ? "a" : "b") + engine});
+  Send(EngineChangesApplied{});
+  for (int i = 0; i < 20; ++i) {
+    Pass(30s);
+    Confirm();
+    for (const std::string& stream : {origin, std::string("of unknown origin")}) {
+      Resume(stream);
+      EXPECT_TRUE(All<StartAttempt>().empty());
+      EXPECT_EQ(One<SendLocalReply>().status, 503);
+    }
+  }
+  Resume("silent until now");
+  EXPECT_EQ(All<StartAttempt>().size(), 1U);
+}
+
 // Engines as in SoftwareVersionTest, whose records tell when their processes started.
 class EngineProcessTest : public SoftwareVersionTest {
  protected:
@@ -334,7 +429,7 @@
 // Guards against: peers that are not told take the only version of the records for that of such a stream.
 TEST_F(EngineProcessTest, StreamAtAnUnrecordedProcessIsAnnouncedAlthoughOneVersionServes) {
   Send(EnginesReplaced{{Engine("a1", "A")}});
-  Pass(kLongEnough);
+  PassLongEnough();
   SetPeers();
   Arrive("chat");
   FindOtherProcess(One<StartAttempt>());
--- a/tests/core/serving/stream_origins_test.cc
+++ b/tests/core/serving/stream_origins_test.cc
@@ -28,12 +28,12 @@
   }
   static std::string Address(int node) { return "10.0.0.1:" + std::to_string(node); }
   StreamOrigins& at(int node) { return nodes_[node]; }
-  void SetPeers(int node, const std::set<int>& without) {
+  void SetPeers(int node, const std::set<int>& without, Time now = At(0s)) {
     std::vector<PeerNode> peers;
     for (int i = 0; i < static_cast<int>(peers_.size()); ++i) {
       if (i != node && !without.contains(i)) peers.push_back(peers_[i]);
     }
-    nodes_[node].set_peers(peers);
+    nodes_[node].set_peers(peers, now);
   }
   void Kill(int node) { down_.insert(node); }
   void set_only_version(const std::string& version) { only_version_ = version; }
@@ -52,7 +52,7 @@
   }
   // Lets the node ask and returns the answer, or nullopt if there is none in time.
   std::optional<StreamAnswer> Ask(int node, StreamKey stream, Time now) {
-    nodes_[node].Ask(stream, "s", now);
+    nodes_[node].Ask(stream, "s", kLifetime, now);
     for (const Time end = now + 1s; now < end; now += 10ms) {
       Deliver(now);
       nodes_[node].Step(now);
@@ -131,16 +131,57 @@
   EXPECT_TRUE(OriginFleet(1).Ask(0, kStream, At(1s)));
 }
 
-// A peer that does not reply must not delay an answer on which the others agree.
-TEST(StreamOriginsTest, OnlyVersionNeedsHalfOfThePeers) {
+// Guards against: half of the peers settle a question although the one that was told has not replied yet.
+TEST(StreamOriginsTest, AnswerIsCompleteOnlyIfAllPeersReplied) {
   OriginFleet fleet(7);
   fleet.set_only_version("v1");
+  fleet.at(0).Ask(kStream, "s", kLifetime, At(1s));
+  fleet.Deliver(At(1s));
+  const std::vector<StreamAnswer> at_once = fleet.at(0).TakeAnswers();
+  ASSERT_EQ(at_once.size(), 1U);
+  EXPECT_TRUE(at_once.front().complete);
   fleet.Kill(1);
-  fleet.at(0).Ask(kStream, "s", At(1s));
+  fleet.at(0).Ask(kStream, "s", kLifetime, At(1s));
+  fleet.Deliver(At(1s));
+  EXPECT_TRUE(fleet.at(0).TakeAnswers().empty());
+  const auto answer = fleet.Ask(0, kStream, At(1s));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->only_version, "v1");
+  EXPECT_EQ(answer->peers_answered, 5U);
+  EXPECT_FALSE(answer->complete);
+}
+
+// Guards against: a node that has lost its peers from its list takes the few that are left, or none, for all of them.
+TEST(StreamOriginsTest, AnswerOfFewerPeersThanUsualIsNotComplete) {
+  OriginFleet fleet(7);
+  fleet.set_only_version("v1");
+  EXPECT_TRUE(fleet.Ask(0, kStream, At(1s))->complete);
+  for (const std::set<int>& lost : {std::set{1, 2, 3}, std::set{1, 2, 3, 4, 5, 6}}) {
+    fleet.SetPeers(0, lost, At(2s));
+    EXPECT_FALSE(fleet.Ask(0, kStream, At(3s))->complete);
+    EXPECT_FALSE(fleet.Ask(0, kStream, At(2s) + kLifetime)->complete);
+    EXPECT_TRUE(fleet.Ask(0, kStream, At(3s) + kLifetime)->complete);
+    fleet.SetPeers(0, {}, At(30s));
+  }
+}
+
+// Guards against: the version of a stream whose client is refused for long is inferred once its origin has expired.
+TEST(StreamOriginsTest, UnknownOriginIsRememberedUntilAKnownOneTurnsUp) {
+  OriginFleet fleet(7);
+  fleet.set_only_version("v1");
+  EXPECT_TRUE(fleet.at(0).Renew(kStream, kUnknownOrigin, kLifetime, At(1s)));
+  fleet.at(0).Announce(kStream, At(1s));
   fleet.Deliver(At(1s));
-  const std::vector<StreamAnswer> answers = fleet.at(0).TakeAnswers();
-  ASSERT_EQ(answers.size(), 1U);
-  EXPECT_EQ(answers.front().only_version, "v1");
+  for (int node = 1; node < 7; ++node) EXPECT_FALSE(fleet.at(node).Find(kStream, At(2s))->known());
+  EXPECT_TRUE(fleet.Ask(1, kStream, At(2s))->origin_unknown);
+  // Each attempt renews it, but not more often than necessary.
+  EXPECT_FALSE(fleet.at(0).Renew(kStream, kUnknownOrigin, kLifetime, At(3s)));
+  EXPECT_TRUE(fleet.at(0).Renew(kStream, kUnknownOrigin, kLifetime, At(10s)));
+  EXPECT_TRUE(fleet.at(0).Find(kStream, At(24s)));
+  fleet.at(2).OnNotice({kStream, {"v2", 1}, kLifetime}, At(3s));
+  EXPECT_EQ(fleet.Ask(1, kStream, At(3s))->origin->software_version, "v2");
+  EXPECT_TRUE(fleet.at(2).Renew(kStream, kUnknownOrigin, kLifetime, At(4s)));
+  EXPECT_EQ(fleet.at(2).Find(kStream, At(4s))->software_version, "v2");
 }
 
 TEST(StreamOriginsTest, StreamsBegunWithoutAnnouncementAreAnnouncedLater) {
--- a/tests/support/stream_fleet.cc
+++ b/tests/support/stream_fleet.cc
@@ -318,6 +318,7 @@
   for (const AddressedStreamMessage& message : action.messages) {
     for (int to = 0; to < options_.nodes; ++to) {
       if (message.address != Address(to) || cut_.contains(node) || cut_.contains(to)) continue;
+      if (cut_links_.contains({std::min(node, to), std::max(node, to)})) continue;
       if (random_.Chance(options_.message_loss)) continue;
       const Duration delay = random_.DurationBelow(random_.Chance(0.05) ? 100ms : 3ms);
       At(now_ + delay, [this, to, life = lives_[to], message = message.message] {
--- a/tests/support/stream_fleet.h
+++ b/tests/support/stream_fleet.h
@@ -68,10 +68,10 @@
   void AddEngines(Time at, int count, const std::string& version);
   // The node's process stands still until `end`; then it handles at once what has arrived, in any order.
   void SuspendNode(int node, Time at, Time end);
-  // The node reaches neither its peers, if `peers`, nor the store, if `store`, until `end`. After `forgets`, it has
+  // The node reaches neither a share of its peers nor the store, if `store`, until `end`. After `forgets`, it has
   // forgotten its peers, until shortly after the end.
   struct Cut {
-    bool peers = false;
+    double peers = 0;
     bool store = false;
     Duration forgets = 3600s;
   };
@@ -183,6 +183,7 @@
   std::vector<Watch> watches_;
   std::set<int> ended_;
   std::set<int> cut_from_store_;
+  std::set<std::pair<int, int>> cut_links_;
   std::map<int, Backlog> suspended_;
   FlowId last_flow_ = 0;
   StreamShare taken_up_at_serving_version_;
--- a/tests/support/stream_fleet_faults.cc
+++ b/tests/support/stream_fleet_faults.cc
@@ -47,7 +47,9 @@
 
 void StreamFleet::Isolate(int node, Time at, Time end, const Cut& cut) {
   At(at, [this, node, cut] {
-    if (cut.peers) cut_.insert(node);
+    for (int peer = 0; peer < options_.nodes; ++peer) {
+      if (random_.Chance(cut.peers)) cut_links_.insert({std::min(node, peer), std::max(node, peer)});
+    }
     if (cut.store) cut_from_store_.insert(node);
   });
   if (at + cut.forgets < end) {
@@ -55,7 +57,7 @@
     At(end + kForgottenAfterCut, [this, node] { OnNode(node, Source::kTimers, [this, node] { ListPeers(node); }); });
   }
   At(end, [this, node] {
-    cut_.erase(node);
+    std::erase_if(cut_links_, [&](const auto& link) { return link.first == node || link.second == node; });
     cut_from_store_.erase(node);
   });
 }
