saltquayd: a number of an engine or the platform that does not fit is an error, not another number

The decoders of engines' states and frames, of the platform's objects and lists, and of records in its store read integers with the JSON library's get(), which converts without a check: a verdict of 256 was 0 (taken), engine was engine 1, -1 a version of 2^64 - 1, and a fraction beyond the type undefined. ReadInteger throws like the library's other mistakes do, so that each decoder gives its typed error. All of them parse with a limit of depth now; they looked at values in place before, and no depth ended one.

--- a/src/core/authority/view.cc
+++ b/src/core/authority/view.cc
@@ -6,6 +6,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
+#include "src/base/json_numbers.h"
+
 #include "src/base/hash.h"
 
 namespace saltquay {
@@ -13,6 +16,10 @@
 
 using Json = nlohmann::json;
 
+absl::Status Corrupt(const std::string& cause) {
+  return MakeError(ErrorKind::kCorrupt, "the view does not parse; restore it: " + cause);
+}
+
 std::uint64_t RankOf(std::uint64_t key_hash, const ViewMember& member) {
   return HashPair(key_hash, HashPair(member.node.node.value, member.node.boot.value));
 }
@@ -29,13 +36,14 @@
 
 MemberSet MemberSetFromJson(const Json& json) {
   MemberSet set;
-  set.number = json.at("number").get<std::uint64_t>();
+  set.number = ReadInteger<std::uint64_t>(json.at("number"));
   for (const Json& row : json.at("members")) {
-    const NodeIncarnation node{NodeId{row.at(0).get<std::uint32_t>()}, BootId{row.at(1).get<std::uint64_t>()}};
-    set.members.push_back(ViewMember{node, ZoneId{row.at(2).get<std::uint32_t>()}});
+    const NodeIncarnation node{NodeId{ReadInteger<std::uint32_t>(row.at(0))},
+                               BootId{ReadInteger<std::uint64_t>(row.at(1))}};
+    set.members.push_back(ViewMember{node, ZoneId{ReadInteger<std::uint32_t>(row.at(2))}});
   }
   for (const Json& row : json.at("seats")) {
-    set.seats.push_back({NodeId{row.at(0).get<std::uint32_t>()}, BootId{row.at(1).get<std::uint64_t>()}});
+    set.seats.push_back({NodeId{ReadInteger<std::uint32_t>(row.at(0))}, BootId{ReadInteger<std::uint64_t>(row.at(1))}});
   }
   return set;
 }
@@ -104,7 +112,9 @@
 
 absl::StatusOr<View> ParseView(const std::string& text) {
   try {
-    const Json json = Json::parse(text);
+    const absl::StatusOr<Json> parsed = ParseBoundedJson(text);
+    if (!parsed.ok()) return Corrupt(MessageOf(parsed.status()));
+    const Json& json = *parsed;
     View view;
     view.current = MemberSetFromJson(json.at("current"));
     for (const Json& row : json.at("predecessors")) view.predecessors.push_back(MemberSetFromJson(row));
@@ -113,7 +123,7 @@
     }
     return view;
   } catch (const Json::exception& error) {
-    return MakeError(ErrorKind::kCorrupt, std::string("the view does not parse; restore it: ") + error.what());
+    return Corrupt(error.what());
   }
 }
 
--- a/src/core/machine_list.cc
+++ b/src/core/machine_list.cc
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
+#include "src/base/json_numbers.h"
+
 #include "src/base/hash.h"
 
 namespace saltquay {
@@ -9,9 +12,13 @@
 
 using Json = nlohmann::json;
 
+absl::Status Corrupt(const std::string& cause) {
+  return MakeError(ErrorKind::kCorrupt, "the machine list does not parse; check the platform: " + cause);
+}
+
 Machine MachineFromJson(const Json& row) {
   Machine machine;
-  machine.id = row.at("id").get<std::uint32_t>();
+  machine.id = ReadInteger<std::uint32_t>(row.at("id"));
   machine.kind = row.at("kind").get<std::string>() == "engine" ? MachineKind::kEngine : MachineKind::kNode;
   machine.state = row.at("state").get<std::string>() == "leaving" ? MachineState::kLeaving : MachineState::kLive;
   machine.zone_name = row.at("zone").get<std::string>();
@@ -39,14 +46,15 @@
 
 absl::StatusOr<MachineList> ParseMachineList(const std::string& text) {
   try {
-    const Json json = Json::parse(text);
+    const absl::StatusOr<Json> parsed = ParseBoundedJson(text);
+    if (!parsed.ok()) return Corrupt(MessageOf(parsed.status()));
+    const Json& json = *parsed;
     MachineList list;
-    list.revision = json.at("revision").get<std::uint64_t>();
+    list.revision = ReadInteger<std::uint64_t>(json.at("revision"));
     for (const Json& row : json.at("machines")) list.machines.push_back(MachineFromJson(row));
     return list;
   } catch (const Json::exception& error) {
-    return MakeError(ErrorKind::kCorrupt,
-                     std::string("the machine list does not parse; check the platform: ") + error.what());
+    return Corrupt(error.what());
   }
 }
 
--- a/src/runtime/engine_protocol.cc
+++ b/src/runtime/engine_protocol.cc
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
+#include "src/base/json_numbers.h"
+
 namespace saltquay {
 namespace {
 
@@ -14,17 +17,21 @@
 // Runs `read` on the parsed text; any JSON error becomes kCorrupt.
 template <typename Value>
 absl::StatusOr<Value> Parse(const std::string& text, const char* what, const std::function<Value(const Json&)>& read) {
+  const auto corrupt = [&](const std::string& cause) {
+    return MakeError(ErrorKind::kCorrupt,
+                     std::string("an engine's ") + what + " does not parse; check its version: " + cause);
+  };
   try {
-    return read(Json::parse(text));
+    const absl::StatusOr<Json> json = ParseBoundedJson(text);
+    return json.ok() ? absl::StatusOr<Value>(read(*json)) : corrupt(MessageOf(json.status()));
   } catch (const Json::exception& error) {
-    return MakeError(ErrorKind::kCorrupt,
-                     std::string("an engine's ") + what + " does not parse; check its version: " + error.what());
+    return corrupt(error.what());
   }
 }
 
 template <typename Enum>
 Enum ReadEnum(const Json& json, Enum last) {
-  const auto value = json.get<std::uint8_t>();
+  const auto value = ReadInteger<std::uint8_t>(json);
   if (value > static_cast<std::uint8_t>(last)) {
     throw Json::other_error::create(0, "a value is out of range", nullptr);
   }
@@ -34,12 +41,15 @@
 Json TokenToJson(const FenceToken& token) { return {token.view, token.ballot, token.sequence}; }
 
 FenceToken TokenFromJson(const Json& json) {
-  return {json.at(0).get<std::uint64_t>(), json.at(1).get<std::uint64_t>(), json.at(2).get<std::uint64_t>()};
+  return {ReadInteger<std::uint64_t>(json.at(0)), ReadInteger<std::uint64_t>(json.at(1)),
+          ReadInteger<std::uint64_t>(json.at(2))};
 }
 
 Json IdToJson(const AttemptId& id) { return {id.key, id.number}; }
 
-AttemptId IdFromJson(const Json& json) { return {json.at(0).get<std::string>(), json.at(1).get<std::uint32_t>()}; }
+AttemptId IdFromJson(const Json& json) {
+  return {json.at(0).get<std::string>(), ReadInteger<std::uint32_t>(json.at(1))};
+}
 
 }  // namespace
 
@@ -69,18 +79,19 @@
   return Parse<Attempt>(text, "attempt", [](const Json& json) {
     Attempt attempt;
     attempt.id = IdFromJson(json.at("id"));
-    attempt.boot = BootId{json.at("boot").get<std::uint64_t>()};
+    attempt.boot = BootId{ReadInteger<std::uint64_t>(json.at("boot"))};
     attempt.mode = ReadEnum(json.at("mode"), AttemptMode::kDecode);
-    attempt.model_version = ModelVersionId{json.at("model_version").get<std::uint32_t>()};
+    attempt.model_version = ModelVersionId{ReadInteger<std::uint32_t>(json.at("model_version"))};
     attempt.prompt = json.at("prompt").get<std::string>();
-    attempt.prompt_tokens = json.at("prompt_tokens").get<std::uint32_t>();
-    for (const Json& block : json.at("blocks")) attempt.prompt_blocks.push_back(BlockHash{block.get<std::uint64_t>()});
-    attempt.prompt_hash = json.at("prompt_hash").get<std::uint64_t>();
-    attempt.start_offset = json.at("start_offset").get<std::uint32_t>();
-    attempt.max_output_tokens = json.at("max_output_tokens").get<std::uint32_t>();
-    attempt.priority = json.at("priority").get<int>();
+    attempt.prompt_tokens = ReadInteger<std::uint32_t>(json.at("prompt_tokens"));
+    for (const Json& block : json.at("blocks"))
+      attempt.prompt_blocks.push_back(BlockHash{ReadInteger<std::uint64_t>(block)});
+    attempt.prompt_hash = ReadInteger<std::uint64_t>(json.at("prompt_hash"));
+    attempt.start_offset = ReadInteger<std::uint32_t>(json.at("start_offset"));
+    attempt.max_output_tokens = ReadInteger<std::uint32_t>(json.at("max_output_tokens"));
+    attempt.priority = ReadInteger<int>(json.at("priority"));
     if (attempt.mode != AttemptMode::kDecode) return attempt;
-    attempt.import_from = EngineId{json.at("import_from").get<std::uint32_t>()};
+    attempt.import_from = EngineId{ReadInteger<std::uint32_t>(json.at("import_from"))};
     attempt.import_address = json.at("import_address").get<std::string>();
     attempt.import_attempt = IdFromJson(json.at("import_attempt"));
     return attempt;
@@ -101,14 +112,14 @@
   return Parse<EngineFrame>(line, "frame", [](const Json& json) {
     EngineFrame frame;
     frame.attempt = IdFromJson(json.at("id"));
-    frame.boot = BootId{json.at("boot").get<std::uint64_t>()};
-    frame.offset = json.at("offset").get<std::uint32_t>();
-    frame.token_count = json.at("count").get<std::uint32_t>();
+    frame.boot = BootId{ReadInteger<std::uint64_t>(json.at("boot"))};
+    frame.offset = ReadInteger<std::uint32_t>(json.at("offset"));
+    frame.token_count = ReadInteger<std::uint32_t>(json.at("count"));
     frame.text = json.at("text").get<std::string>();
-    frame.cached_tokens = json.at("cached").get<std::uint32_t>();
+    frame.cached_tokens = ReadInteger<std::uint32_t>(json.at("cached"));
     if (!json.contains("finish")) return frame;
     frame.finish = ReadEnum(json.at("finish"), FinishReason::kCancelled);
-    frame.total_tokens = json.at("total").get<std::uint32_t>();
+    frame.total_tokens = ReadInteger<std::uint32_t>(json.at("total"));
     return frame;
   });
 }
@@ -136,21 +147,21 @@
 absl::StatusOr<EngineState> DecodeState(const std::string& text) {
   return Parse<EngineState>(text, "state", [](const Json& json) {
     EngineState state;
-    state.engine = EngineId{json.at("engine").get<std::uint32_t>()};
-    state.boot = BootId{json.at("boot").get<std::uint64_t>()};
+    state.engine = EngineId{ReadInteger<std::uint32_t>(json.at("engine"))};
+    state.boot = BootId{ReadInteger<std::uint64_t>(json.at("boot"))};
     state.fence = TokenFromJson(json.at("fence"));
     state.role = ReadEnum(json.at("role"), EngineRole::kDecode);
-    state.model_version = ModelVersionId{json.at("model_version").get<std::uint32_t>()};
-    state.generation = json.at("generation").get<std::uint64_t>();
+    state.model_version = ModelVersionId{ReadInteger<std::uint32_t>(json.at("model_version"))};
+    state.generation = ReadInteger<std::uint64_t>(json.at("generation"));
     state.order_in_progress = json.at("order_in_progress").get<bool>();
     state.last_order = TokenFromJson(json.at("last_order"));
-    state.running = json.at("running").get<std::uint32_t>();
-    state.waiting = json.at("waiting").get<std::uint32_t>();
-    state.queued_prefill_tokens = json.at("queued_prefill_tokens").get<std::uint64_t>();
-    state.clock_stamp_us = json.at("clock_stamp_us").get<std::uint64_t>();
+    state.running = ReadInteger<std::uint32_t>(json.at("running"));
+    state.waiting = ReadInteger<std::uint32_t>(json.at("waiting"));
+    state.queued_prefill_tokens = ReadInteger<std::uint64_t>(json.at("queued_prefill_tokens"));
+    state.clock_stamp_us = ReadInteger<std::uint64_t>(json.at("clock_stamp_us"));
     for (const Json& event : json.at("cache_events")) {
-      state.cache_events.push_back(
-          {event.at(0).get<std::uint64_t>(), event.at(1).get<bool>(), BlockHash{event.at(2).get<std::uint64_t>()}});
+      state.cache_events.push_back({ReadInteger<std::uint64_t>(event.at(0)), event.at(1).get<bool>(),
+                                    BlockHash{ReadInteger<std::uint64_t>(event.at(2))}});
     }
     return state;
   });
@@ -173,14 +184,14 @@
   return Parse<EngineOrder>(text, "order", [](const Json& json) {
     EngineOrder order;
     order.token = TokenFromJson(json.at("token"));
-    order.boot = BootId{json.at("boot").get<std::uint64_t>()};
+    order.boot = BootId{ReadInteger<std::uint64_t>(json.at("boot"))};
     order.role = ReadEnum(json.at("role"), EngineRole::kDecode);
     order.model = json.at("model").get<std::string>();
     order.version = json.at("version").get<std::string>();
     order.adapters = json.at("adapters").get<std::vector<std::string>>();
-    order.generation = json.at("generation").get<std::uint64_t>();
-    order.quoted_stamp_us = json.at("quoted_stamp_us").get<std::uint64_t>();
-    order.validity = Duration{json.at("validity_us").get<std::int64_t>()};
+    order.generation = ReadInteger<std::uint64_t>(json.at("generation"));
+    order.quoted_stamp_us = ReadInteger<std::uint64_t>(json.at("quoted_stamp_us"));
+    order.validity = Duration{ReadInteger<std::int64_t>(json.at("validity_us"))};
     order.only_when_idle = json.at("only_when_idle").get<bool>();
     return order;
   });
@@ -199,8 +210,8 @@
 
 absl::StatusOr<ResumeRequest> DecodeResume(const std::string& text) {
   return Parse<ResumeRequest>(text, "resume request", [](const Json& json) {
-    return ResumeRequest{BootId{json.at("boot").get<std::uint64_t>()}, IdFromJson(json.at("id")),
-                         json.at("offset").get<std::uint32_t>()};
+    return ResumeRequest{BootId{ReadInteger<std::uint64_t>(json.at("boot"))}, IdFromJson(json.at("id")),
+                         ReadInteger<std::uint32_t>(json.at("offset"))};
   });
 }
 
@@ -219,7 +230,7 @@
 absl::StatusOr<StateRequest> DecodeStateRequest(const std::string& text) {
   return Parse<StateRequest>(text, "state request", [](const Json& json) {
     StateRequest request;
-    request.cache_events_after = json.at("cache_events_after").get<std::uint64_t>();
+    request.cache_events_after = ReadInteger<std::uint64_t>(json.at("cache_events_after"));
     if (json.contains("raise_fence")) request.raise_fence = TokenFromJson(json.at("raise_fence"));
     return request;
   });
--- a/src/runtime/platform_protocol.cc
+++ b/src/runtime/platform_protocol.cc
@@ -2,13 +2,16 @@
 
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
+#include "src/base/json_numbers.h"
+
 namespace saltquay {
 namespace {
 
 using Json = nlohmann::json;
 
-absl::Status Corrupt(const Json::exception& error) {
-  return MakeError(ErrorKind::kCorrupt, std::string("the platform's answer does not parse: ") + error.what());
+absl::Status Corrupt(const std::string& cause) {
+  return MakeError(ErrorKind::kCorrupt, "the platform's answer does not parse: " + cause);
 }
 
 }  // namespace
@@ -25,19 +28,23 @@
 
 absl::StatusOr<StoredObject> DecodeStoredObject(const std::string& text) {
   try {
-    const Json json = Json::parse(text);
-    return StoredObject{json.at("version").get<std::uint64_t>(), json.at("value").get<std::string>()};
+    const absl::StatusOr<Json> parsed = ParseBoundedJson(text);
+    if (!parsed.ok()) return Corrupt(MessageOf(parsed.status()));
+    const Json& json = *parsed;
+    return StoredObject{ReadInteger<std::uint64_t>(json.at("version")), json.at("value").get<std::string>()};
   } catch (const Json::exception& error) {
-    return Corrupt(error);
+    return Corrupt(error.what());
   }
 }
 
 absl::StatusOr<ObjectWrite> DecodeObjectWrite(const std::string& text) {
   try {
-    const Json json = Json::parse(text);
-    return ObjectWrite{json.at("expected_version").get<std::uint64_t>(), json.at("value").get<std::string>()};
+    const absl::StatusOr<Json> parsed = ParseBoundedJson(text);
+    if (!parsed.ok()) return Corrupt(MessageOf(parsed.status()));
+    const Json& json = *parsed;
+    return ObjectWrite{ReadInteger<std::uint64_t>(json.at("expected_version")), json.at("value").get<std::string>()};
   } catch (const Json::exception& error) {
-    return Corrupt(error);
+    return Corrupt(error.what());
   }
 }
 
