saltquayctl: an answer of another form no longer ends it

The tool read a node's answer by the names of its members: one that is missing or of another type threw a json exception that nothing caught, and an answer of 100,000 levels ended it by signal 11, since it was copied. Now answers are parsed with a limit of depth, moved instead of copied, and one of another form is said to be that, with the exit code for no answer.

--- a/src/programs/saltquayctl.cc
+++ b/src/programs/saltquayctl.cc
@@ -11,6 +11,7 @@
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
 #include "src/core/bundle/bundle.h"
 #include "src/gateway/log_explainer.h"
 #include "src/runtime/http_client.h"
@@ -57,9 +58,10 @@
   call.timeout = kCommandTimeout;
   call.on_done = [&](HttpResult result, long, const std::string& text) {
     NodeAnswer answer;
-    answer.body = Json::parse(text, nullptr, false);
-    answer.answered = result == HttpResult::kAnswered && !answer.body.is_discarded();
-    promise.set_value(answer);
+    absl::StatusOr<Json> body = ParseBoundedJson(text);
+    answer.answered = result == HttpResult::kAnswered && body.ok();
+    if (body.ok()) answer.body = std::move(*body);
+    promise.set_value(std::move(answer));
   };
   http.Begin(std::move(call));
   return promise.get_future().get();
@@ -108,7 +110,7 @@
       Print(command, answer.body, accepted);
     }
     if (accepted) return EXIT_SUCCESS;
-    const std::string type = answer.body.contains("error") ? answer.body["error"].value("type", "") : "";
+    const std::string type = answer.body.contains("error") ? answer.body.at("error").value("type", "") : "";
     return type == "outcome_unknown" ? kExitUnknown : kExitRefused;
   }
 
@@ -120,18 +122,19 @@
       return EXIT_SUCCESS;
     }
     const Json& body = answer.body;
-    std::cout << fmt::format("node {} {} generation {} '{}' view {} leader {} store {}\n", body["node"].dump(),
-                             body["ready"].get<bool>() ? "ready" : "not ready", body["generation"].dump(),
-                             body["bundle"].get<std::string>(), body["view"].dump(), body["leader"]["node"].dump(),
-                             body["store_available"].get<bool>() ? "up" : "down");
-    for (const Json& member : body["members"]) {
-      std::cout << fmt::format("  node {} {}\n", member["node"].dump(), member["state"].get<std::string>());
+    std::cout << fmt::format("node {} {} generation {} '{}' view {} leader {} store {}\n", body.at("node").dump(),
+                             body.at("ready").get<bool>() ? "ready" : "not ready", body.at("generation").dump(),
+                             body.at("bundle").get<std::string>(), body.at("view").dump(),
+                             body.at("leader").at("node").dump(),
+                             body.at("store_available").get<bool>() ? "up" : "down");
+    for (const Json& member : body.at("members")) {
+      std::cout << fmt::format("  node {} {}\n", member.at("node").dump(), member.at("state").get<std::string>());
     }
-    for (const Json& engine : body["engines"]) {
-      std::cout << fmt::format("  engine {} {} {} running {} waiting {}\n", engine["engine"].dump(),
-                               engine["role"].get<std::string>(),
-                               engine["available"].get<bool>() ? "available" : "out of service",
-                               engine["running"].dump(), engine["waiting"].dump());
+    for (const Json& engine : body.at("engines")) {
+      std::cout << fmt::format("  engine {} {} {} running {} waiting {}\n", engine.at("engine").dump(),
+                               engine.at("role").get<std::string>(),
+                               engine.at("available").get<bool>() ? "available" : "out of service",
+                               engine.at("running").dump(), engine.at("waiting").dump());
     }
     return EXIT_SUCCESS;
   }
@@ -142,10 +145,10 @@
       const NodeAnswer answer = Call(http_, "POST", node_url_ + "/admin/bundles/show", Json{{"bundle", name}}.dump());
       if (!answer.answered) return NoNode();
       if (!answer.body.value("accepted", false)) {
-        std::cerr << answer.body["error"].value("message", "refused") << "\n";
+        std::cerr << answer.body.at("error").value("message", "refused") << "\n";
         return kExitRefused;
       }
-      texts.push_back(answer.body["detail"].value("text", ""));
+      texts.push_back(answer.body.at("detail").value("text", ""));
     }
     const std::vector<std::string> lines = DiffLines(texts[0], texts[1]);
     if (json_) {
@@ -178,23 +181,23 @@
 
   static void Print(const std::string& command, const Json& body, bool accepted) {
     if (!accepted) {
-      std::cerr << "not accepted: " << body["error"].value("message", "refused") << "\n";
+      std::cerr << "not accepted: " << body.at("error").value("message", "refused") << "\n";
       return;
     }
     if (command == "show") {
-      const Json& detail = body["detail"];
+      const Json& detail = body.at("detail");
       std::cout << fmt::format(
           "bundle '{}' published by {}, {}\n{}", detail.value("name", ""), detail.value("publisher", ""),
           detail.value("approver", "").empty() ? "not approved" : "approved by " + detail.value("approver", ""),
           detail.value("text", ""));
     } else if (command == "history") {
-      if (!body.contains("detail") || !body["detail"].contains("history")) return;
-      for (const Json& roll : body["detail"]["history"]) {
-        std::cout << fmt::format("generation {} '{}' by {}\n", roll[0].dump(), roll[1].get<std::string>(),
-                                 roll[2].get<std::string>());
+      if (!body.contains("detail") || !body.at("detail").contains("history")) return;
+      for (const Json& roll : body.at("detail").at("history")) {
+        std::cout << fmt::format("generation {} '{}' by {}\n", roll.at(0).dump(), roll.at(1).get<std::string>(),
+                                 roll.at(2).get<std::string>());
       }
     } else if (command == "roll") {
-      std::cout << fmt::format("accepted: generation {} is '{}'\n", body["generation"].dump(),
+      std::cout << fmt::format("accepted: generation {} is '{}'\n", body.at("generation").dump(),
                                body.value("bundle", ""));
     } else {
       std::cout << "accepted\n";
@@ -279,7 +282,7 @@
   return options;
 }
 
-int Run(const cxxopts::ParseResult& arguments) {
+int RunCommand(const cxxopts::ParseResult& arguments) {
   const std::vector<std::string> words = arguments["words"].as<std::vector<std::string>>();
   Control control(arguments["node"].as<std::string>(), arguments["operator"].as<std::string>(),
                   arguments.count("json") > 0);
@@ -291,6 +294,15 @@
   return code;
 }
 
+int Run(const cxxopts::ParseResult& arguments) {
+  try {
+    return RunCommand(arguments);
+  } catch (const Json::exception& error) {
+    std::cerr << "the node's answer has another form, check its version: " << error.what() << "\n";
+    return kExitNoNode;
+  }
+}
+
 }  // namespace
 }  // namespace saltquay
 
