saltquay-load: an answer of another form counts as cut off or unknown

The load tool read 'error' and 'choices' of a node's answer without a look at their types, on the thread of its HTTP client: an answer without them ended the tool, or was undefined. Now they are looked up with a default, in JSON that is parsed with a limit of depth. Built, and not run by a test of its own: serving_test and node_answers_test do not use it.

--- a/src/load/load_runner.cc
+++ b/src/load/load_runner.cc
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "src/base/bounded_json.h"
 #include "src/base/hash.h"
 #include "src/models/token_text.h"
 
@@ -23,6 +24,15 @@
 constexpr std::chrono::milliseconds kResubmitPause{300};
 constexpr std::chrono::seconds kProgressInterval{5};
 
+const Json::json_pointer kOutcomeOfError("/error/outcome");
+const Json::json_pointer kTextOfChoice("/choices/0/text");
+
+// Returns the string at that place of a node's answer, or `otherwise` if there is none.
+std::string StringAt(const Json& answer, const Json::json_pointer& place, const char* otherwise) {
+  if (!answer.contains(place) || !answer.at(place).is_string()) return otherwise;
+  return answer.at(place).get<std::string>();
+}
+
 double MillisecondsBetween(Clock::time_point begin, Clock::time_point end) {
   return std::chrono::duration<double, std::milli>(end - begin).count();
 }
@@ -162,13 +172,13 @@
       flight.saw_end = true;
       return;
     }
-    const Json json = Json::parse(event.substr(std::min(kPrefixBytes, event.size())), nullptr, false);
-    if (json.is_discarded()) return;
-    if (json.contains("error")) {
-      flight.stream_error = json["error"].value("outcome", "unknown");
+    const absl::StatusOr<Json> json = ParseBoundedJson(event.substr(std::min(kPrefixBytes, event.size())));
+    if (!json.ok()) return;
+    if (json->contains("error")) {
+      flight.stream_error = StringAt(*json, kOutcomeOfError, "unknown");
       return;
     }
-    flight.text += json["choices"][0].value("text", "");
+    flight.text += StringAt(*json, kTextOfChoice, "");
   }
 
   void OnDone(const std::shared_ptr<Flight>& flight, HttpResult result, long status, const std::string& body) {
@@ -192,17 +202,17 @@
     if (result == HttpResult::kNotSent) return "unreachable";
     if (result != HttpResult::kAnswered) return "cut_off";
     if (status != kOk) {
-      const Json json = Json::parse(body, nullptr, false);
-      if (json.is_discarded() || !json.contains("error")) return "cut_off";
-      return json["error"].value("outcome", "unknown");
+      const absl::StatusOr<Json> json = ParseBoundedJson(body);
+      if (!json.ok() || !json->contains("error")) return "cut_off";
+      return StringAt(*json, kOutcomeOfError, "unknown");
     }
     if (flight.request->stream) {
       if (!flight.stream_error.empty()) return flight.stream_error;
       if (!flight.saw_end) return "cut_off";
     } else {
-      const Json json = Json::parse(flight.buffer, nullptr, false);
-      if (json.is_discarded()) return "cut_off";
-      flight.text = json["choices"][0].value("text", "");
+      const absl::StatusOr<Json> json = ParseBoundedJson(flight.buffer);
+      if (!json.ok()) return "cut_off";
+      flight.text = StringAt(*json, kTextOfChoice, "");
     }
     const std::uint64_t prompt_hash = HashText(flight.request->prompt);
     const std::string expected = TokenTexts(prompt_hash, 0, flight.request->request_class->output_tokens);
