A peer's report with misaligned vectors is read without them

FlatBuffers' verifier checks where a vector's length lies, not where its elements do. A datagram with a vector of 8-byte structs at an offset of 4 passed, and its elements were read through misaligned references, which is undefined; on arm64 and x86-64 as built here no wrong value was seen. Such a vector is left out now, the others of the report stay.

--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <cstdint>
 #include <limits>
 #include <optional>
+#include <type_traits>
 
 #include "src/base/status.h"
 #include "src/gateway/limit_codec.h"
@@ -113,10 +115,17 @@
   return builder.CreateVector(hashes);
 }
 
-// Calls `read` for each element of `source`, which may be null.
+// The verifier checks the alignment of a vector's length only, which is that of its elements up to four bytes.
+template <typename Element, typename Vector>
+bool HasAlignedElements(const Vector& source) {
+  return reinterpret_cast<std::uintptr_t>(source.Data()) % alignof(Element) == 0;
+}
+
+// Calls `read` for each element of `source`, which may be null. A vector that is not aligned is left out.
 template <typename Vector, typename Read>
 void ForEach(const Vector* source, Read read) {
-  if (source == nullptr) return;
+  using Element = std::remove_pointer_t<typename Vector::return_type>;
+  if (source == nullptr || !HasAlignedElements<Element>(*source)) return;
   for (const auto* item : *source) read(*item);
 }
 
@@ -200,7 +209,7 @@
   ForEach(source.engine_limits(), [&](const wire::EngineLimit& item) {
     if (const auto mark = EngineLimitFromWire(item)) report.engine_limits.push_back(*mark);
   });
-  if (source.leaving_engines() != nullptr) {
+  if (source.leaving_engines() != nullptr && HasAlignedElements<std::uint64_t>(*source.leaving_engines())) {
     for (const std::uint64_t hash : *source.leaving_engines()) report.leaving_engines.emplace_back(hash);
   }
 }
