--- /dev/null
+++ b/tests/fuzz/fuzz_forwarded.cc
@@ -0,0 +1,23 @@
+// libFuzzer target: the state of a request that another node forwards; what decodes must survive a round trip.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "src/gateway/forward_protocol.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace saltquay::gateway;
+  const std::string text(reinterpret_cast<const char*>(data), size);
+  saltquay::http::RequestHead head;
+  head.fields.Add(std::string(kForwardedField), text);
+  const auto state = DecodeForwardedState(head);
+  saltquay::http::ResponseHead response;
+  response.fields.Add(std::string(kForwardOutcomeField), text);
+  saltquay::serving::EngineResponseHead outcome;
+  DecodeForwardOutcome(response, outcome);
+  if (!state.ok()) return 0;
+  AddForwardedState(head, *state, state->node);
+  if (!DecodeForwardedState(head).ok()) std::abort();
+  return 0;
+}
