engine_record_refused: once a revision, with its size, and counted by cause

An operator saw the same refusal at each list, and no metric told that objects are refused at all. The line now comes once for each revision of an object and has its size in bytes; saltquay_records_refused_total counts revisions by kind and by cause, which is one of few: "unreadable_entry" (the store's reader could not read it) or the kind of the parser's error.

--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -28,6 +28,8 @@
       counter("saltquay_extra_arrivals_total", "Calls to engines that count against the retry budget, and why");
   resumptions_ = counter("saltquay_stream_resumptions_total", "Streams that clients resume, by what came of it");
   store_calls_ = counter("saltquay_store_calls_total", "Calls to the store by kind of object, call and cause");
+  refused_records_ = counter("saltquay_records_refused_total",
+                             "Revisions of the store's objects that cannot be read, by kind of object and cause");
   traffic_ = counter("saltquay_traffic_bytes_total",
                      "Contents of messages to and from engines and other nodes, by kind and how far they went");
   record_age_ = &prometheus::BuildGauge()
@@ -137,6 +139,10 @@
   record_age_->Add({{"kind", kind}}).Set(seconds);
 }
 
+void GatewayMetrics::CountRefusedRecord(const std::string& kind, const std::string& cause) {
+  refused_records_->Add({{"kind", kind}, {"cause", cause}}).Increment();
+}
+
 void GatewayMetrics::CountStoreCall(const std::string& kind, const std::string& call, const std::string& cause) {
   store_calls_->Add({{"kind", kind}, {"call", call}, {"cause", cause}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -45,6 +45,7 @@
   void SetConnectionsOpened(double connections) { connections_opened_->Set(connections); }
   void CountAbortedStream() { aborted_streams_->Increment(); }
   // `call`: list, watch, read or write; `cause`: why this node called the store.
+  void CountRefusedRecord(const std::string& kind, const std::string& cause);
   void CountStoreCall(const std::string& kind, const std::string& call, const std::string& cause);
   void ObserveResponse(double seconds) { response_seconds_->Observe(seconds); }
   void ObserveFirstEvent(double seconds) { first_event_seconds_->Observe(seconds); }
@@ -88,6 +89,7 @@
   prometheus::Family<prometheus::Counter>* resumptions_;
   prometheus::Family<prometheus::Counter>* identifications_;
   prometheus::Family<prometheus::Counter>* store_calls_;
+  prometheus::Family<prometheus::Counter>* refused_records_;
   prometheus::Family<prometheus::Counter>* traffic_;
   prometheus::Family<prometheus::Gauge>* record_age_;
   prometheus::Family<prometheus::Gauge>* limit_units_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -264,10 +264,12 @@
                                 object.content.size());
   absl::StatusOr<serving::EngineRecord> record = compacting_store_.ParseEngine(object);
   if (record.ok()) return std::move(*record);
-  gateway_.Log(
-      EventId::kEngineRecordRefused, "",
-      fmt::format(R"("engine":"{}","revision":{},"cause":"{}")", EscapeJsonPrefix(object.name, kMaxLoggedBytes),
-                  object.revision, EscapeJsonPrefix(MessageOf(record.status()), kMaxLoggedBytes)));
+  if (!refused_records_.Add(object)) return std::nullopt;
+  gateway_.metrics().CountRefusedRecord(parsers_.engine_kind, std::string(RefusalCause(object, record.status())));
+  gateway_.Log(EventId::kEngineRecordRefused, "",
+               fmt::format(R"("engine":"{}","revision":{},"bytes":{},"cause":"{}")",
+                           EscapeJsonPrefix(object.name, kMaxLoggedBytes), object.revision, object.content.size(),
+                           EscapeJsonPrefix(MessageOf(record.status()), kMaxLoggedBytes)));
   return std::nullopt;
 }
 
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -23,6 +23,7 @@
 #include "src/gateway/fleet_coordinator.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/peer_request_handler.h"
+#include "src/gateway/refused_records.h"
 #include "src/gateway/stop_schedule.h"
 
 namespace saltquay::gateway {
@@ -79,6 +80,7 @@
   std::string settings_path_;
   RecordParsers parsers_;
   CompactingStore compacting_store_;
+  RefusedRecords refused_records_;
   replica::RelayedStore store_;
   replica::RelayServer relay_;
   LogStream log_;
