--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -190,6 +190,11 @@
 }
 
 // Replaces each member by values of any type: the record either parses completely or is rejected as corrupt.
+// Guards against log lines that are no JSON: engine ids stand in them as they are.
+TEST(RecordsTest, RejectsEngineIdsThatEndAJsonString) {
+  for (const char* name : {"a\"odd\"", "a\\u0000", "a\\"}) EXPECT_FALSE(ParseEngine({name, 1, kEngine}).ok()) << name;
+}
+
 TEST(RecordsTest, EngineRecordParsesCompletelyOrIsRejected) {
   const std::vector<nlohmann::json> values = {nullptr, true,       0,  -1,  7,     1.5,
                                               1e300,   UINT64_MAX, "", "x", {"x"}, {{"x", 1}}};
