A resumption refused only for late records is not remembered as one of unknown origin

Callers saw: a client that took a stream up while a peer was silent and the records were confirmed late was refused, and from then on for as long as it came back, although one version alone served and the next attempt could prove it.

Cause: each refusal recorded the stream's origin as unknown, which blocks any inference. That is right where the node remembers too little (several versions, or records known for too short a time), not where only the proof came late.

Change: OnRecordsLate refuses without that record. A stream of another version is still safe: what is missing then is the version's record, and once it has been seen, several versions block the inference.

Test: SoftwareVersionTest.ResumptionRefusedForLateRecordsGoesOnLater.

--- a/src/core/serving/software_version_steps.cc
+++ b/src/core/serving/software_version_steps.cc
@@ -77,14 +77,19 @@
   return version_history_.OnlyVersionWithin(service, stream_lifetime_, now_);
 }
 
+// Only the proof was missing, so the stream is not recorded as one of unknown origin: a later attempt may find it.
 void ServingCore::OnRecordsLate(Flow& flow) {
   const StreamAnswer answer = awaiting_records_[flow.id];
   awaiting_records_.erase(flow.id);
-  RefuseUnknownOrigin(flow, answer);
+  RefuseResumption(flow, answer);
 }
 
 void ServingCore::RefuseUnknownOrigin(Flow& flow, const StreamAnswer& answer) {
   RenewStream(flow, kUnknownOrigin);
+  RefuseResumption(flow, answer);
+}
+
+void ServingCore::RefuseResumption(Flow& flow, const StreamAnswer& answer) {
   actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
   Refuse(flow, kUnavailable, "software version of the stream is not known", parameters_.retry_after,
          DescribeEvidence(answer));
--- a/tests/core/serving/software_version_test.cc
+++ b/tests/core/serving/software_version_test.cc
@@ -289,6 +289,20 @@
   EXPECT_TRUE(One<SendLocalReply>().retry_after);
 }
 
+// Guards against: a stream whose records were confirmed too late once is refused however often its client comes back.
+TEST_F(SoftwareVersionTest, ResumptionRefusedForLateRecordsGoesOnLater) {
+  RemoveVersionB();
+  PassLongEnough();
+  SetPeers();
+  Resume("unknown");
+  Pass(2s);
+  EXPECT_EQ(One<SendLocalReply>().status, 503);
+  Resume("unknown");
+  Pass(200ms);
+  Confirm();
+  EXPECT_EQ(One<StartAttempt>().engine_id[0], 'a');
+}
+
 // Guards against: a node that was suspended goes by, and tells others, what it knew before.
 TEST_F(SoftwareVersionTest, OldRecordsSayNothingAboutTheOnlyVersion) {
   RemoveVersionB();
