CrashReporter: a reader that takes nothing neither keeps a crashed process alive nor changes its signal

What callers saw: with a full blocking pipe as standard output, a process that crashed hung for 5 s and ended by SIGALRM, so that the supervisor saw another signal than the fault's. Started with SIGALRM ignored or blocked (both survive exec), it never ended.

Cause: WriteAll polled only after EAGAIN, which a blocking descriptor doesn't return; the alarm that bounds the report had whatever action and mask the process was started with, and its default action ends by SIGALRM.

The report installs its own handler of SIGALRM and unblocks it: the handler restores the default action of the signal that is being reported, unblocks it and raises it (all of it async-signal-safe). For descriptors that are ready and block nonetheless (a terminal; a pipe that another process fills in between), the process so ends by its own signal after 5 s.

Failed try: a Unix socket with the smallest send buffer, instead of the terminal, took the 4,096 bytes, so that no write hung.

--- a/src/base/crash_reporter.cc
+++ b/src/base/crash_reporter.cc
@@ -1,6 +1,7 @@
 #include "src/base/crash_reporter.h"
 
 #include <execinfo.h>
+#include <limits.h>
 #include <poll.h>
 #include <sys/ucontext.h>
 #include <unistd.h>
@@ -44,6 +45,7 @@
   Activity::Text process_name{};
   std::atomic<const LogStream*> log = nullptr;
   std::atomic<std::size_t> open_requests = 0;
+  std::atomic<int> signal = 0;  // The one that is being reported.
   std::array<char, kHandlerStackBytes> stack{};
   std::array<void*, kMaxFrames> frames{};
   std::array<char, kMaxLineBytes> line{};
@@ -85,15 +87,17 @@
   std::size_t size_ = 0;
 };
 
+// Writes what the reader takes. The descriptor may be a blocking one: a pipe that is ready has room for PIPE_BUF bytes.
 void WriteAll(int file_descriptor, std::string_view text) {
   while (!text.empty()) {
-    const ssize_t count = write(file_descriptor, text.data(), text.size());
+    pollfd ready{file_descriptor, POLLOUT, 0};
+    const int polled = poll(&ready, 1, kMaxWriteWaitMs);
+    if (polled < 0 && errno == EINTR) continue;
+    if (polled <= 0 || ready.revents != POLLOUT) return;
+    const ssize_t count = write(file_descriptor, text.data(), std::min<std::size_t>(text.size(), PIPE_BUF));
     if (count > 0) {
       text.remove_prefix(static_cast<std::size_t>(count));
-    } else if (errno == EAGAIN) {
-      pollfd ready{file_descriptor, POLLOUT, 0};
-      if (poll(&ready, 1, kMaxWriteWaitMs) <= 0) return;
-    } else if (errno != EINTR) {
+    } else if (errno != EINTR && errno != EAGAIN) {
       return;
     }
   }
@@ -228,8 +232,34 @@
   WriteAll(reporter.file_descriptor, line.text());
 }
 
+void ChangeMask(int how, int number) {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, number);
+  pthread_sigmask(how, &set, nullptr);
+}
+
+// Handles SIGALRM: ends the process by the signal whose report took too long.
+void EndBySignal(int /*alarm*/) {
+  const int number = reporter.signal.load();
+  std::signal(number, SIG_DFL);
+  ChangeMask(SIG_UNBLOCK, number);
+  raise(number);
+}
+
+// The process may have been started with SIGALRM ignored or blocked.
+void LimitReportTime(int number) {
+  reporter.signal.store(number);
+  struct sigaction action {};
+  action.sa_handler = EndBySignal;
+  action.sa_flags = SA_ONSTACK;
+  sigaction(SIGALRM, &action, nullptr);
+  ChangeMask(SIG_UNBLOCK, SIGALRM);
+  alarm(kMaxHandlerSeconds);
+}
+
 void Report(int number, siginfo_t* info, void* context) {
-  alarm(kMaxHandlerSeconds);  // Ends the process if the report does not.
+  LimitReportTime(number);
   if (const LogStream* const log = reporter.log.load()) WriteAll(reporter.file_descriptor, log->buffered());
   const Registers registers = RegistersOf(context);
   WriteCrashLine(*info, registers);
--- a/tests/base/crash_reporter_test.cc
+++ b/tests/base/crash_reporter_test.cc
@@ -1,12 +1,16 @@
 // Processes that end by each signal.
+#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <sstream>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -54,6 +58,55 @@
   return end;
 }
 
+struct TimedEnd {
+  int status = 0;
+  std::chrono::milliseconds after{};
+};
+
+// Waits for the child's end; kills it after 10 s.
+TimedEnd WaitForEnd(pid_t child) {
+  using std::chrono::steady_clock;
+  const auto start = steady_clock::now();
+  TimedEnd end;
+  while (waitpid(child, &end.status, WNOHANG) == 0) {
+    if (steady_clock::now() - start > std::chrono::seconds(10)) {
+      kill(child, SIGKILL);
+      waitpid(child, &end.status, 0);
+      break;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  end.after = std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - start);
+  return end;
+}
+
+// A process may be started with SIGALRM ignored and blocked.
+enum class AlarmAtStart { kDefault, kDisabled };
+
+// Crashes a child by SIGSEGV while its reporter writes to `file_descriptor`, which blocks.
+TimedEnd CrashWritingTo(int file_descriptor, AlarmAtStart alarm) {
+  const pid_t child = fork();
+  if (child != 0) return WaitForEnd(child);
+  if (alarm == AlarmAtStart::kDisabled) {
+    std::signal(SIGALRM, SIG_IGN);
+    sigset_t blocked;
+    sigemptyset(&blocked);
+    sigaddset(&blocked, SIGALRM);
+    sigprocmask(SIG_BLOCK, &blocked, nullptr);
+  }
+  InstallCrashReporter(file_descriptor, "node-1");
+  // The log holds lines, but has another descriptor: it makes its own non-blocking.
+  std::array<int, 2> ends{};
+  if (pipe(ends.data()) != 0) _exit(1);
+  LogStreamOptions options;
+  options.file_descriptor = ends[1];
+  LogStream log(options);
+  SetCrashLog(&log);
+  for (int i = 0; i < 4000; ++i) log.Write(1, EventId::kRequestFailed, "r1", "");
+  raise(SIGSEGV);
+  _exit(0);
+}
+
 // Each level keeps an object with a destructor, so that the call is no tail call.
 std::size_t Recurse(std::size_t level) {  // NOLINT(misc-no-recursion)
   const std::string text(level % 7, 'x');
@@ -176,5 +229,47 @@
   close(ends[1]);
 }
 
+// Guards against a crash whose report waits for a reader, and against its end by SIGALRM.
+TEST(CrashReporterTest, EndsByItsSignalThoughABlockingPipeIsFull) {
+  for (const bool full : {false, true}) {
+    for (const AlarmAtStart alarm : {AlarmAtStart::kDefault, AlarmAtStart::kDisabled}) {
+      std::array<int, 2> ends{};
+      ASSERT_EQ(pipe(ends.data()), 0);
+      if (full) {
+        fcntl(ends[1], F_SETFL, O_NONBLOCK);
+        while (write(ends[1], "x", 1) == 1) {
+        }
+        fcntl(ends[1], F_SETFL, 0);
+      }
+      const TimedEnd end = CrashWritingTo(ends[1], alarm);
+      EXPECT_EQ(WTERMSIG(end.status), SIGSEGV) << "full: " << full << ", SIGALRM: " << static_cast<int>(alarm);
+      EXPECT_LT(end.after, std::chrono::milliseconds(1500));
+      close(ends[0]);
+      close(ends[1]);
+    }
+  }
+}
+
+// A terminal that is ready may have room for a part of a write only. Guards against a process that a report which hangs
+// keeps alive.
+TEST(CrashReporterTest, EndsByItsSignalThoughAWriteHangs) {
+  for (const AlarmAtStart alarm : {AlarmAtStart::kDefault, AlarmAtStart::kDisabled}) {
+    const int reader = posix_openpt(O_RDWR | O_NOCTTY);
+    ASSERT_GE(reader, 0);
+    ASSERT_EQ(grantpt(reader), 0);
+    ASSERT_EQ(unlockpt(reader), 0);
+    std::array<char, 64> name{};
+    ASSERT_EQ(ptsname_r(reader, name.data(), name.size()), 0);
+    const int terminal = open(name.data(), O_RDWR | O_NOCTTY);
+    ASSERT_GE(terminal, 0);
+    const TimedEnd end = CrashWritingTo(terminal, alarm);
+    EXPECT_EQ(WTERMSIG(end.status), SIGSEGV) << "SIGALRM: " << static_cast<int>(alarm);
+    EXPECT_GT(end.after, std::chrono::seconds(4)) << "no write hung";
+    EXPECT_LT(end.after, std::chrono::seconds(7));
+    close(terminal);
+    close(reader);
+  }
+}
+
 }  // namespace
 }  // namespace saltquay
