A watch response that can't be used: the node lists, instead of asking for the same response for good

Cause: a response over 16 MB, or one that doesn't decode, had the status of a lost connection or of an unreachable store. The watcher watched again from the same revision, and so got the same response again, without end. The node also counted the store as failed and stopped relaying.

The watcher then lists, since lists come in pages, and watches from the list's revision. The list waits for a backoff of its own, which only a usable watch ends, so that a store whose watches all fail isn't listed without a pause. As after a 410, the response proves that the store serves this node: the list isn't held back by the turns of an outage, and followers stay. A time-out or a lost connection is retried as before. The lease and stage orders take kDataLoss for an unknown outcome: the former status of an undecodable response to a lease's write said that the write had not happened.

No process test was run.

--- a/include/saltquay/fetch/fetcher.h
+++ b/include/saltquay/fetch/fetcher.h
@@ -26,7 +26,7 @@
     std::chrono::milliseconds timeout { 1500 }; // For the complete response.
     // Until the first bytes, and between any two parts of the response; zero: only the complete response is timed.
     std::chrono::milliseconds stall_timeout { 0 };
-    std::uint64_t max_body_bytes = 64 * 1024; // Of the response; a longer one counts as aborted.
+    std::uint64_t max_body_bytes = 64 * 1024; // Of the response; a longer one is not read to its end.
     // See http::CallOptions and http::CallHandlers.
     std::string call_id;
     std::function<http::ResponseOwner(http::ResponseHead const&)> owner_of;
@@ -40,6 +40,7 @@
     //   kInvalidArgument   the address is not ip:port.
     //   kUnavailable       the request was not sent.
     //   kDeadlineExceeded  no complete response in time, or it was aborted: the peer may have acted.
+    //   kDataLoss          the response is too long: the peer may have acted.
     using Handler = std::function<void(absl::StatusOr<Reply>)>;
 
     explicit Fetcher(boost::asio::io_context& loop)
@@ -56,6 +57,7 @@
     struct Pending;
 
     void restart_stall_timer(FetchId, Pending&);
+    void on_body(FetchId, Pending&, std::string_view bytes);
     void time_out(FetchId, std::string const& cause);
     void finish(FetchId, absl::StatusOr<Reply>);
     http::CallHandlers make_handlers(FetchId, std::shared_ptr<Pending> const&);
--- a/src/fetch/fetcher.cc
+++ b/src/fetch/fetcher.cc
@@ -1,6 +1,9 @@
 #include "saltquay/fetch/fetcher.h"
 
+#include <limits>
+
 #include <boost/asio/post.hpp>
+#include <fmt/format.h>
 
 #include "src/base/crash_reporter.h"
 #include "src/http/boot_timer.h"
@@ -17,6 +20,7 @@
     BootTimer timer;
     BootTimer stall_timer;
     std::chrono::milliseconds stall_timeout { 0 };
+    std::uint64_t max_body_bytes = 0;
     std::string pool;
     std::string target;
     Reply reply;
@@ -30,6 +34,7 @@
     auto const id = ++last_id_;
     auto const pending = std::make_shared<Pending>(loop_);
     pending->done = std::move(done);
+    pending->max_body_bytes = options.max_body_bytes;
     pending->pool = options.pool;
     pending->target = head.target;
     pending_[id] = pending;
@@ -41,7 +46,7 @@
     http::CallOptions call_options;
     call_options.connect_timeout = options.connect_timeout;
     call_options.call_id = options.call_id;
-    call_options.max_body_bytes = options.max_body_bytes;
+    call_options.max_body_bytes = std::numeric_limits<std::uint64_t>::max(); // See on_body().
     http::CallHandlers handlers = make_handlers(id, pending);
     handlers.owner_of = options.owner_of;
     pending->call =
@@ -77,10 +82,8 @@
             call->reply.status = response_head.status;
     };
     handlers.on_body = [this, id, weak](std::string_view bytes) {
-        if (auto const call = weak.lock()) {
-            call->reply.body += bytes;
-            restart_stall_timer(id, *call);
-        }
+        if (auto const call = weak.lock())
+            on_body(id, *call, bytes);
     };
     handlers.on_complete = [this, id, weak] {
         if (auto const call = weak.lock())
@@ -95,6 +98,15 @@
     return handlers;
 }
 
+void Fetcher::on_body(FetchId id, Pending& pending, std::string_view bytes)
+{
+    if (pending.reply.body.size() + bytes.size() > pending.max_body_bytes)
+        return finish(
+            id, absl::DataLossError(fmt::format("the response is longer than {} bytes", pending.max_body_bytes)));
+    pending.reply.body += bytes;
+    restart_stall_timer(id, pending);
+}
+
 // The pool's other connections to that peer may be blackholed too: the next call opens a new connection.
 void Fetcher::time_out(FetchId id, std::string const& cause)
 {
--- a/src/gateway/collection_watcher.cc
+++ b/src/gateway/collection_watcher.cc
@@ -14,7 +14,8 @@
       handlers_(std::move(handlers)),
       random_(seed),
       timer_(loop),
-      backoff_(timings.initial_backoff) {}
+      backoff_(timings.initial_backoff),
+      list_backoff_(timings.initial_backoff) {}
 
 void CollectionWatcher::List() {
   store_.List(kind_, [this, alive = std::weak_ptr<bool>(alive_)](const absl::StatusOr<ObjectList>& list) {
@@ -36,6 +37,7 @@
                  if (!events.ok()) return OnError(events.status());
                  revision_ = events->at;
                  backoff_ = timings_.initial_backoff;
+                 list_backoff_ = timings_.initial_backoff;
                  for (const ObjectEvent& event : events->events) handlers_.on_event(event);
                  if (!events->events.empty() && handlers_.on_events_applied) handlers_.on_events_applied();
                  SetConnected(true, "watched");
@@ -54,9 +56,12 @@
 void CollectionWatcher::OnError(const absl::Status& status) {
   SetConnected(false, MessageOf(status));
   if (status.code() == absl::StatusCode::kOutOfRange) return List();
-  const auto jitter = std::chrono::milliseconds(random_.Below(static_cast<std::uint64_t>(backoff_.count()) + 1));
-  timer_.expires_after(backoff_ / 2 + jitter);
-  backoff_ = std::min(backoff_ * 2, timings_.max_backoff);
+  const bool unusable = absl::IsDataLoss(status);
+  if (unusable) listed_ = false;
+  std::chrono::milliseconds& backoff = unusable ? list_backoff_ : backoff_;
+  const auto jitter = std::chrono::milliseconds(random_.Below(static_cast<std::uint64_t>(backoff.count()) + 1));
+  timer_.expires_after(backoff / 2 + jitter);
+  backoff = std::min(backoff * 2, timings_.max_backoff);
   timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](boost::system::error_code error) {
     if (error || alive.expired()) return;
     if (listed_) {
--- a/src/gateway/collection_watcher.h
+++ b/src/gateway/collection_watcher.h
@@ -1,8 +1,8 @@
 // Keeps a consumer up to date with one kind of store object: one list, then long-poll watches.
 //
 // Every watch resumes from the last revision seen, also after a watch that failed or was cut off. The collection is
-// listed again only when the store no longer has the history since that revision. Errors are retried with jittered
-// exponential backoff.
+// listed again only when the store no longer has the history since that revision, or when the response to a watch from
+// there cannot be used. Errors are retried with jittered exponential backoff.
 #pragma once
 
 #include <chrono>
@@ -59,8 +59,11 @@
   Random random_;
   BootTimer timer_;
   std::chrono::milliseconds backoff_;
+  // Before a list that follows a response that cannot be used. The list does not end it, only a watch does: a store
+  // whose watches all fail must not be listed without a pause.
+  std::chrono::milliseconds list_backoff_;
   std::int64_t revision_ = 0;
-  bool listed_ = false;
+  bool listed_ = false;  // Whether to watch from revision_.
   bool connected_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/engine_control.cc
+++ b/src/gateway/engine_control.cc
@@ -13,7 +13,9 @@
 constexpr int kPreconditionFailed = 412;
 
 serving::OrderOutcome ToOutcome(const absl::StatusOr<fetch::Reply>& reply) {
-  if (absl::IsDeadlineExceeded(reply.status())) return serving::OrderOutcome::kUnknown;
+  if (absl::IsDeadlineExceeded(reply.status()) || absl::IsDataLoss(reply.status())) {
+    return serving::OrderOutcome::kUnknown;
+  }
   const int status = reply.ok() ? reply->status : 0;
   if (status == kOk || status == kAccepted) return serving::OrderOutcome::kAccepted;
   if (status == kConflict) return serving::OrderOutcome::kConflict;
--- a/src/gateway/lease_client.cc
+++ b/src/gateway/lease_client.cc
@@ -48,7 +48,7 @@
       if (renews) return;
       return gateway_.Log(EventId::kLeaseAcquired, "", fmt::format(R"("token":{})", lease_.token()));
     }
-    const bool settled = !absl::IsDeadlineExceeded(written.status());
+    const bool settled = !absl::IsDeadlineExceeded(written.status()) && !absl::IsDataLoss(written.status());
     gateway_.Log(EventId::kLeaseLost, "",
                  fmt::format(R"("cause":"{}","settled":{})", EscapeJson(MessageOf(written.status())), settled));
     lease_.OnWriteFailed(settled, gateway_.Now());
--- a/src/gateway/object_store.h
+++ b/src/gateway/object_store.h
@@ -3,6 +3,8 @@
 // Callbacks run asynchronously on the event loop's thread, exactly once. Errors:
 //   kUnavailable       The store refused the call or is unreachable; a write did not happen.
 //   kDeadlineExceeded  No response; a write may have happened or may still happen.
+//   kDataLoss          The response is too long or does not decode; a write may have happened. A watch from the same
+//                      revision would get the same response again: list instead, which arrives in parts.
 //   kAborted           Revision conflict: another write succeeded first.
 //   kOutOfRange        The store no longer has the history since the watched revision: list again.
 //   kNotFound          The object does not exist.
--- a/src/replica/relayed_store.cc
+++ b/src/replica/relayed_store.cc
@@ -215,8 +215,8 @@
         on_watch_response(kind, response_time - watch.wait);
     if (!state.watching || state.watch_id != watch.id)
         return;
-    // A lost history is a response, too: the list that must follow is not held back.
-    if (events.ok() || absl::IsOutOfRange(events.status()))
+    // A lost history and a response that cannot be used are responses, too: the list that must follow is not held back.
+    if (events.ok() || absl::IsOutOfRange(events.status()) || absl::IsDataLoss(events.status()))
         selector_.record_store_success(now());
     else
         record_store_failure(state);
--- a/tests/platform/store_response_test.cc
+++ b/tests/platform/store_response_test.cc
@@ -337,5 +337,19 @@
   }
 }
 
+// Guards against: a response that would come again just as it is, is taken for a lost connection and asked for again.
+TEST_F(StoreResponseTest, ResponseThatCannotBeUsedIsNoLostConnection) {
+  constexpr std::size_t kTooLong = 17 * 1024 * 1024;
+  ScriptedServer too_long({Answering([](const std::string&) { return std::string(kTooLong, ' '); })});
+  EXPECT_TRUE(absl::IsDataLoss(Watch(too_long.address()).status()));
+  ScriptedServer undecodable({Answering([](const std::string&) { return R"({"events":[{"object":)"; })});
+  EXPECT_TRUE(absl::IsDataLoss(Watch(undecodable.address()).status()));
+  ScriptedServer cut({[](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{");
+  }});
+  EXPECT_TRUE(absl::IsDeadlineExceeded(Watch(cut.address()).status()));
+}
+
 }  // namespace
 }  // namespace saltquay::platform
