DutyClient: an overlong response leaves the outcome unknown

Since the fetcher tells an overlong response from an aborted one (kDataLoss), the duty client counted it as a refusal, though the platform may have acted: a report could be sent twice as new, or an order be repeated.

Found by reading the callers of the new status.

Test: DutyClientTest.OutcomeOfAnOverlongResponseIsUnknown. Not run on the code before.

--- a/tests/platform/duty_client_test.cc
+++ b/tests/platform/duty_client_test.cc
@@ -32,7 +32,7 @@
     ScriptedServer server({[&](ScriptedConnection& connection) {
       connection.ReadHead();
       body_ = connection.ReadUntil(end);
-      connection.Write("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+      connection.Write(response_);
     }});
     DutyClient client(loop_, server.address());
     begin(client, [&](DutyOutcome value) { outcome = value; });
@@ -46,6 +46,7 @@
 
   boost::asio::io_context loop_;
   std::string body_;
+  std::string response_ = "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n";
 };
 
 // Guards against an exception that ends the lease holder, and then the next one, by a tenant's name.
@@ -73,5 +74,15 @@
             (json{{"service", kReplaced}, {"zone", kReplaced}, {"desired_count", 4}, {"spot", true}}));
 }
 
+// Guards against: a report whose response is too long counts as refused, though it may have been taken.
+TEST_F(DutyClientTest, OutcomeOfAnOverlongResponseIsUnknown) {
+  constexpr std::size_t kTooLong = 100000;
+  response_ = "HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(kTooLong) + "\r\n\r\n" + std::string(kTooLong, 'x');
+  const auto outcome = Run(R"("window_number":60})", [&](DutyClient& client, DutyClient::Done done) {
+    client.ReportUsage({"node-1", 7}, {60, {{"t1", 5}}}, std::move(done));
+  });
+  EXPECT_EQ(outcome, DutyOutcome::Unknown);
+}
+
 }  // namespace
 }  // namespace saltquay::platform
