Log lines: event ids and peers' names are escaped

An engine's or a client's event id with a quote ended the string of the line `request_broken_off`, and a peer's name or zone that of `request_forwarded`: the lines were no JSON, or said what someone else wrote.

--- a/src/core/serving/flow_end_steps.cc
+++ b/src/core/serving/flow_end_steps.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include "src/base/json_escape.h"
 #include "src/core/serving/serving_core.h"
 
 namespace saltquay::serving {
@@ -80,7 +81,7 @@
   CancelAttempts(flow, 0);
   Log(EventId::kRequestBrokenOff, &flow,
       fmt::format(R"("cause":"{}","held_ms":{},"tries":{},"last_event":"{}")", cause,
-                  (now_ - flow.arrived).count() / 1000, flow.attempt_count, flow.last_event_id));
+                  (now_ - flow.arrived).count() / 1000, flow.attempt_count, EscapeJson(flow.last_event_id)));
   actions_->push_back(AbortResponse{flow.id});
   Erase(flow.id);
 }
--- a/src/core/serving/forward_steps.cc
+++ b/src/core/serving/forward_steps.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include "src/base/json_escape.h"
 #include "src/core/serving/serving_core.h"
 
 namespace saltquay::serving {
@@ -69,8 +70,8 @@
   flow.attempts[attempt.id] = attempt;
   Log(EventId::kRequestForwarded, &flow,
       fmt::format(R"("peer":"{}","zone":"{}","try":{},"engines_tried":{},"unreachable_engines":{},"left_ms":{})",
-                  peer->node, peer->zone, flow.tried_peers.size(), flow.attempt_count, paths_.unreachable_count(),
-                  forward.time_left.count() / 1000));
+                  EscapeJson(peer->node), EscapeJson(peer->zone), flow.tried_peers.size(), flow.attempt_count,
+                  paths_.unreachable_count(), forward.time_left.count() / 1000));
   actions_->push_back(std::move(forward));
   ScheduleWakeUp(flow);
   return true;
