A software version that joins and leaves within one batch of changes is counted

A node that was suspended, or behind a relay, receives the join and the leave of a version together.

Each received record is counted when it arrives. Test: SoftwareVersionTest.VersionThatJoinsAndLeavesWithinOneBatchIsCounted; by reading it fails on the code before.

--- a/src/core/serving/engine_record_steps.cc
+++ b/src/core/serving/engine_record_steps.cc
@@ -30,6 +30,7 @@
   const bool is_new = known == nullptr;
   const EngineKey key = is_new ? EngineKey{} : known->key;
   if (!engines_.Update(event.record)) return;
+  version_history_.RecordSeen(event.record, now_);
   if (!is_new && known->key != key) crash_detector_.RecordRemoval(event.record.id);
   ApplyRecord(event.record.id);
   if (is_new || known->key != key) ResolveOrigins(event.record);
--- a/src/core/serving/software_version_history.h
+++ b/src/core/serving/software_version_history.h
@@ -15,6 +15,8 @@
  public:
   // Brings the history up to date with the directory. Must be called before each query.
   void Refresh(const EngineDirectory& engines, Time now);
+  // An engine's record was received; it may be gone by the next Refresh().
+  void RecordSeen(const EngineRecord& record, Time now) { services_[record.service][record.software_version] = now; }
   // The records are known completely from now on; what came and went before is not, unless they were known already.
   void Begin(Time now) { known_since_ = known_since_.value_or(now); }
   // The whole system starts for the first time: no records came and went before.
--- a/tests/core/serving/software_version_test.cc
+++ b/tests/core/serving/software_version_test.cc
@@ -279,6 +279,19 @@
   EXPECT_EQ(One<SendLocalReply>().status, 503);
 }
 
+// Guards against: a version whose join and leave arrive together, after a suspension, is never counted.
+TEST_F(SoftwareVersionTest, VersionThatJoinsAndLeavesWithinOneBatchIsCounted) {
+  RemoveVersionB();
+  PassLongEnough();
+  Send(EngineChanged{Engine("c1", "C")});
+  Send(EngineRemoved{"c1"});
+  Send(EngineChangesApplied{});
+  Confirm();
+  Resume("another version's");
+  Pass(2s);
+  EXPECT_TRUE(All<StartAttempt>().empty());
+}
+
 TEST_F(SoftwareVersionTest, ResumptionDoesNotWaitForRecordsForLong) {
   RemoveVersionB();
   PassLongEnough();
