Records of streams of unknown origin do not push out others, and the bounds hold

Callers could see streams refused, or joined from two versions, after any client had named many streams that nobody knows: each take-up of such a stream leaves a record at up to seven nodes for a minute, 2,050 a second fill the table, and then real origins and the records that forbid an inference go.

Expiries are kept exactly, in a set for known and one for unknown origins, each with its own bound. Once a live record of an unknown origin is dropped, nothing is inferred for streams without a record until it would have ended.

Tests: StreamOriginsTest.StreamsThatEndFirstAreDroppedFirst and StreamsOfUnknownOriginDoNotPushOutOthers.

--- a/src/core/serving/stream_origins.cc
+++ b/src/core/serving/stream_origins.cc
@@ -23,6 +23,7 @@
   Expire(now);
   const auto [entry, is_new] = streams_.try_emplace(stream);
   Stream& known = entry->second;
+  if (!is_new) ExpiriesOf(known).erase({known.expires_at, stream});
   if (is_new || origin.attempt >= known.origin.attempt) {
     const bool same =
         known.origin.software_version == origin.software_version && known.origin.process == origin.process;
@@ -31,8 +32,26 @@
   }
   if (known.origin.process) unversioned_.insert(stream);
   known.expires_at = std::max(known.expires_at, now + lifetime);
-  if (is_new) expiries_.emplace(known.expires_at, stream);
-  if (streams_.size() > parameters_.max_streams) streams_.erase(expiries_.extract(expiries_.begin()).mapped());
+  ExpiriesOf(known).emplace(known.expires_at, stream);
+  DropExcess();
+}
+
+void StreamOrigins::DropExcess() {
+  while (unknown_expiries_.size() > parameters_.max_unknown_streams) {
+    dropped_unknown_until_ = std::max(dropped_unknown_until_, unknown_expiries_.begin()->first);
+    EraseFirst(unknown_expiries_);
+  }
+  while (expiries_.size() > parameters_.max_streams) EraseFirst(expiries_);
+}
+
+void StreamOrigins::Forget(StreamKey stream) {
+  const auto entry = streams_.find(stream);
+  if (entry != streams_.end()) Erase(entry);
+}
+
+void StreamOrigins::Erase(StreamEntry entry) {
+  ExpiriesOf(entry->second).erase({entry->second.expires_at, entry->first});
+  streams_.erase(entry);
 }
 
 bool StreamOrigins::Renew(StreamKey stream, const StreamOrigin& origin, Duration lifetime, Time now) {
@@ -63,8 +82,8 @@
 
 std::optional<StreamOrigin> StreamOrigins::Find(StreamKey stream, Time now) const {
   const auto entry = streams_.find(stream);
-  if (entry == streams_.end() || entry->second.expires_at <= now) return std::nullopt;
-  return entry->second.origin;
+  if (entry != streams_.end() && entry->second.expires_at > now) return entry->second.origin;
+  return dropped_unknown_until_ > now ? std::optional(kUnknownOrigin) : std::nullopt;
 }
 
 std::vector<std::string> StreamOrigins::ResponsiblePeers(StreamKey stream, std::size_t count) const {
@@ -182,15 +201,8 @@
 }
 
 void StreamOrigins::Expire(Time now) {
-  while (!expiries_.empty() && expiries_.begin()->first <= now) {
-    const StreamKey stream = expiries_.extract(expiries_.begin()).mapped();
-    const auto entry = streams_.find(stream);
-    if (entry == streams_.end()) continue;
-    if (entry->second.expires_at <= now) {
-      streams_.erase(entry);
-    } else {
-      expiries_.emplace(entry->second.expires_at, stream);
-    }
+  for (Expiries* expiries : {&expiries_, &unknown_expiries_}) {
+    while (!expiries->empty() && expiries->begin()->first <= now) EraseFirst(*expiries);
   }
 }
 
--- a/src/core/serving/stream_origins.h
+++ b/src/core/serving/stream_origins.h
@@ -40,6 +40,7 @@
   Duration reply_timeout = 150ms;  // Then the peers that have not replied are taken for unreachable.
   Duration renewal_interval = 5s;  // What is recorded about a stream is renewed at most that often.
   std::size_t max_streams = 131072;
+  std::size_t max_unknown_streams = 16384;  // Of these, those whose origin is unknown: any client can name such ones.
 };
 
 // The outcome of a question to the peers.
@@ -73,8 +74,9 @@
   bool Renew(StreamKey stream, const StreamOrigin& origin, Duration lifetime, Time now);
   // A record has told the software version of the process.
   void Resolve(const EngineProcess& process, const std::string& software_version);
-  void Forget(StreamKey stream) { streams_.erase(stream); }
-  // What is recorded about the stream; the origin may be unknown.
+  void Forget(StreamKey stream);
+  // What is recorded about the stream; the origin may be unknown. It also is for a stream without a record while
+  // records of unknown origins had to be dropped that would still hold.
   std::optional<StreamOrigin> Find(StreamKey stream, Time now) const;
   // Tells the peers that are responsible for the stream what is recorded about it; all that may be asked if its version
   // is not, since the others might take the only known version for the stream's.
@@ -106,6 +108,8 @@
     Time expires_at{};
     bool announced = false;
   };
+  using Expiries = std::set<std::pair<Time, StreamKey>>;
+  using StreamEntry = std::map<StreamKey, Stream>::iterator;
   struct Question {
     StreamQuery query;
     std::size_t peers_expected = 0;
@@ -121,14 +125,21 @@
   // The largest number of peers that was known within that time.
   std::size_t MostPeersWithin(Duration time, Time now);
   void Expire(Time now);
+  Expiries& ExpiriesOf(const Stream& stream) { return stream.origin.known() ? expiries_ : unknown_expiries_; }
+  void Erase(StreamEntry entry);
+  void EraseFirst(const Expiries& expiries) { Erase(streams_.find(expiries.begin()->second)); }
+  // Drops the records that end first until there are no more than allowed.
+  void DropExcess();
 
   StreamOriginParameters parameters_;
   std::string address_;
   std::vector<PeerNode> peers_;
   std::map<Time, std::size_t> earlier_peers_;  // How many were known until then.
   std::map<StreamKey, Stream> streams_;
-  std::set<StreamKey> unversioned_;          // Those whose origin names a process; may contain others.
-  std::multimap<Time, StreamKey> expiries_;  // May contain earlier times than the stream's own.
+  std::set<StreamKey> unversioned_;  // Those whose origin names a process; may contain others.
+  Expiries expiries_;                // Of streams whose origin is known.
+  Expiries unknown_expiries_;
+  Time dropped_unknown_until_{};  // When the last dropped record of an unknown origin would have ended.
   std::map<StreamKey, Question> questions_;
   std::vector<AddressedStreamMessage> messages_;
   std::vector<StreamAnswer> answers_;
--- a/tests/core/serving/stream_origins_test.cc
+++ b/tests/core/serving/stream_origins_test.cc
@@ -208,6 +208,42 @@
   EXPECT_EQ(origins.size(), 10U);
 }
 
+// Guards against: the bound on recorded streams drops those that clients still come back to, or does not hold.
+TEST(StreamOriginsTest, StreamsThatEndFirstAreDroppedFirst) {
+  StreamOriginParameters parameters;
+  parameters.max_streams = 3;
+  StreamOrigins origins(parameters);
+  origins.Record(1, {"v1", 1}, 10s, At(1s));
+  origins.Record(1, {"v1", 1}, 100s, At(1s));
+  for (StreamKey stream = 2; stream < 5; ++stream) origins.Record(stream, {"v1", 1}, 20s, At(1s));
+  EXPECT_TRUE(origins.Find(1, At(2s)));
+  for (StreamKey stream = 100; stream < 1000; ++stream) {
+    origins.Record(stream, {"v1", 1}, 20s, At(2s));
+    origins.Forget(stream);
+  }
+  for (StreamKey stream = 1000; stream < 2000; ++stream) origins.Record(stream, {"v1", 1}, 20s, At(2s));
+  EXPECT_EQ(origins.size(), 3U);
+  EXPECT_TRUE(origins.Find(1, At(2s)));
+}
+
+// Guards against: requests that name any number of streams that nobody knows push out the origins of real ones, or the
+// records that keep streams from being taken for another version's.
+TEST(StreamOriginsTest, StreamsOfUnknownOriginDoNotPushOutOthers) {
+  StreamOriginParameters parameters;
+  parameters.max_streams = 10;
+  parameters.max_unknown_streams = 5;
+  StreamOrigins origins(parameters);
+  origins.Record(1, {"v1", 1}, kLifetime, At(1s));
+  origins.Renew(2, kUnknownOrigin, kLifetime, At(1s));
+  EXPECT_FALSE(origins.Find(3, At(1s)));
+  for (StreamKey stream = 1000; stream < 2000; ++stream) origins.Renew(stream, kUnknownOrigin, kLifetime, At(2s));
+  EXPECT_EQ(origins.Find(1, At(3s))->software_version, "v1");
+  EXPECT_EQ(origins.size(), 6U);
+  ASSERT_TRUE(origins.Find(2, At(3s)));
+  EXPECT_FALSE(origins.Find(2, At(3s))->known());
+  EXPECT_FALSE(origins.Find(3, At(2s) + kLifetime));
+}
+
 EngineRecord RecordOf(const std::string& id, const std::string& version) {
   EngineRecord record;
   record.id = id;
