The history for followers counts names and the number of changes, not only content

What a reviewer saw: 40 changes of an object with a name of 1 MB kept 40 MB of history against a limit of 1 MB, and the relayed events no longer decoded at followers, which then all went to the store. Removals counted nothing at all, so that a series of them was kept without a limit.

Cause: RecordReplica counted the bytes of the content alone.

Change: each event counts its name, content and defect, and 64 bytes beside. The last batch is kept whatever its size, as before.

--- a/include/saltquay/replica/record_replica.h
+++ b/include/saltquay/replica/record_replica.h
@@ -41,7 +41,7 @@
 
 class RecordReplica {
 public:
-    // Limit of the history in bytes of content; older changes are evicted.
+    // Limit of the history in bytes of names and content; older changes are evicted, but never the last batch.
     static constexpr std::size_t max_history_bytes = 1024 * 1024;
 
     // Takes over a complete list. The history is kept, so that followers that have the earlier list need only the
--- a/src/replica/record_replica.cc
+++ b/src/replica/record_replica.cc
@@ -5,6 +5,17 @@
 #include <string_view>
 
 namespace saltquay::replica {
+namespace {
+
+// Of an event beside its name and content, in memory and as followers receive it.
+constexpr std::size_t event_overhead_bytes = 64;
+
+std::size_t history_bytes(gateway::ObjectEvent const& event)
+{
+    return event.object.name.size() + event.object.content.size() + event.object.defect.size() + event_overhead_bytes;
+}
+
+}
 
 void RecordReplica::replace(gateway::ObjectList const& list)
 {
@@ -49,7 +60,7 @@
         batch.up_to = changes.at;
         batch.events = changes.events;
         for (auto const& event : changes.events) {
-            batch.bytes += event.object.content.size();
+            batch.bytes += history_bytes(event);
             apply_event(event);
         }
         history_size_ += batch.bytes;
--- a/tests/replica/record_replica_test.cc
+++ b/tests/replica/record_replica_test.cc
@@ -75,6 +75,27 @@
     EXPECT_EQ(replica.list().items.size(), 1U);
 }
 
+// Guards against: changes of objects with long names, or many small ones, make a history that followers cannot decode.
+TEST(RecordReplicaTest, NamesAndTheNumberOfChangesCountInTheHistory)
+{
+    RecordReplica long_names;
+    long_names.replace({ {}, 1 });
+    std::string const name(RecordReplica::max_history_bytes / 4, 'n');
+    for (std::int64_t revision = 2; revision < 42; ++revision)
+        long_names.apply({ { event(name, revision, revision % 2 == 0) }, revision });
+    EXPECT_FALSE(long_names.changes_since(1));
+    ASSERT_TRUE(long_names.changes_since(40));
+    EXPECT_TRUE(decode_events(encode(RelayedEvents { *long_names.changes_since(40), {} })).ok());
+    EXPECT_LE(long_names.changes_since(40)->events.size(), 4U);
+
+    RecordReplica empty_changes;
+    empty_changes.replace({ {}, 1 });
+    constexpr std::int64_t changes = RecordReplica::max_history_bytes / 16;
+    for (std::int64_t revision = 2; revision < changes; ++revision)
+        empty_changes.apply({ { event("a", revision, true) }, revision });
+    EXPECT_FALSE(empty_changes.changes_since(1));
+}
+
 RC_GTEST_PROP(RecordReplicaProperty, FollowersConvergeToTheReadersObjects, ())
 {
     RecordReplica reader;
