Refused engine entries are kept and relayed without their content, with the reason instead

What a reviewer saw: with 40 entries of 1 MB that aren't engine records, followers could no longer decode the list of engines. Others' entries decided over the records of all engines.

Cause: CompactingStore left a record that doesn't parse as it was, so replicas kept it and relays sent it whole, beyond the 32 MB that a follower inflates. Names had no limit either, and a record that parses kept members of any length.

Change: where the store is read, an engine entry that is refused loses its content and gets the reason (at most 512 bytes) as its defect, which goes along to followers, so that each node still says why. A record over 4 KB in its compact form is refused. Names over 512 bytes, of all kinds, are cut and end in a hash of the whole name: lists, changes and removals of one entry still match on every node, and no full name is the same as a shortened one. Record has a new field, `defect`; nodes without it ignore it.

The whole gateway_test and process tests were not run.

--- a/src/gateway/compacting_store.cc
+++ b/src/gateway/compacting_store.cc
@@ -2,15 +2,44 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
+#include "src/base/hash.h"
+#include "src/base/status.h"
 #include "src/gateway/engine_record_codec.h"
 
 namespace saltquay::gateway {
+namespace {
+
+// Of an object as nodes keep it; a list of thousands must stay within what followers decode.
+constexpr std::size_t kMaxNameBytes = 512;
+constexpr std::size_t kMaxRecordBytes = 4096;
+constexpr std::size_t kMaxDefectBytes = 512;
+
+bool HasLongName(const StoredObject& object) { return object.name.size() > kMaxNameBytes; }
+
+// The shortened name is longer than the limit, so no other object has it as its full name.
+void ShortenName(StoredObject& object) {
+  if (!HasLongName(object)) return;
+  const std::uint64_t hash = HashText(object.name);
+  object.name.resize(kMaxNameBytes);
+  object.name += fmt::format("#{:016x}", hash);
+}
+
+void Refuse(StoredObject& object, const absl::Status& status) {
+  object.content.clear();
+  object.defect = MessageOf(status).substr(0, kMaxDefectBytes);
+}
+
+}  // namespace
 
 void CompactingStore::List(const std::string& kind, std::function<void(absl::StatusOr<ObjectList>)> done) {
-  if (kind != engine_kind_) return store_.List(kind, std::move(done));
-  store_.List(kind, [this, done = std::move(done)](absl::StatusOr<ObjectList> list) {
+  store_.List(kind, [this, is_engine = kind == engine_kind_, done = std::move(done)](absl::StatusOr<ObjectList> list) {
     if (list.ok()) {
-      for (StoredObject& object : list->items) Compact(object);
+      for (StoredObject& object : list->items) {
+        if (is_engine) Compact(object);
+        ShortenName(object);
+      }
     }
     done(std::move(list));
   });
@@ -18,13 +47,16 @@
 
 void CompactingStore::Watch(const std::string& kind, std::int64_t revision, std::chrono::milliseconds wait,
                             std::function<void(absl::StatusOr<ObjectEvents>)> done) {
-  if (kind != engine_kind_) return store_.Watch(kind, revision, wait, std::move(done));
-  store_.Watch(kind, revision, wait, [this, done = std::move(done)](absl::StatusOr<ObjectEvents> events) {
-    if (events.ok()) {
-      for (ObjectEvent& event : events->events) Compact(event.object);
-    }
-    done(std::move(events));
-  });
+  store_.Watch(kind, revision, wait,
+               [this, is_engine = kind == engine_kind_, done = std::move(done)](absl::StatusOr<ObjectEvents> events) {
+                 if (events.ok()) {
+                   for (ObjectEvent& event : events->events) {
+                     if (is_engine && !event.gone) Compact(event.object);
+                     ShortenName(event.object);
+                   }
+                 }
+                 done(std::move(events));
+               });
 }
 
 void CompactingStore::Write(const std::string& kind, const StoredObject& object,
@@ -38,13 +70,21 @@
 }
 
 absl::StatusOr<serving::EngineRecord> CompactingStore::ParseEngine(const StoredObject& object) const {
+  if (!object.defect.empty()) return MakeError(ErrorKind::kCorrupt, object.defect);
   if (IsCompactEngineRecord(object.content)) return DecodeEngineRecord(object.name, object.content);
   return parse_engine_(object);
 }
 
 void CompactingStore::Compact(StoredObject& object) const {
   const absl::StatusOr<serving::EngineRecord> record = parse_engine_(object);
-  if (record.ok()) object.content = EncodeEngineRecord(*record);
+  if (!record.ok()) return Refuse(object, record.status());
+  std::string content = EncodeEngineRecord(*record);
+  if (HasLongName(object) || content.size() > kMaxRecordBytes) {
+    return Refuse(object, MakeError(ErrorKind::kCorrupt,
+                                    fmt::format("a name of {} bytes and a record of {}; at most {} and {} are accepted",
+                                                object.name.size(), content.size(), kMaxNameBytes, kMaxRecordBytes)));
+  }
+  object.content = std::move(content);
 }
 
 }  // namespace saltquay::gateway
--- a/src/gateway/compacting_store.h
+++ b/src/gateway/compacting_store.h
@@ -1,5 +1,6 @@
 // The platform's store as this system's nodes keep its objects: engine records are converted to their compact form
-// where the store is read. Records that do not parse keep their content, so that each node can say why it refuses them.
+// where the store is read. An engine record that is refused goes on without its content, with the reason as its defect;
+// long names are shortened. So what followers must take does not depend on the entries of other writers.
 #pragma once
 
 #include <functional>
--- a/src/replica/record_codec.cc
+++ b/src/replica/record_codec.cc
@@ -20,7 +20,8 @@
 {
     auto const name = builder.CreateString(object.name);
     auto const content = builder.CreateString(gone ? std::string() : object.content);
-    return wire::CreateRecord(builder, name, object.revision, content, gone);
+    auto const defect = object.defect.empty() ? 0 : builder.CreateString(object.defect);
+    return wire::CreateRecord(builder, name, object.revision, content, gone, defect);
 }
 
 std::string finished_bytes(flatbuffers::FlatBufferBuilder const& builder)
@@ -102,7 +103,7 @@
 
 gateway::StoredObject to_object(wire::Record const& record)
 {
-    return { text(record.name()), record.revision(), text(record.content()) };
+    return { text(record.name()), record.revision(), text(record.content()), text(record.defect()) };
 }
 
 }
--- a/src/replica/records_generated.h
+++ b/src/replica/records_generated.h
@@ -32,7 +32,8 @@
     VT_NAME = 4,
     VT_REVISION = 6,
     VT_CONTENT = 8,
-    VT_GONE = 10
+    VT_GONE = 10,
+    VT_DEFECT = 12
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -46,6 +47,9 @@
   bool gone() const {
     return GetField<uint8_t>(VT_GONE, 0) != 0;
   }
+  const flatbuffers::String *defect() const {
+    return GetPointer<const flatbuffers::String *>(VT_DEFECT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -54,6 +58,8 @@
            VerifyOffset(verifier, VT_CONTENT) &&
            verifier.VerifyString(content()) &&
            VerifyField<uint8_t>(verifier, VT_GONE, 1) &&
+           VerifyOffset(verifier, VT_DEFECT) &&
+           verifier.VerifyString(defect()) &&
            verifier.EndTable();
   }
 };
@@ -74,6 +80,9 @@
   void add_gone(bool gone) {
     fbb_.AddElement<uint8_t>(Record::VT_GONE, static_cast<uint8_t>(gone), 0);
   }
+  void add_defect(flatbuffers::Offset<flatbuffers::String> defect) {
+    fbb_.AddOffset(Record::VT_DEFECT, defect);
+  }
   explicit RecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -90,9 +99,11 @@
     flatbuffers::Offset<flatbuffers::String> name = 0,
     int64_t revision = 0,
     flatbuffers::Offset<flatbuffers::String> content = 0,
-    bool gone = false) {
+    bool gone = false,
+    flatbuffers::Offset<flatbuffers::String> defect = 0) {
   RecordBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_defect(defect);
   builder_.add_content(content);
   builder_.add_name(name);
   builder_.add_gone(gone);
@@ -104,15 +115,18 @@
     const char *name = nullptr,
     int64_t revision = 0,
     const char *content = nullptr,
-    bool gone = false) {
+    bool gone = false,
+    const char *defect = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto content__ = content ? _fbb.CreateString(content) : 0;
+  auto defect__ = defect ? _fbb.CreateString(defect) : 0;
   return saltquay::replica::wire::CreateRecord(
       _fbb,
       name__,
       revision,
       content__,
-      gone);
+      gone,
+      defect__);
 }
 
 struct RecordList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
