Objects beside the configuration are kept and relayed without their content

The same fault as with refused engine entries, in the other kind that nodes keep: objects of the configuration's kind under other names, which no node reads, went into replicas and to followers whole; 40 of them of 1 MB exceed what a follower inflates.

Change: CompactingStore is told the configuration's kind and name, and drops the content of the others. Their names and revisions stay, so that changes and removals match.

Run: CompactingStoreTest.ObjectsBesideTheConfigurationHaveNoContent fails with the rule taken out (both the list and the watch) and holds with it; 9 of 9 in compacting_store_test.cc, linked alone.

--- a/src/gateway/compacting_store.cc
+++ b/src/gateway/compacting_store.cc
@@ -34,12 +34,9 @@
 }  // namespace
 
 void CompactingStore::List(const std::string& kind, std::function<void(absl::StatusOr<ObjectList>)> done) {
-  store_.List(kind, [this, is_engine = kind == engine_kind_, done = std::move(done)](absl::StatusOr<ObjectList> list) {
+  store_.List(kind, [this, kind, done = std::move(done)](absl::StatusOr<ObjectList> list) {
     if (list.ok()) {
-      for (StoredObject& object : list->items) {
-        if (is_engine) Compact(object);
-        ShortenName(object);
-      }
+      for (StoredObject& object : list->items) Reduce(kind, object);
     }
     done(std::move(list));
   });
@@ -47,16 +44,15 @@
 
 void CompactingStore::Watch(const std::string& kind, std::int64_t revision, std::chrono::milliseconds wait,
                             std::function<void(absl::StatusOr<ObjectEvents>)> done) {
-  store_.Watch(kind, revision, wait,
-               [this, is_engine = kind == engine_kind_, done = std::move(done)](absl::StatusOr<ObjectEvents> events) {
-                 if (events.ok()) {
-                   for (ObjectEvent& event : events->events) {
-                     if (is_engine && !event.gone) Compact(event.object);
-                     ShortenName(event.object);
-                   }
-                 }
-                 done(std::move(events));
-               });
+  store_.Watch(kind, revision, wait, [this, kind, done = std::move(done)](absl::StatusOr<ObjectEvents> events) {
+    if (events.ok()) {
+      for (ObjectEvent& event : events->events) {
+        if (!event.gone) Reduce(kind, event.object);
+        ShortenName(event.object);
+      }
+    }
+    done(std::move(events));
+  });
 }
 
 void CompactingStore::Write(const std::string& kind, const StoredObject& object,
@@ -75,6 +71,12 @@
   return parse_engine_(object);
 }
 
+void CompactingStore::Reduce(const std::string& kind, StoredObject& object) const {
+  if (kind == kinds_.engine_kind) Compact(object);
+  if (kind == kinds_.config_kind && object.name != kinds_.config_name) object.content.clear();
+  ShortenName(object);
+}
+
 void CompactingStore::Compact(StoredObject& object) const {
   const absl::StatusOr<serving::EngineRecord> record = parse_engine_(object);
   if (!record.ok()) return Refuse(object, record.status());
--- a/tests/gateway/compacting_store_test.cc
+++ b/tests/gateway/compacting_store_test.cc
@@ -26,6 +26,8 @@
   return record;
 }
 
+const KeptKinds kKinds{"engines", "config", "e1"};
+
 // A platform whose records are the index of the engine as text.
 absl::StatusOr<serving::EngineRecord> ParsePlatformRecord(const StoredObject& object) {
   if (object.content.empty() || object.content.find_first_not_of("0123456789") != std::string::npos)
@@ -59,7 +61,7 @@
   FakeStore origin;
   origin.list = ObjectList{{{"e1", 7, "1"}, {"e2", 8, "unreadable"}}, 9};
   origin.events = ObjectEvents{{{false, {"e3", 10, "3"}}, {true, {"e1", 11, ""}}}, 11};
-  CompactingStore store(origin, "engines", &ParsePlatformRecord);
+  CompactingStore store(origin, kKinds, &ParsePlatformRecord);
   ObjectList list;
   store.List("engines", [&](const absl::StatusOr<ObjectList>& result) { list = *result; });
   ASSERT_EQ(list.items.size(), 2U);
@@ -87,7 +89,7 @@
     origin.list->items.push_back({"odd" + std::to_string(i), 8 + i, std::string(kMegabyte, 'x')});
     origin.list->items.push_back({std::string(kMegabyte, 'n') + std::to_string(i), 50 + i, "2"});
   }
-  CompactingStore store(origin, "engines", &ParsePlatformRecord);
+  CompactingStore store(origin, kKinds, &ParsePlatformRecord);
   ObjectList list;
   store.List("engines", [&](const absl::StatusOr<ObjectList>& result) { list = *result; });
   const auto relayed = replica::decode_list(replica::encode(replica::RelayedList{list, {}}));
@@ -105,13 +107,30 @@
   EXPECT_EQ(names.size(), 80U);
 }
 
+// Guards against: objects that nobody reads, beside the configuration, make its list too large for followers.
+TEST(CompactingStoreTest, ObjectsBesideTheConfigurationHaveNoContent) {
+  FakeStore origin;
+  origin.list = ObjectList{{{"e1", 7, "1"}, {"other", 8, "2"}}, 9};
+  origin.events = ObjectEvents{{{false, {"other", 10, "3"}}, {false, {"e1", 11, "4"}}}, 11};
+  CompactingStore store(origin, kKinds, &ParsePlatformRecord);
+  ObjectList list;
+  store.List("config", [&](const absl::StatusOr<ObjectList>& result) { list = *result; });
+  EXPECT_EQ(list.items[0].content, "1");
+  EXPECT_EQ(list.items[1].content, "");
+  ObjectEvents events;
+  store.Watch("config", 9, std::chrono::milliseconds(1),
+              [&](const absl::StatusOr<ObjectEvents>& result) { events = *result; });
+  EXPECT_EQ(events.events[0].object.content, "");
+  EXPECT_EQ(events.events[1].object.content, "4");
+}
+
 // Guards against: the removal of an entry with a long name has another name than the entry.
 TEST(CompactingStoreTest, LongNamesAreShortenedAlikeInListsAndChanges) {
   const std::string name(100'000, 'n');
   FakeStore origin;
   origin.list = ObjectList{{{name + "1", 7, "1"}, {name + "2", 8, "2"}}, 9};
   origin.events = ObjectEvents{{{true, {name + "2", 10, ""}}}, 11};
-  CompactingStore store(origin, "engines", &ParsePlatformRecord);
+  CompactingStore store(origin, kKinds, &ParsePlatformRecord);
   for (const std::string kind : {"engines", "config"}) {
     ObjectList list;
     store.List(kind, [&](const absl::StatusOr<ObjectList>& result) { list = *result; });
@@ -129,7 +148,7 @@
 TEST(CompactingStoreTest, RecordsThatStayLargeAreRefused) {
   FakeStore origin;
   origin.list = ObjectList{{{"e1", 7, "1"}}, 9};
-  CompactingStore store(origin, "engines", [](const StoredObject& object) {
+  CompactingStore store(origin, kKinds, [](const StoredObject& object) {
     absl::StatusOr<serving::EngineRecord> record = ParsePlatformRecord(object);
     if (record.ok()) record->service.assign(1'000'000, 's');
     return record;
@@ -144,7 +163,7 @@
   FakeStore origin;
   origin.list = absl::UnavailableError("down");
   origin.events = absl::OutOfRangeError("compacted");
-  CompactingStore store(origin, "engines", &ParsePlatformRecord);
+  CompactingStore store(origin, kKinds, &ParsePlatformRecord);
   absl::Status listed;
   store.List("engines", [&](const absl::StatusOr<ObjectList>& result) { listed = result.status(); });
   EXPECT_EQ(listed.code(), absl::StatusCode::kUnavailable);
