--- a/src/gateway/usage_codec.h
+++ b/src/gateway/usage_codec.h
@@ -9,8 +9,8 @@
 namespace saltquay::gateway {
 
 std::string EncodeSealedUsage(const duties::SealedUsage& sealed);
-// Returns kCorrupt if any part of the object does not decode: a window whose report were left out would be sealed again,
-// with other counts than those that the platform has.
+// Returns kCorrupt if any part of the object does not decode: a window whose report were left out would be sealed
+// again, with other counts than those that the platform has.
 absl::StatusOr<duties::SealedUsage> DecodeSealedUsage(const StoredObject& object);
 
 }  // namespace saltquay::gateway
