rejoined_streams_process_test: each stream has a request of its own, and streams must begin

Each stream now has a path of its own. The test also fails if less than 0.95 of the streams begin while clients may try as often as they like, so that such a run can't pass again.

--- a/tests/platform/rejoined_streams_test.py
+++ b/tests/platform/rejoined_streams_test.py
@@ -7,7 +7,9 @@
 
 usage: rejoined_streams_test.py PATH/saltquay-gateway [--seed N] [--tries N]
 
-Invariant: all events of a stream come from engines of one software version, over all attempts of its client.
+Invariants:
+- All events of a stream come from engines of one software version, over all attempts of its client.
+- At least MIN_BEGUN of the streams begin, if clients may try as often as they like: else the run shows nothing.
 """
 
 import argparse
@@ -26,6 +28,7 @@
 
 STREAMS_PER_S, BEFORE_S, LEAVES_BEFORE_KILL_S, DOWN_S, AFTER_S = 30, 5.0, 0.3, 1.0, 3.0
 PATIENCE_S, PAUSE_S, RETRY_S = 22.0, 1.5, 0.25
+MIN_BEGUN, UNLIMITED = 0.95, 1000
 
 
 class RejoiningGateway(StreamGateway):
@@ -95,7 +98,9 @@
             gateway.start()
 
     async def run_client(self):
-        client, record, leaves = StreamClient("h", "/chat/x", 200), StreamRecord(), self.rng.random() < 0.5
+        # Each stream has a request of its own: one that many engines end with is quarantined.
+        client = StreamClient("h", f"/chat/{len(self.records)}", 200)
+        record, leaves = StreamRecord(), self.rng.random() < 0.5
         self.records.append(record)
         began, tries, leaves_left = time.monotonic(), 0, 2 if leaves else 0
         while time.monotonic() < began + PATIENCE_S and tries < self.arguments.tries:
@@ -136,6 +141,8 @@
             complete = sum(record.complete for record in broken)
             print(f"  taken up after the kill, {name}: {answered} answered, {refused} refused; "
                   f"{complete} of {len(broken)} streams that had begun before it went on to their end")
+        if self.arguments.tries == UNLIMITED and resumed < MIN_BEGUN * len(self.records):
+            errors.append(f"{resumed} of {len(self.records)} streams began")
         return errors + [f"the stream that began as {record.began_as} is of two versions" for record in mixed]
 
 
@@ -143,7 +150,7 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("program")
     parser.add_argument("--seed", type=int, default=int(time.time()))
-    parser.add_argument("--tries", type=int, default=1000, help="attempts of a client; default: as long as it has patience")
+    parser.add_argument("--tries", type=int, default=UNLIMITED, help="attempts of a client; default: as long as it has patience")
     arguments = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="saltquay-rejoined-")
     violations = asyncio.run(RejoinedStreamsTest(arguments, folder).run())
