--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -285,7 +285,6 @@
   std::optional<std::string> InferSoftwareVersion(const Flow& flow, const StreamAnswer& answer);
   // The only version of the service that has served for long enough, by records that are current.
   std::optional<std::string> OnlySoftwareVersion(const std::string& service);
-  void RefuseUnknownOrigin(Flow& flow, const StreamAnswer& answer);
   void RefuseResumption(Flow& flow, const StreamAnswer& answer);
   void OnRecordsLate(Flow& flow);
   // The client has come back: what is recorded about its stream lasts until it may come back once more.
--- a/src/core/serving/software_version_steps.cc
+++ b/src/core/serving/software_version_steps.cc
@@ -40,8 +40,12 @@
   if (answer.origin) return ResumeAt(flow, *answer.origin, "peer", DescribeEvidence(answer));
   const std::optional<StreamOrigin> recorded = stream_origins_.Find(answer.stream, now_);
   if (recorded && recorded->known()) return ResumeAt(flow, *recorded, "this node", DescribeEvidence(answer));
+  const auto refuse_unknown = [&] {
+    RenewStream(flow, kUnknownOrigin);
+    RefuseResumption(flow, answer);
+  };
   const std::optional<std::string> version = InferSoftwareVersion(flow, answer);
-  if (!version) return RefuseUnknownOrigin(flow, answer);
+  if (!version) return refuse_unknown();
   // Silence says nothing: a peer that was told may be the one that does not answer.
   if (answer.complete && (answer.only_version || OnlySoftwareVersion(flow.service)))
     return ResumeAt(flow, {*version}, "only version", DescribeEvidence(answer));
@@ -49,7 +53,7 @@
   // until its own records were confirmed.
   const std::optional<Time> known_since = version_history_.known_since();
   const Duration needed = answer.only_version ? parameters_.max_record_age : stream_lifetime_;
-  if (!known_since || *known_since > flow.arrived - needed) return RefuseUnknownOrigin(flow, answer);
+  if (!known_since || *known_since > flow.arrived - needed) return refuse_unknown();
   if (version_history_.confirmed() >= flow.arrived)
     return ResumeAt(flow, {*version}, "only version", DescribeEvidence(answer));
   flow.origin_pending = true;
@@ -84,11 +88,6 @@
   RefuseResumption(flow, answer);
 }
 
-void ServingCore::RefuseUnknownOrigin(Flow& flow, const StreamAnswer& answer) {
-  RenewStream(flow, kUnknownOrigin);
-  RefuseResumption(flow, answer);
-}
-
 void ServingCore::RefuseResumption(Flow& flow, const StreamAnswer& answer) {
   actions_->push_back(ResumptionDecided{ResumptionOutcome::kVersionUnknown});
   Refuse(flow, kUnavailable, "software version of the stream is not known", parameters_.retry_after,
