HTTP client: a failed write leaves a response without a length incomplete

Cause: the kernel reports a reset to one call only. If that is the pending write, which the event loop performs first, the next read returns an orderly end. ClientConnection ignored the write's error ("its answer is read to its end") and took that end for the end of the body.

Change: the connection records whether the write failed, and how the reading side ended. A response that only the end of the connection delimits is complete if that end is orderly and the request was written without an error (RFC 9112, 8). While the write is under way its outcome is awaited; TCP_USER_TIMEOUT, which is already set, bounds that. A response with a length or chunks that came whole is taken as before, also after a reset.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -75,7 +75,8 @@
   options_ = options;
   if (!options.call_id.empty()) carried_.Add(options.call_id);
   handlers_ = std::move(handlers);
-  ended_while_writing_ = false;
+  write_failed_ = false;
+  read_end_ = ReadEnd::kNone;
   head_seen_ = false;
   skipping_ = false;
   response_unnamed_ = false;
@@ -104,15 +105,20 @@
   const std::string& request = identifying_ ? options_.identity_check->request : request_;
   boost::asio::async_write(socket_, boost::asio::buffer(request),
                            [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
-                             self->writing_ = false;
-                             if (self->state_ != State::kBusy) return;
-                             if (error && bytes == 0) return self->Fail(CallFailure::kNotSent);
-                             // A peer that refuses a long body may have answered first: its answer is read to its end.
-                             if (self->ended_while_writing_) return self->Fail(CallFailure::kBroken);
-                             if (std::exchange(self->call_due_, false)) self->Write();
+                             self->OnWritten(error, bytes);
                            });
 }
 
+void ClientConnection::OnWritten(const boost::system::error_code& error, std::size_t bytes) {
+  writing_ = false;
+  if (state_ != State::kBusy) return;
+  if (error && bytes == 0) return Fail(CallFailure::kNotSent);
+  // A peer that refuses a long body may have answered first: its answer is read to its end.
+  write_failed_ = error.failed();
+  if (read_end_ != ReadEnd::kNone) return OnEnd();
+  if (std::exchange(call_due_, false)) Write();
+}
+
 void ClientConnection::StartIdentityTimer() {
   timer_.expires_after(options_.identity_check->timeout);
   timer_.async_wait([self = shared_from_this(), use = use_](boost::system::error_code error) {
@@ -133,8 +139,10 @@
 void ClientConnection::OnRead(const boost::system::error_code& error, std::size_t bytes) {
   if (state_ == State::kClosed) return;
   if (state_ == State::kResting) return Close();  // An end, or bytes that belong to no request.
-  if (error == boost::asio::error::eof) return OnEnd();
-  if (error) return FailAfterWrite();
+  if (error) {
+    read_end_ = error == boost::asio::error::eof ? ReadEnd::kOrderly : ReadEnd::kFailed;
+    return OnEnd();
+  }
   input_.append(read_buffer_.data(), bytes);
   Consume();
   Read();
@@ -239,19 +247,20 @@
   if (handlers.on_complete) handlers.on_complete();
 }
 
+// Only the write's own end tells whether any byte left this machine, and whether the connection has failed.
 void ClientConnection::OnEnd() {
-  const bool whole = head_seen_ && parser_->FeedEnd();
-  if (!whole) return FailAfterWrite();
+  if (writing_) return;
+  if (!ResponseIsWholeAtEnd()) return Fail(CallFailure::kBroken);
   const auto self = shared_from_this();
   const CallHandlers handlers = std::move(*handlers_);
   Close();
   if (handlers.on_complete) handlers.on_complete();
 }
 
-// Only the write's own end tells whether any byte left this machine.
-void ClientConnection::FailAfterWrite() {
-  if (!writing_) return Fail(CallFailure::kBroken);
-  ended_while_writing_ = true;
+// The kernel reports a reset to one call only. If that was the write, the end that a read sees after it looks orderly.
+// A response that has no other end is complete only on a connection without an error (RFC 9112, 8).
+bool ClientConnection::ResponseIsWholeAtEnd() {
+  return read_end_ == ReadEnd::kOrderly && !write_failed_ && head_seen_ && parser_->FeedEnd();
 }
 
 void ClientConnection::Fail(CallFailure failure) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -38,9 +38,12 @@
 
  private:
   enum class State { kConnecting, kBusy, kResting, kClosed };
+  // How the server's side of the connection ended during the current call.
+  enum class ReadEnd { kNone, kOrderly, kFailed };
 
   void OnConnected(const boost::system::error_code& error);
   void Write();
+  void OnWritten(const boost::system::error_code& error, std::size_t bytes);
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void Consume();
@@ -57,7 +60,7 @@
   void DeliverBody();
   void Complete();
   void OnEnd();
-  void FailAfterWrite();
+  bool ResponseIsWholeAtEnd();
   void Fail(CallFailure failure);
   void Rest(const ResponseHead& head);
   void NewParser();
@@ -83,7 +86,8 @@
   std::array<char, 16384> read_buffer_;
   bool reading_ = false;
   bool writing_ = false;
-  bool ended_while_writing_ = false;
+  bool write_failed_ = false;  // After its first bytes.
+  ReadEnd read_end_ = ReadEnd::kNone;
   bool head_seen_ = false;
   bool skipping_ = false;
   bool response_unnamed_ = false;  // The response of the current call names no call.
--- /dev/null
+++ b/tests/platform/broken_response_test.py
@@ -0,0 +1,178 @@
+#!/usr/bin/env python3
+"""Real gateway processes before engines that send broken responses, also through a peer.
+
+Guards against: a client gets a part of a response, or bytes that are no response, as an answer.
+
+usage: broken_response_test.py PATH/saltquay-gateway [--cases "CASE|..."]
+
+Two gateways; one of them reaches no engine and hands its requests to the other. Invariants of each case, on a route of
+each kind:
+- A response that is not whole does not reach a client as a complete one: it gets an error of the gateway's own, or a
+  message that is cut off.
+- It gets that within MAX_FAILURE_S, not when the request's time is over.
+- A response that is whole reaches the client as it is.
+"""
+
+import argparse
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from broken_response_standins import BODY, BrokenEngine, LONG_UPLOAD, Row, SHORT_UPLOAD, send  # noqa: E402
+from node_partition_test import PartitionGateway, StoreView  # noqa: E402
+from soak_gateway import free_port  # noqa: E402
+from soak_standins import Store  # noqa: E402
+
+ENGINES, ROUNDS, TIMEOUT_S, MAX_FAILURE_S = 3, 2, 4.0, 2.0
+RETRY_S, MAX_TRIES = 0.1, 50
+KINDS = {"once": ("unsafe", 1), "safe": ("safe", 2), "stream": ("streaming", 1)}
+OWN_FAILURES = (502, 503)
+
+PART = BODY[:500]
+UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\n{fields}\r\n"
+EVENT_STREAM = b"HTTP/1.1 200 OK\r\n{fields}Content-Type: text/event-stream\r\n\r\n"
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+REFUSAL = b"HTTP/1.1 413 Content Too Large\r\n{fields}"
+WITH_LENGTH = REFUSAL + f"Content-Length: {len(BODY)}\r\n\r\n".encode()
+CHUNKED = REFUSAL + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+# The engine responds to a long request before it has read it, and resets the connection.
+EARLY = {
+    "early part": Row(UNTIL_CLOSE + PART, "reset", early=True),
+    "early head": Row(UNTIL_CLOSE, "reset", early=True),
+    "early events": Row(EVENT_STREAM + EVENTS, "reset", early=True),
+    "early part of HTTP/1.0": Row(b"HTTP/1.0 200 OK\r\n{fields}\r\n" + PART, "reset", early=True),
+    "early part of an error": Row(b"HTTP/1.1 500 X\r\n{fields}\r\n" + PART, "reset", early=True),
+    "early part of a refusal": Row(REFUSAL + b"Connection: close\r\n\r\n" + PART, "reset", early=True),
+    "early part with a length": Row(WITH_LENGTH + PART, "reset", early=True),
+    "early part in chunks": Row(CHUNKED + chunk(PART), "reset", early=True),
+    "early refusal with a length": Row(WITH_LENGTH + BODY, "reset", early=True, whole=413),
+    "early refusal in chunks": Row(CHUNKED + chunk(BODY) + b"0\r\n\r\n", "reset", early=True, whole=413),
+    "early refusal, request read": Row(REFUSAL + b"\r\n" + BODY, "read", early=True, whole=413),
+}
+CASES = {**EARLY}
+
+
+class BrokenResponseTest:
+    def __init__(self, arguments, folder):
+        self.arguments, self.folder, self.number = arguments, folder, 0
+        self.store, self.engines, self.gateways, self.views, self.violations = Store(), [], [], [], []
+
+    async def run(self):
+        await self.start()
+        for name in self.arguments.cases.split("|") if self.arguments.cases else CASES:
+            await self.run_case(name, CASES[name])
+        for gateway in self.gateways:
+            gateway.send(signal.SIGTERM)
+        for gateway in self.gateways:
+            await asyncio.get_running_loop().run_in_executor(None, gateway.process.wait)
+        return self.violations
+
+    async def start(self):
+        await self.store.start()
+        routes = [{"name": name, "host": "h", "path_prefix": f"/{name}/", "kind": kind, "service": "plain",
+                   "timeout_ms": TIMEOUT_S * 1000, "target_latency_ms": 400, "max_attempts": attempts}
+                  for name, (kind, attempts) in KINDS.items()]
+        services = [{"name": "plain", "health_check_path": "/health"}]
+        await self.store.put("config", "main", {"version": 1, "routes": routes, "services": services,
+                                                "limits": {"max_body_bytes": 2 * len(LONG_UPLOAD)}})
+        seeds = []
+        for index in range(2):
+            self.views.append(StoreView(self.store, {}))
+            await self.views[index].start()
+            gateway = PartitionGateway(self.arguments.program, self.folder, index, self.views[index].port, None,
+                                       list(seeds))
+            seeds.append(f"127.0.0.1:{gateway.peer}")
+            gateway.start()
+            self.gateways.append(gateway)
+        await asyncio.sleep(2)
+
+    async def replace_engines(self):
+        """Engines that have failed before get fewer requests."""
+        for engine in self.engines:
+            await self.store.remove("servers", engine.identity)
+            engine.server.close()
+        self.engines, unreachable = [], f"127.0.0.1:{free_port()}"
+        for _ in range(ENGINES):
+            self.number += 1
+            engine = BrokenEngine(f"e{self.number}")
+            await engine.start()
+            self.engines.append(engine)
+            address = f"ENGINE-{engine.identity}-"
+            self.views[0].addresses[address] = unreachable
+            self.views[1].addresses[address] = f"127.0.0.1:{engine.port}"
+            await self.store.put("servers", engine.identity, {**engine.record(), "address": address})
+        for gateway in self.gateways:
+            await self.wait_until_served(gateway)
+
+    async def wait_until_served(self, gateway):
+        stamps = tuple(f"\r\nx-server-stamp: {engine.identity}\r\n" for engine in self.engines)
+        for _ in range(MAX_TRIES):
+            received = await self.send_one(gateway, "safe", SHORT_UPLOAD)
+            if any(stamp in received.head for stamp in stamps):
+                return
+            await asyncio.sleep(RETRY_S)
+        self.violations.append(f"{gateway.name}: no request was served by the new engines")
+
+    async def run_case(self, name, row):
+        for route in KINDS:
+            await self.replace_engines()
+            for engine in self.engines:
+                engine.row, engine.requests = row, 0
+            results = []
+            for _ in range(ROUNDS):
+                results += await asyncio.gather(*(self.send_one(gateway, route, row.upload())
+                                                for gateway in self.gateways))
+            self.check(f"{name}, {route}", row, results)
+
+    async def send_one(self, gateway, route, upload):
+        self.number += 1
+        request = f"r{self.number}"
+        # Requests that are alike count as one that crashes engines.
+        return await send(gateway.client, f"/{route}/x", request.encode() + upload, request)
+
+    def check(self, case, row, results):
+        arrived = sum(engine.requests for engine in self.engines)
+        verdicts = [self.verdict(row, received) for received in results]
+        print(f"  {case}: {arrived} requests at engines; "
+              + ", ".join(f"{received.status}{'' if received.complete else ' cut'} in {received.seconds:.2f} s"
+                          for received in results), flush=True)
+        if not arrived:
+            self.violations.append(f"{case}: no request reached an engine")
+        self.violations += [f"{case}: {verdict}" for verdict in verdicts if verdict]
+
+    @staticmethod
+    def verdict(row, received):
+        """Returns what is wrong with a response that a client got, or None."""
+        got = f"status {received.status}, {len(received.body)} bytes after {received.seconds:.2f} s"
+        if row.whole is not None:
+            whole = received.complete and received.status == row.whole and received.body == BODY
+            return None if whole else f"a whole response did not arrive: {got}"
+        if received.complete and (received.status not in OWN_FAILURES or "x-server-stamp" in received.head):
+            return f"a broken response arrived as complete: {got}"
+        return None if received.seconds < MAX_FAILURE_S else f"the failure came late: {got}"
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("program")
+    parser.add_argument("--cases", help=f"separated by |; default: all of {', '.join(CASES)}")
+    arguments = parser.parse_args()
+    folder = tempfile.mkdtemp(prefix="saltquay-broken-")
+    violations = asyncio.run(BrokenResponseTest(arguments, folder).run())
+    print(f"{len(violations)} invariants violated; logs in {folder}")
+    for line in violations:
+        print("  " + line)
+    sys.exit(1 if violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -63,6 +63,13 @@
   bool Write(const std::string& text) {
     return send(socket_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
   }
+  // Ends this side of the connection in an orderly way; the peer may go on sending.
+  void EndWriting() { shutdown(socket_, SHUT_WR); }
+  // Reads until the peer closes the connection or two seconds pass.
+  void Discard() {
+    std::vector<char> buffer(1024 * 1024);
+    while (recv(socket_, buffer.data(), buffer.size(), 0) > 0) continue;
+  }
   void Close() {
     if (socket_ >= 0) close(socket_);
     socket_ = -1;
