HTTP client: a status outside 100 to 599, and 101, are no responses

Statuses from 600 to 999 were passed on as they were.

Cause: the library's parser takes any three digits, and the connection skipped all below 200 as interim responses.

Change: the response parser refuses a status outside 100 to 599 (RFC 9110, 15) and 101, as the client never asks for another protocol. The call fails at once as malformed: 502, or a second attempt where the route permits one. As all readers use this parser, it holds for engines, peers, the store and control calls. 100 and 102 to 199 are still skipped.

Interim 100 and 103 and a final 599 arrive as before.

--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -18,6 +18,16 @@
 constexpr std::uint64_t kMaxFramingBytes = 16 * 1024;
 constexpr std::uint64_t kFramingBytesPerChunk = 32;
 
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+constexpr int kSwitchingProtocols = 101;
+
+// Other numbers are no status (RFC 9110, 15). A client that never asks for another protocol can't read what follows
+// after a switch to it.
+bool IsReadableStatus(int status) {
+  return status >= kFirstStatus && status <= kLastStatus && status != kSwitchingProtocols;
+}
+
 std::string ToString(string_view text) { return std::string(text.data(), text.size()); }
 
 ParseError Classify(const ErrorCode& error) {
@@ -74,8 +84,9 @@
       head.target = ToString(target);
     }
   }
-  void on_response_impl(int code, string_view reason, int /*version*/, ErrorCode& /*error*/) override {
+  void on_response_impl(int code, string_view reason, int /*version*/, ErrorCode& error) override {
     if constexpr (!kIsRequest) {
+      if (!IsReadableStatus(code)) error = beast::http::error::bad_status;
       head.status = code;
       head.reason = ToString(reason);
     }
--- /dev/null
+++ b/tests/http/malformed_response_test.cc
@@ -0,0 +1,48 @@
+// Heads of responses that are no responses, each as one piece and byte by byte.
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "src/http/parser.h"
+
+namespace saltquay::http {
+namespace {
+
+ParseError Parse(const std::string& text, std::size_t piece) {
+  ResponseParser parser(ParserLimits{}, false);
+  std::string input;
+  for (std::size_t at = 0; at < text.size() && !parser.done(); at += piece) {
+    input += text.substr(at, piece);
+    const FeedResult result = parser.Feed(input);
+    if (result.error != ParseError::kNone) return result.error;
+    input.erase(0, result.consumed);
+  }
+  EXPECT_TRUE(parser.done()) << text;
+  return ParseError::kNone;
+}
+
+void ExpectOutcome(const std::string& text, ParseError outcome) {
+  EXPECT_EQ(Parse(text, text.size()), outcome) << text;
+  EXPECT_EQ(Parse(text, 1), outcome) << text;
+}
+
+std::string WithStatus(const std::string& status) { return "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n"; }
+
+// Guards against: a number below 100 is skipped as an interim response, one above 599 is passed on.
+TEST(MalformedResponseTest, StatusOutsideTheDefinedClassesIsMalformed) {
+  for (const char* status : {"000", "001", "099", "600", "700", "999"}) {
+    ExpectOutcome(WithStatus(status), ParseError::kMalformed);
+  }
+  for (const char* status : {"100", "102", "103", "199", "200", "299", "308", "418", "451", "503", "599"}) {
+    ExpectOutcome(WithStatus(status), ParseError::kNone);
+  }
+}
+
+// Guards against: what follows in another protocol is read as the response.
+TEST(MalformedResponseTest, SwitchToAnotherProtocolIsMalformed) {
+  ExpectOutcome("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+                ParseError::kMalformed);
+}
+
+}  // namespace
+}  // namespace saltquay::http
--- a/tests/platform/broken_response_test.py
+++ b/tests/platform/broken_response_test.py
@@ -58,7 +58,23 @@
     "early refusal in chunks": Row(CHUNKED + chunk(BODY) + b"0\r\n\r\n", "reset", early=True, whole=413),
     "early refusal, request read": Row(REFUSAL + b"\r\n" + BODY, "read", early=True, whole=413),
 }
-CASES = {**EARLY}
+OK = b"HTTP/1.1 200 OK\r\n{fields}Content-Type: text/plain\r\n" + f"Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY
+
+
+def with_status(status):
+    return OK.replace(b"200 OK", f"{status} X".encode(), 1)
+
+
+UPGRADE = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+STATUSES = {
+    **{f"status {status}": Row(with_status(status), "keep") for status in ("000", "001", "099", "600", "999")},
+    "status 000, then a response": Row(b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + OK, "keep"),
+    "upgrade, then a response": Row(UPGRADE + OK, "keep"),
+    "status 100, then a response": Row(b"HTTP/1.1 100 Continue\r\n\r\n" + OK, "keep", whole=200),
+    "status 103, then a response": Row(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + OK, "keep", whole=200),
+    "status 599": Row(with_status(599), "keep", whole=599),
+}
+CASES = {**EARLY, **STATUSES}
 
 
 class BrokenResponseTest:
