HTTP client: a response with a folded line is malformed

Cause: the library's parser takes such a line for a folded one and joins it (obs-fold), without a word to its user.

Change: the response parser looks for folded lines in the bytes of the head that the library has consumed; a field and its folds are always consumed together. RFC 9112, 5.2 lets a gateway reject such a response or replace the fold; what was read shows that the line need not belong to the field before. In requests the joined value stays, as the RFC permits: no answer is at stake there.

--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -28,6 +28,11 @@
   return status >= kFirstStatus && status <= kLastStatus && status != kSwitchingProtocols;
 }
 
+// Beast joins a line that begins with a blank to the field before it. It consumes both together.
+bool HasFoldedField(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 std::string ToString(string_view text) { return std::string(text.data(), text.size()); }
 
 ParseError Classify(const ErrorCode& error) {
@@ -57,6 +62,8 @@
       const std::size_t used = this->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
       result.consumed += used;
       if (head_done) bytes_behind_head_ += used;
+      // A gateway may reject a response with such a line (RFC 9112, 5.2).
+      if (!kIsRequest && !head_done && HasFoldedField(rest.substr(0, used))) error = beast::http::error::bad_field;
       result.error = Classify(error);
       if (error || used == 0) break;
     }
--- a/tests/http/malformed_response_test.cc
+++ b/tests/http/malformed_response_test.cc
@@ -44,5 +44,36 @@
                 ParseError::kMalformed);
 }
 
+std::string WithLine(const std::string& line) {
+  return "HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Guards against: a line that begins with a blank becomes a part of the field before it.
+TEST(MalformedResponseTest, FoldedLineIsMalformed) {
+  for (const char* line : {" X-Bad: v", "\tX-Bad: v", "X-Fold: a\r\n b", "X-Fold:\r\n b", " ", "\t"}) {
+    ExpectOutcome(WithLine(line), ParseError::kMalformed);
+  }
+}
+
+TEST(MalformedResponseTest, LineWithoutAFieldNameIsMalformed) {
+  const std::string nul("X-\0Bad: v", 9);
+  for (const std::string& line : {std::string("X Bad: v"), std::string("X-Bad : v"), std::string("X-Bad\t: v"),
+                                  std::string("X-\x01"
+                                              "Bad: v"),
+                                  std::string("X-\x7f"
+                                              "Bad: v"),
+                                  std::string("X-\xe9"
+                                              "Bad: v"),
+                                  std::string("X-Bad"), std::string(": v"), nul}) {
+    ExpectOutcome(WithLine(line), ParseError::kMalformed);
+  }
+}
+
+TEST(MalformedResponseTest, BlanksAroundAValueAreNoFold) {
+  for (const char* line : {"X-Field: v", "X-Field:v", "X-Field: \t v \t", "X-Field:", "X-Field: "}) {
+    ExpectOutcome(WithLine(line), ParseError::kNone);
+  }
+}
+
 }  // namespace
 }  // namespace saltquay::http
--- a/tests/platform/broken_response_test.py
+++ b/tests/platform/broken_response_test.py
@@ -74,7 +74,21 @@
     "status 103, then a response": Row(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + OK, "keep", whole=200),
     "status 599": Row(with_status(599), "keep", whole=599),
 }
-CASES = {**EARLY, **STATUSES}
+
+
+def with_line(line):
+    """Returns a response with one more line behind the engine's own fields."""
+    return OK.replace(b"{fields}", b"{fields}" + line + b"\r\n")
+
+
+# Lines that are no fields (RFC 9112, 5.1 and 5.2).
+LINES = {"blank before a name": b" X-Bad: v", "tab before a name": b"\tX-Bad: v", "folded line": b"X-Fold: a\r\n b",
+         "line of a blank": b" ", "blank in a name": b"X Bad: v", "blank before a colon": b"X-Bad : v",
+         "control byte in a name": b"X-\x01Bad: v", "NUL in a name": b"X-\0Bad: v", "DEL in a name": b"X-\x7fBad: v",
+         "byte over 127 in a name": b"X-\xe9Bad: v", "no colon": b"X-Bad", "no name": b": v",
+         "control byte in a value": b"X-Bad: \x01"}
+FIELDS = {name: Row(with_line(line), "keep") for name, line in LINES.items()}
+CASES = {**EARLY, **STATUSES, **FIELDS}
 
 
 class BrokenResponseTest:
