HTTP parsers: a transfer coding other than "chunked" alone is malformed

With "gzip", "chunked, gzip", "chunked, chunked", "xchunked", an empty value, or two such fields the chunks' own framing arrived as the body, which ended with the connection or by a Content-Length. In requests, "gzip" alone made the body bytes count as the next request of the connection.

Cause: the library's parser looks for "chunked" as the last coding and ignores all else; the gateway then drops the field.

Change: both parsers refuse a message unless its only transfer coding is "chunked" (RFC 9112, 6.1 and 6.3): a response is malformed (502 or a second attempt), a request gets 400. The client never asks for another coding.

"Chunked" in other letters arrives as before.

--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -33,6 +33,17 @@
   return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
 }
 
+// "chunked" is the only coding that is decoded here. A body in another one has no end that its sender and its readers
+// agree on (RFC 9112, 6.1 and 6.3).
+bool HasReadableCoding(const Fields& fields) {
+  int codings = 0;
+  for (const Field& field : fields.all()) {
+    if (!SameName(field.name, "Transfer-Encoding")) continue;
+    if (++codings > 1 || !SameName(field.value, "chunked")) return false;
+  }
+  return true;
+}
+
 std::string ToString(string_view text) { return std::string(text.data(), text.size()); }
 
 ParseError Classify(const ErrorCode& error) {
@@ -102,7 +113,10 @@
     // Trailers are dropped: a field of theirs must not count as one of the head (RFC 9110, 6.5.1).
     if (!this->is_header_done()) head.fields.Add(ToString(name), ToString(value));
   }
-  void on_header_impl(ErrorCode& /*error*/) override { head.keep_alive = this->keep_alive(); }
+  void on_header_impl(ErrorCode& error) override {
+    head.keep_alive = this->keep_alive();
+    if (!HasReadableCoding(head.fields)) error = beast::http::error::bad_transfer_encoding;
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, ErrorCode& /*error*/) override {}
   std::size_t on_body_impl(string_view bytes, ErrorCode& /*error*/) override { return Append(bytes); }
   void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/, ErrorCode& /*error*/) override {
--- a/tests/http/malformed_response_test.cc
+++ b/tests/http/malformed_response_test.cc
@@ -75,5 +75,34 @@
   }
 }
 
+constexpr const char* kUnreadableCodings[] = {"gzip, chunked", "chunked, gzip", "gzip", "chunked, chunked",
+                                              "xchunked",      "identity",      "",     "chunked;q=1",
+                                              "\"chunked\""};
+
+// Guards against: the end of a body is found otherwise than its sender meant, or a coded body is passed on as it is.
+TEST(MalformedResponseTest, CodingOtherThanChunkedIsMalformed) {
+  const std::string body = "4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string coding : kUnreadableCodings) {
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n";
+    ExpectOutcome(head + "\r\n" + body, ParseError::kMalformed);
+    ExpectOutcome(head + "Content-Length: 14\r\n\r\n" + body, ParseError::kMalformed);
+    ExpectOutcome(head + "Transfer-Encoding: chunked\r\n\r\n" + body, ParseError::kMalformed);
+    ExpectOutcome("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTransfer-Encoding: " + coding + "\r\n\r\n",
+                  ParseError::kMalformed);
+  }
+  for (const std::string coding : {"chunked", "Chunked", "CHUNKED \t"}) {
+    ExpectOutcome("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + body, ParseError::kNone);
+  }
+}
+
+// Guards against: the body of such a request is taken for the next request, or passed on without its coding.
+TEST(MalformedRequestTest, CodingOtherThanChunkedIsMalformed) {
+  for (const std::string coding : kUnreadableCodings) {
+    RequestParser parser(ParserLimits{});
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n";
+    EXPECT_EQ(parser.Feed(head + "4\r\nbody\r\n0\r\n\r\n").error, ParseError::kMalformed) << coding;
+  }
+}
+
 }  // namespace
 }  // namespace saltquay::http
--- a/tests/platform/broken_response_test.py
+++ b/tests/platform/broken_response_test.py
@@ -88,7 +88,22 @@
          "byte over 127 in a name": b"X-\xe9Bad: v", "no colon": b"X-Bad", "no name": b": v",
          "control byte in a value": b"X-Bad: \x01"}
 FIELDS = {name: Row(with_line(line), "keep") for name, line in LINES.items()}
-CASES = {**EARLY, **STATUSES, **FIELDS}
+CHUNKS = chunk(BODY) + b"0\r\n\r\n"
+
+
+def with_coding(coding, fields=b""):
+    head = b"HTTP/1.1 200 OK\r\n{fields}Content-Type: text/plain\r\nTransfer-Encoding: "
+    return head + coding + b"\r\n" + fields + b"\r\n" + CHUNKS
+
+
+CODINGS = {
+    **{f"coding '{coding}'": Row(with_coding(coding.encode()), "close")
+       for coding in ("gzip, chunked", "chunked, gzip", "gzip", "chunked, chunked", "xchunked", "")},
+    "coding 'gzip' with a length": Row(with_coding(b"gzip", f"Content-Length: {len(CHUNKS)}\r\n".encode()), "keep"),
+    "coding 'gzip' in two fields": Row(with_coding(b"gzip", b"Transfer-Encoding: chunked\r\n"), "keep"),
+    "coding 'Chunked'": Row(with_coding(b"Chunked"), "keep", whole=200),
+}
+CASES = {**EARLY, **STATUSES, **FIELDS, **CODINGS}
 
 
 class BrokenResponseTest:
