Gateway: the log and a metric tell a malformed response from a lost connection

Cause: saltquay_attempts_total counted a malformed response as "broken", and no line said what was wrong with it.

Change: the parser hands out the cause of its error, the HTTP client passes it on before the call fails, and the gateway writes response_malformed (626) with the engine or peer, the connection and the cause, one line a call. The metric has the outcome "malformed". A call to the store or to a peer that fails for this reason says so in its status.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -136,6 +136,9 @@
      "All connections together hold too many bytes: a request whose body had not come was refused, or an answer that "
      "its client does not read was ended.",
      "Look for clients that stop in the middle of a body or of an answer; raise memory_mb if there are none."},
+    {kResponseMalformed, kWarning, "response_malformed",
+     "An engine or a peer sent bytes that are no response, or more of one than is read; what is wrong with them.",
+     "If it repeats: look at the logs of the engine that the line names."},
     {kRequestForwarded, kInfo, "request_forwarded",
      "A request was handed to a peer, since this node cannot reach the engines that it needs.",
      "If it lasts: look at the links between this node and the engines that engine_path names."},
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -74,6 +74,7 @@
   kResponseSkipped = 623,
   kEngineIdentified = 624,
   kHeldBytesGivenUp = 625,
+  kResponseMalformed = 626,
   kRequestForwarded = 630,
   kStreamResumed = 631,
   kStoreUnavailable = 700,
--- a/src/fetch/fetcher.cc
+++ b/src/fetch/fetcher.cc
@@ -90,10 +90,12 @@
             finish(id, std::move(call->reply));
     };
     handlers.on_failure = [this, id](http::CallFailure failure) {
-        auto const sent = failure != http::CallFailure::kNotSent;
+        if (failure == http::CallFailure::kNotSent)
+            return finish(id, absl::UnavailableError("the peer is unreachable"));
+        auto const malformed = failure == http::CallFailure::kMalformed;
         finish(id,
-            sent ? absl::DeadlineExceededError("the connection was lost before the response was complete")
-                 : absl::UnavailableError("the peer is unreachable"));
+            absl::DeadlineExceededError(
+                malformed ? "the response is malformed" : "the connection was lost before the response was complete"));
     };
     return handlers;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -146,6 +146,7 @@
   void OnBody(serving::AttemptId id, std::string_view bytes);
   void OnComplete(serving::AttemptId id);
   void OnFailure(serving::AttemptId id, http::CallFailure failure);
+  void LogMalformedResponse(serving::AttemptId id, std::string_view cause);
   void FailAttempt(serving::AttemptId id, serving::AttemptFailure failure);
   // Whether the part of the response that has to be kept is longer than any sound one.
   static bool ExceedsLimit(const ActiveAttempt& attempt);
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -28,6 +28,8 @@
       return "not_sent";
     case serving::AttemptFailure::kUnidentified:
       return "unidentified";
+    case serving::AttemptFailure::kMalformed:
+      return "malformed";
     case serving::AttemptFailure::kInsideEvent:
       return "inside_event";
     case serving::AttemptFailure::kNoEvents:
@@ -46,6 +48,7 @@
   handlers.on_body = [this, id](std::string_view bytes) { OnBody(id, bytes); };
   handlers.on_complete = [this, id] { OnComplete(id); };
   handlers.on_failure = [this, id](http::CallFailure failure) { OnFailure(id, failure); };
+  handlers.on_malformed = [this, id](std::string_view cause) { LogMalformedResponse(id, cause); };
   handlers.on_other_server = [this, id](http::ServerIdentity started_ms) { OnOtherProcess(id, started_ms); };
   return handlers;
 }
@@ -96,7 +99,9 @@
   }
   // Relaying an event may have ended the attempt.
   const auto current = attempts_.find(id);
-  if (current != attempts_.end() && ExceedsLimit(current->second)) FailAttempt(id, serving::AttemptFailure::kMalformed);
+  if (current == attempts_.end() || !ExceedsLimit(current->second)) return;
+  LogMalformedResponse(id, "body limit exceeded");
+  FailAttempt(id, serving::AttemptFailure::kMalformed);
 }
 
 bool Gateway::ExceedsLimit(const ActiveAttempt& attempt) {
@@ -139,6 +144,15 @@
   attempts_.erase(id);
 }
 
+void Gateway::LogMalformedResponse(serving::AttemptId id, std::string_view cause) {
+  const auto entry = attempts_.find(id);
+  if (entry == attempts_.end()) return;
+  const ActiveAttempt& attempt = entry->second;
+  Log(EventId::kResponseMalformed, attempt.request_id,
+      fmt::format(R"("engine":"{}","peer":"{}","connection":{},"cause":"{}")", EscapeJson(attempt.engine_id),
+                  EscapeJson(attempt.peer), attempt.connection, EscapeJson(cause)));
+}
+
 void Gateway::OnFailure(serving::AttemptId id, http::CallFailure failure) {
   FailAttempt(id, ToAttemptFailure(failure));
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -70,6 +70,8 @@
   std::function<void(std::string_view)> on_body;
   std::function<void()> on_complete;
   std::function<void(CallFailure)> on_failure;
+  // Before on_failure(): what is wrong with bytes that are no response; for the log. It must not end the call.
+  std::function<void(std::string_view cause)> on_malformed;
   // Instead of the others: the server is not the expected one, and the call was not sent.
   std::function<void(ServerIdentity)> on_other_server;
 };
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -153,15 +153,15 @@
   while (state_ == State::kBusy && !input_.empty()) {
     const FeedResult result = parser_->Feed(input_);
     input_.erase(0, result.consumed);
-    if (result.error != ParseError::kNone) return Fail(CallFailure::kMalformed);
+    if (result.error != ParseError::kNone) return FailMalformed(result.cause);
     if (!parser_->head_done()) return;
     const bool skipped_one = SkipForeignAnswer();
     if (skipped_one || skipping_) {
-      if (!CountSkipped(result.consumed, skipped_one)) return Fail(CallFailure::kMalformed);
+      if (!CountSkipped(result.consumed, skipped_one)) return FailMalformed("too many other responses");
       if (skipped_one) continue;
       return;
     }
-    if (!TakeBody()) return Fail(CallFailure::kMalformed);
+    if (!TakeBody()) return FailMalformed("body limit exceeded");
     if (identifying_) {
       if (parser_->done()) OnIdentified();
       return;
@@ -272,6 +272,11 @@
   handlers->on_failure(call_sent || failure == CallFailure::kNotSent ? failure : CallFailure::kUnidentified);
 }
 
+void ClientConnection::FailMalformed(std::string_view cause) {
+  if (handlers_->on_malformed) handlers_->on_malformed(cause);
+  Fail(CallFailure::kMalformed);
+}
+
 void ClientConnection::Rest(const ResponseHead& head) {
   const bool reusable =
       head.keep_alive && !head.until_close && input_.empty() && !writing_ && !response_unnamed_ && !carried_.full();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -62,6 +62,7 @@
   void OnEnd();
   bool ResponseIsWholeAtEnd();
   void Fail(CallFailure failure);
+  void FailMalformed(std::string_view cause);
   void Rest(const ResponseHead& head);
   void NewParser();
 
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -74,12 +74,16 @@
       result.consumed += used;
       if (head_done) bytes_behind_head_ += used;
       // A gateway may reject a response with such a line (RFC 9112, 5.2).
-      if (!kIsRequest && !head_done && HasFoldedField(rest.substr(0, used))) error = beast::http::error::bad_field;
+      if (!kIsRequest && !head_done && HasFoldedField(rest.substr(0, used))) error = beast::http::error::bad_obs_fold;
       result.error = Classify(error);
+      if (result.error != ParseError::kNone) result.cause = error.message();
       if (error || used == 0) break;
     }
     const bool too_large = result.error == ParseError::kNone && ExceedsFraming(input.size() - result.consumed);
-    if (too_large) result.error = ParseError::kFramingTooLarge;
+    if (too_large) {
+      result.error = ParseError::kFramingTooLarge;
+      result.cause = "framing limit exceeded";
+    }
     return result;
   }
 
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -26,6 +26,7 @@
 struct FeedResult {
   std::size_t consumed = 0;
   ParseError error = ParseError::kNone;
+  std::string cause;  // Of the error, in words.
 };
 
 // Returns the status that a server answers to a request with this error.
