--- a/tests/platform/broken_response_standins.py
+++ b/tests/platform/broken_response_standins.py
@@ -54,15 +54,15 @@
 class BrokenEngine(Server):
     """Engine that responds to each request with the response of `row`, and properly while that is None."""
 
-    def __init__(self, identity):
-        self.identity, self.row, self.requests = identity, None, 0
+    def __init__(self, identity, service):
+        self.identity, self.service, self.row, self.requests = identity, service, None, 0
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, sock=listening_socket())
         self.port = self.server.sockets[0].getsockname()[1]
 
     def record(self):
-        return {"service": "plain", "address": f"127.0.0.1:{self.port}", "zone": "a", "slots": 64, "state": "ready",
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "a", "slots": 64, "state": "ready",
                 "sequence": 0, "born": 1}
 
     async def _serve(self, reader, writer):
@@ -89,7 +89,8 @@
         self.requests += 1
         fields = f"X-Request-Id: {request}\r\nX-Server-Stamp: {self.identity}\r\nX-Instance-Load: 0,0,64\r\n"
         if row is None:
-            writer.write(f"HTTP/1.1 200 OK\r\n{fields}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY)
+            head = f"HTTP/1.1 200 OK\r\n{fields}Content-Type: text/plain\r\nContent-Length: {len(BODY)}\r\n\r\n"
+            writer.write(head.encode() + BODY)
             return True
         writer.write(row.text.replace(b"{fields}", fields.encode()))
         await writer.drain()
--- a/tests/platform/broken_response_test.py
+++ b/tests/platform/broken_response_test.py
@@ -103,7 +103,13 @@
     "coding 'gzip' in two fields": Row(with_coding(b"gzip", b"Transfer-Encoding: chunked\r\n"), "keep"),
     "coding 'Chunked'": Row(with_coding(b"Chunked"), "keep", whole=200),
 }
-CASES = {**EARLY, **STATUSES, **FIELDS, **CODINGS}
+CUT_PLACES = ["HTT", "HTTP/1.1 200", "HTTP/1.1 200 OK\r", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\n{fields}Content-Le",
+              "HTTP/1.1 200 OK\r\n{fields}Content-Length: 1", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n",
+              "HTTP/1.1 200 OK\r\n{fields}", "HTTP/1.1 200 OK\r\n{fields}\r"]
+# The engine stops inside the head; also while it reads a long request.
+CUT_HEADS = {f"head cut at {place[-12:]!r}, {ending}{', early' if early else ''}": Row(place.encode(), ending, early)
+             for place in CUT_PLACES for ending, early in (("close", False), ("reset", False), ("reset", True))}
+CASES = {**EARLY, **STATUSES, **FIELDS, **CODINGS, **CUT_HEADS}
 
 
 class BrokenResponseTest:
@@ -123,10 +129,10 @@
 
     async def start(self):
         await self.store.start()
-        routes = [{"name": name, "host": "h", "path_prefix": f"/{name}/", "kind": kind, "service": "plain",
+        routes = [{"name": name, "host": "h", "path_prefix": f"/{name}/", "kind": kind, "service": name,
                    "timeout_ms": TIMEOUT_S * 1000, "target_latency_ms": 400, "max_attempts": attempts}
                   for name, (kind, attempts) in KINDS.items()]
-        services = [{"name": "plain", "health_check_path": "/health"}]
+        services = [{"name": name, "health_check_path": "/health"} for name in KINDS]
         await self.store.put("config", "main", {"version": 1, "routes": routes, "services": services,
                                                 "limits": {"max_body_bytes": 2 * len(LONG_UPLOAD)}})
         seeds = []
@@ -146,37 +152,36 @@
             await self.store.remove("servers", engine.identity)
             engine.server.close()
         self.engines, unreachable = [], f"127.0.0.1:{free_port()}"
-        for _ in range(ENGINES):
+        for service in list(KINDS) * ENGINES:
             self.number += 1
-            engine = BrokenEngine(f"e{self.number}")
+            engine = BrokenEngine(f"e{self.number}", service)
             await engine.start()
             self.engines.append(engine)
             address = f"ENGINE-{engine.identity}-"
             self.views[0].addresses[address] = unreachable
             self.views[1].addresses[address] = f"127.0.0.1:{engine.port}"
             await self.store.put("servers", engine.identity, {**engine.record(), "address": address})
-        for gateway in self.gateways:
-            await self.wait_until_served(gateway)
+        await asyncio.gather(*(self.wait_until_served(gateway, route) for gateway in self.gateways for route in KINDS))
 
-    async def wait_until_served(self, gateway):
+    async def wait_until_served(self, gateway, route):
         stamps = tuple(f"\r\nx-server-stamp: {engine.identity}\r\n" for engine in self.engines)
         for _ in range(MAX_TRIES):
-            received = await self.send_one(gateway, "safe", SHORT_UPLOAD)
+            received = await self.send_one(gateway, route, SHORT_UPLOAD)
             if any(stamp in received.head for stamp in stamps):
                 return
             await asyncio.sleep(RETRY_S)
-        self.violations.append(f"{gateway.name}: no request was served by the new engines")
+        self.violations.append(f"{gateway.name}, {route}: no request was served by the new engines")
 
     async def run_case(self, name, row):
+        await self.replace_engines()
+        for engine in self.engines:
+            engine.row, engine.requests = row, 0
         for route in KINDS:
-            await self.replace_engines()
-            for engine in self.engines:
-                engine.row, engine.requests = row, 0
             results = []
             for _ in range(ROUNDS):
                 results += await asyncio.gather(*(self.send_one(gateway, route, row.upload())
                                                 for gateway in self.gateways))
-            self.check(f"{name}, {route}", row, results)
+            self.check(name, route, row, results)
 
     async def send_one(self, gateway, route, upload):
         self.number += 1
@@ -184,8 +189,8 @@
         # Requests that are alike count as one that crashes engines.
         return await send(gateway.client, f"/{route}/x", request.encode() + upload, request)
 
-    def check(self, case, row, results):
-        arrived = sum(engine.requests for engine in self.engines)
+    def check(self, name, route, row, results):
+        case, arrived = f"{name}, {route}", sum(engine.requests for engine in self.engines if engine.service == route)
         verdicts = [self.verdict(row, received) for received in results]
         print(f"  {case}: {arrived} requests at engines; "
               + ", ".join(f"{received.status}{'' if received.complete else ' cut'} in {received.seconds:.2f} s"
--- a/tests/runtime/runtime_test.cc
+++ b/tests/runtime/runtime_test.cc
@@ -256,6 +256,22 @@
   EXPECT_EQ(server.accepted(), 1);
 }
 
+TEST(HttpClientTest, MalformedResponseIsNoAnswer) {
+  for (const char* start : {"HTTP/1.1 000 X\r\n", "HTTP/1.1 200 OK\r\nX-First: 1\r\n X: v\r\n",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"}) {
+    testing::ScriptedServer server({[&](testing::ScriptedConnection& connection) {
+      connection.ReadHead();
+      connection.Write(std::string(start) +
+                       "Content-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      connection.ReadToEnd();
+    }});
+    HttpClient client;
+    HttpCall call;
+    call.url = "http://" + server.address() + "/x";
+    EXPECT_EQ(Call(client, call).result, HttpResult::kBroken) << start;
+  }
+}
+
 TEST(HttpClientTest, ARequestOnADyingConnectionArrivesOnce) {
   // libcurl sent it again by itself: work that may run once could run twice.
   std::atomic<int> arrived = 0;
