Planned stop: every request gets a response before the process ends

Cause: until its end a stopping node went on to send waiting prompts to engines, and it ended its event loop with requests still open. Plain requests wait at most 0.4 s plus retries, so they are gone by then; prompts wait for as long as their objective allows, and with an objective of 10 s that is longer than the grace.

Streams that are relayed are left alone.

--- a/src/core/serving/events.h
+++ b/src/core/serving/events.h
@@ -255,8 +255,12 @@
 struct StreamMessageArrived {
   StreamMessage message;
 };
-// This node is shutting down and takes on no new duties.
-struct NodeStopping {};
+// kBegun: this node takes on no new duties. kDispatchEnded: what it sent to an engine from now on would be cut off by
+// the end of the process. kExiting: the process ends as soon as the last responses are written.
+enum class StopPhase { kBegun, kDispatchEnded, kExiting };
+struct NodeStopping {
+  StopPhase phase = StopPhase::kBegun;
+};
 struct TimerFired {};
 
 using Event = std::variant<ConfigurationChanged, EnginesReplaced, EngineChanged, EngineRemoved, EngineChangesApplied,
--- a/src/core/serving/flow_end_steps.cc
+++ b/src/core/serving/flow_end_steps.cc
@@ -14,6 +14,26 @@
 
 }  // namespace
 
+// Requests that still wait get a response while there is time to send it; in the end, the others as well.
+void ServingCore::On(const NodeStopping& event) {
+  if (event.phase == StopPhase::kBegun) {
+    if (limiter_ != nullptr) limiter_->begin_stop(now_);
+    return;
+  }
+  dispatch_ended_ = true;
+  std::vector<FlowId> ending;
+  for (const auto& [id, flow] : flows_) {
+    const bool waits = flow->attempts.empty() || event.phase == StopPhase::kExiting;
+    if (waits && !flow->relaying) ending.push_back(id);
+  }
+  for (const FlowId id : ending) {
+    Flow* flow = FindFlow(id);
+    if (flow == nullptr) continue;
+    CancelAttempts(*flow, 0);
+    Advance(*flow);
+  }
+}
+
 void ServingCore::WaitOrRefuse(Flow& flow) {
   if (!flow.attempts.empty()) return ScheduleWakeUp(flow);  // Another attempt is still in flight.
   if (flow.relaying) {
--- a/src/core/serving/flow_steps.cc
+++ b/src/core/serving/flow_steps.cc
@@ -17,6 +17,8 @@
 constexpr int kFirstRedirect = 300;
 constexpr int kTooManyRequests = 429;
 constexpr int kRequestTimeout = 408;
+// Other nodes are ready.
+constexpr Duration kRetryAfterStop = 50ms;
 
 std::string_view ModeName(AttemptMode mode) {
   if (mode == AttemptMode::kPrefill) return "prefill";
@@ -32,7 +34,11 @@
 
 // Starts the next attempt that the flow needs, or waits for an engine.
 void ServingCore::Advance(Flow& flow) {
-  if (MustRefuseElsewhere(flow)) return RefuseElsewhere(flow, "engines not reachable");
+  constexpr std::string_view kStopping = "this node is stopping";
+  if (MustRefuseElsewhere(flow)) return RefuseElsewhere(flow, dispatch_ended_ ? kStopping : "engines not reachable");
+  if (dispatch_ended_ && !flow.relaying) {
+    return flow.attempts.empty() ? Refuse(flow, kStopping, kRetryAfterStop) : ScheduleWakeUp(flow);
+  }
   if (LacksSoftwareVersion(flow)) return OnSoftwareVersionGone(flow);
   if (CannotReachEngines(flow) && StartForward(flow)) return;
   const bool wants_prefill = SplitsPrompt(flow, parameters_) && !flow.kv_cache;
--- a/src/core/serving/forward_steps.cc
+++ b/src/core/serving/forward_steps.cc
@@ -141,7 +141,7 @@
 bool ServingCore::MustRefuseElsewhere(const Flow& flow) {
   if (!flow.metadata.forwarded || flow.relaying || !flow.attempts.empty()) return false;
   if (flow.executions > flow.metadata.forwarded->executions) return false;
-  return CannotReachEngines(flow);
+  return dispatch_ended_ || CannotReachEngines(flow);
 }
 
 void ServingCore::RefuseElsewhere(Flow& flow, std::string_view cause) {
--- a/src/core/serving/limit_steps.cc
+++ b/src/core/serving/limit_steps.cc
@@ -102,10 +102,6 @@
   if (limiter_ != nullptr) limiter_->on_message(now_, event.message);
 }
 
-void ServingCore::On(const NodeStopping& /*event*/) {
-  if (limiter_ != nullptr) limiter_->begin_stop(now_);
-}
-
 void ServingCore::StepLimiter() {
   const std::optional<Time> due = limiter_->next_deadline();
   if (due && *due <= now_) limiter_->step(now_);
--- a/src/core/serving/serving_core.h
+++ b/src/core/serving/serving_core.h
@@ -141,8 +141,7 @@
   void Start(Flow& flow, EngineAdmission admission, AttemptMode mode);
   Duration ConnectTimeout(const std::string& zone) const;
   void WaitOrRefuse(Flow& flow);
-  // How long the flow waits until any engine becomes available. `all_closed`: those that it may go to have asked for
-  // fewer requests.
+  // How long the flow waits for an engine. `all_closed`: those that it may go to have asked for fewer requests.
   Duration EngineWait(const Flow& flow, bool all_closed) const;
   // Sends the request again to an engine that rejected it, if its backoff is over.
   bool RetryRejectingEngine(Flow& flow);
@@ -381,6 +380,7 @@
   bool engines_listed_ = false;
   int added_engines_ = 0;  // Not logged yet.
   bool store_connected_ = false;
+  bool dispatch_ended_ = false;  // See NodeStopping.
   std::map<FlowId, std::unique_ptr<Flow>> flows_;
   std::set<std::pair<Time, FlowId>> wake_up_queue_;
   std::map<FlowId, Time> wake_ups_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -379,6 +379,8 @@
   const std::chrono::milliseconds elapsed = TimeSinceStop();
   const bool accepting_ended = !schedule.AcceptsConnections(elapsed);
   if (accepting_ended) client_server_->StopAccepting();
+  if (!schedule.Dispatches(elapsed)) gateway_.Dispatch(serving::NodeStopping{serving::StopPhase::kDispatchEnded});
+  if (schedule.AnswersRequests(elapsed)) gateway_.Dispatch(serving::NodeStopping{serving::StopPhase::kExiting});
   const bool finished = accepting_ended && gateway_.open_requests() == 0 && client_server_->open_connections() == 0;
   if (finished || schedule.MustExit(elapsed)) {
     gateway_.Log(EventId::kNodeStopped, "", fmt::format(R"("open_requests":{})", gateway_.open_requests()));
--- a/tests/gateway/gateway_components_test.cc
+++ b/tests/gateway/gateway_components_test.cc
@@ -179,6 +179,21 @@
   EXPECT_FALSE(StopSchedule(milliseconds(2000)).AcceptsConnections(milliseconds(1000)));
 }
 
+// Guards against: requests that wait, or are at an engine, are cut off without a response when the process exits.
+TEST(StopScheduleTest, RespondsToAllRequestsBeforeTheProcessExits) {
+  using std::chrono::milliseconds;
+  for (const milliseconds grace : {milliseconds(2000), milliseconds(4000), milliseconds(8000), milliseconds(30000)}) {
+    const StopSchedule schedule(grace);
+    milliseconds elapsed{0};
+    while (schedule.ServesRequests(elapsed)) ++elapsed;
+    EXPECT_TRUE(schedule.Dispatches(elapsed - milliseconds(1)));
+    while (schedule.Dispatches(elapsed)) ++elapsed;
+    EXPECT_FALSE(schedule.AnswersRequests(elapsed));
+    while (!schedule.AnswersRequests(elapsed)) ++elapsed;
+    EXPECT_FALSE(schedule.MustExit(elapsed + milliseconds(50))) << "a poll later";
+  }
+}
+
 TEST(UsageCodecTest, SealedReportsRoundTripAndInvalidOnesAreCorrupt) {
   const duties::SealedUsage sealed{12, {{7, {{"t1", 5}, {"t2", 6}}}, {8, {}}}};
   const auto decoded = DecodeSealedUsage({"reports", 12, EncodeSealedUsage(sealed)});
