--- a/src/core/serving/flow_end_steps.cc
+++ b/src/core/serving/flow_end_steps.cc
@@ -23,8 +23,8 @@
   dispatch_ended_ = true;
   std::vector<FlowId> ending;
   for (const auto& [id, flow] : flows_) {
-    const bool waits = flow->attempts.empty() || event.phase == StopPhase::kExiting;
-    if (waits && !flow->relaying) ending.push_back(id);
+    const bool ends = flow->attempts.empty() || event.phase == StopPhase::kExiting;
+    if (ends && !flow->relaying) ending.push_back(id);
   }
   for (const FlowId id : ending) {
     Flow* flow = FindFlow(id);
--- a/tests/platform/broken_response_standins.py
+++ b/tests/platform/broken_response_standins.py
@@ -7,17 +7,17 @@
 
 from soak_standins import Server, response
 
+RECEIVE_BUFFER_BYTES = 64 * 1024  # Of an engine's connection.
 RESET_DELAY_S = 0.05
 BODY = b"0123456789" * 120
 
 
 def socket_buffer_bytes():
-    """Returns the most that the kernel buffers of a connection's two ends hold, for the machine's settings."""
+    """Returns the most that the socket buffers of a connection's two ends hold by the machine's settings."""
     with open("/proc/sys/net/ipv4/tcp_wmem", encoding="utf-8") as limits:
         return int(limits.read().split()[2]) + RECEIVE_BUFFER_BYTES
 
 
-RECEIVE_BUFFER_BYTES = 64 * 1024  # Of an engine's connection.
 # An engine that does not read leaves the gateway in the middle of such a request.
 LONG_UPLOAD = b"x" * (socket_buffer_bytes() + (1 << 20))
 SHORT_UPLOAD = b"hi"
