--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -185,7 +185,7 @@
 ResponseParser& ResponseParser::operator=(ResponseParser&&) noexcept = default;
 
 FeedResult ResponseParser::Feed(std::string_view input) {
-  const FeedResult result = impl_->collector.FeedBytes(input);
+  FeedResult result = impl_->collector.FeedBytes(input);
   if (head_done()) impl_->collector.head.until_close = impl_->collector.need_eof();
   return result;
 }
